--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"sorrelring/internal/wire"
-	"sorrelring/logic"
+	"junctionwharf/internal/wire"
+	"junctionwharf/logic"
 )
 
 func main() {
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"sorrelring/logic"
+	"junctionwharf/logic"
 )
 
 // Writer writes replies.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"sorrelring/logic"
+	"junctionwharf/logic"
 )
 
 // Start tells that an instance begins with nothing but its settings.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"sorrelring/logic"
+	"junctionwharf/logic"
 )
 
 const settings = `{"bounds":{"cancel":true,"maxAttempts":3,"maxRetryAfter":1000000,"peers":true,"novelty":4},` +
--- a/logic/bench_test.go
+++ b/logic/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"sorrelring/logic"
+	"junctionwharf/logic"
 )
 
 // BenchmarkStep plays requests with their answers through one gateway of few or many hosts. Its time for
--- a/logic/checker_test.go
+++ b/logic/checker_test.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	"sorrelring/logic"
+	"junctionwharf/logic"
 )
 
 // checker watches the events and actions of one gateway and records each broken rule. What counts
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"sorrelring/logic"
+	"junctionwharf/logic"
 )
 
 // A gateway takes a request, sends it and is told that it was served.
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"sorrelring/logic"
+	"junctionwharf/logic"
 )
 
 // fleet drives many gateways before one node, which serves one unit after another at a fixed rate.
--- a/logic/hostile_test.go
+++ b/logic/hostile_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"sorrelring/logic"
+	"junctionwharf/logic"
 )
 
 // decider is what the hostile sequences drive: a Gateway, or a stub that breaks a rule.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"sorrelring/logic"
+	"junctionwharf/logic"
 )
 
 const ms = time.Millisecond
