Serve the platform's port with a real broker round the decision module

What it consists of: broker holds the one reducer and its loop, internal/resp the front on redcon and the node side, internal/pool the connections, internal/discovery and internal/peer the list and the datagrams, internal/config the configuration (the settings' parser moved there from internal/wire).

--- /dev/null
+++ b/broker/loop.go
@@ -0,0 +1,236 @@
+package broker
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Clock counts whole microseconds of the monotonic clock. It starts an hour up, so that nodes which
+// started shortly before this process have a start above 0 too.
+type Clock struct{ start time.Time }
+
+// clockStart is what a new Clock shows.
+const clockStart = 3600 * Second
+
+// NewClock starts a clock.
+func NewClock() *Clock { return &Clock{start: time.Now()} }
+
+// Now reads the clock.
+func (c *Clock) Now() Micros { return clockStart + MicrosOf(time.Since(c.start)) }
+
+// At turns a point of the system's clock, in Unix milliseconds, into one of this clock: 0 for long ago.
+func (c *Clock) At(unixMilli int64) Micros {
+	if unixMilli <= 0 {
+		return 0
+	}
+	return max(0, clockStart+Micros((unixMilli-c.start.UnixMilli())*1000))
+}
+
+// Outside is what a Loop acts on besides transports. Its methods do not block.
+type Outside struct {
+	Tell func(peer int, data []byte) // nil without peers
+	Log  func(text string)
+}
+
+// Counters counts what a Loop did. Its fields may be read at any time.
+type Counters struct {
+	Taken, Served, Refused, Failed, Left, Attempts, Stopped, Probes, Told, Heard atomic.Uint64
+}
+
+type attemptKey struct {
+	id     uint64
+	number int
+}
+
+// Loop runs a State: it gathers events, reads the clock once a turn and carries out the effects.
+type Loop struct {
+	Counters Counters
+
+	state     *State
+	clock     *Clock
+	transport Transport
+	outside   Outside
+	ids       atomic.Uint64
+	open      atomic.Int64
+	clients   map[uint64]func(Final) // of the loop's own goroutine, as is handles
+	handles   map[attemptKey]Handle
+
+	mu     sync.Mutex
+	inbox  []Event
+	added  map[uint64]func(Final) // reply functions of the requests in inbox
+	notify chan struct{}
+}
+
+// NewLoop returns a loop over a new state. Requests that name no transport go through transport.
+func NewLoop(state *State, clock *Clock, transport Transport, outside Outside) *Loop {
+	return &Loop{state: state, clock: clock, transport: transport, outside: outside,
+		clients: map[uint64]func(Final){}, handles: map[attemptKey]Handle{}, added: map[uint64]func(Final){},
+		notify: make(chan struct{}, 1)}
+}
+
+// Submit takes a request and returns its id. reply is called once with the final answer, unless Leave
+// comes before; it must not block.
+func (l *Loop) Submit(req *Request, reply func(Final)) uint64 {
+	id := l.ids.Add(1)
+	l.open.Add(1)
+	l.mu.Lock()
+	l.added[id] = reply
+	l.inbox = append(l.inbox, Arrived{ID: id, Request: req})
+	l.mu.Unlock()
+	l.wake()
+	return id
+}
+
+// Leave tells that the client of a request no longer waits.
+func (l *Loop) Leave(id uint64) { l.Post(Left{ID: id}) }
+
+// Open tells how many requests wait for their final answer.
+func (l *Loop) Open() int { return int(l.open.Load()) }
+
+// Post hands an event to the loop.
+func (l *Loop) Post(e Event) {
+	l.mu.Lock()
+	l.inbox = append(l.inbox, e)
+	l.mu.Unlock()
+	l.wake()
+}
+
+func (l *Loop) wake() {
+	select {
+	case l.notify <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Loop) collect() []Event {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	events := l.inbox
+	l.inbox = nil
+	for id, reply := range l.added {
+		l.clients[id] = reply
+	}
+	clear(l.added)
+	return events
+}
+
+// Run turns until ctx ends.
+func (l *Loop) Run(ctx context.Context) {
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.notify:
+		case <-alarm.C:
+		}
+		now := l.clock.Now()
+		l.turn(now, l.collect())
+		wait := time.Hour
+		if at, any := l.state.Next(); any {
+			wait = (at - now).Duration()
+		}
+		alarm.Reset(max(0, wait))
+	}
+}
+
+// turn reduces events, and again what stopping attempts brought, at the same point of the clock.
+func (l *Loop) turn(now Micros, events []Event) {
+	for again := true; again; {
+		for _, e := range events {
+			l.count(e)
+		}
+		effects := l.state.Reduce(now, events)
+		events = nil
+		for _, effect := range effects {
+			if e := l.run(effect, now); e != nil {
+				events = append(events, e)
+			}
+		}
+		again = len(events) > 0
+	}
+}
+
+func (l *Loop) count(event Event) {
+	switch e := event.(type) {
+	case Arrived:
+		l.Counters.Taken.Add(1)
+	case Left:
+		if _, waits := l.clients[e.ID]; waits {
+			l.Counters.Left.Add(1)
+			l.forget(e.ID)
+		}
+	case Ended:
+		delete(l.handles, attemptKey{e.ID, e.Attempt})
+	case Heard:
+		l.Counters.Heard.Add(1)
+	}
+}
+
+func (l *Loop) forget(id uint64) {
+	delete(l.clients, id)
+	l.open.Add(-1)
+}
+
+// run carries out one effect; that of a Stop is an event.
+func (l *Loop) run(effect Effect, now Micros) Event {
+	switch e := effect.(type) {
+	case Start:
+		l.Counters.Attempts.Add(1)
+		l.handles[attemptKey{e.ID, e.Number}] = l.via(e.Attempt.Request).Start(e.Attempt, func(r Result) {
+			l.Post(Ended{ID: e.ID, Attempt: e.Number, Result: r})
+		})
+	case Stop:
+		l.Counters.Stopped.Add(1)
+		progress := WrittenWhole
+		if h := l.handles[attemptKey{e.ID, e.Number}]; h != nil {
+			progress = h.Stop()
+			delete(l.handles, attemptKey{e.ID, e.Number})
+		}
+		return Stopped{ID: e.ID, Attempt: e.Number, Progress: progress}
+	case Answer:
+		l.answer(e)
+	case Tell:
+		if l.outside.Tell != nil {
+			l.Counters.Told.Add(1)
+			l.outside.Tell(e.Peer, e.Data)
+		}
+	case Probe:
+		l.Counters.Probes.Add(1)
+		l.transport.Probe(e.Address, func(r Result) {
+			l.Post(Probed{Node: e.Node, Took: l.clock.Now() - now, Result: r})
+		})
+	case CloseIdle:
+		l.transport.CloseIdle(e.Address)
+	case Log:
+		l.outside.Log(e.Text)
+	}
+	return nil
+}
+
+func (l *Loop) via(req *Request) Transport {
+	if req.Via != nil {
+		return req.Via
+	}
+	return l.transport
+}
+
+func (l *Loop) answer(e Answer) {
+	reply, waits := l.clients[e.ID]
+	if !waits {
+		return
+	}
+	l.forget(e.ID)
+	switch e.Final.Verdict {
+	case Served:
+		l.Counters.Served.Add(1)
+	case Refused:
+		l.Counters.Refused.Add(1)
+	case Failed:
+		l.Counters.Failed.Add(1)
+	}
+	reply(e.Final)
+}
--- /dev/null
+++ b/broker/reducer.go
@@ -0,0 +1,392 @@
+package broker
+
+import (
+	"container/heap"
+	"fmt"
+
+	"junctionwharf/logic"
+)
+
+// Event is something that happened; State.Reduce takes it.
+type Event interface{ event() }
+
+// The events.
+type (
+	// Arrived tells of a new request; its ID is new.
+	Arrived struct {
+		ID      uint64
+		Request *Request
+	}
+	// Left tells that a client no longer waits.
+	Left struct{ ID uint64 }
+	// Ended tells how an attempt ended by itself.
+	Ended struct {
+		ID      uint64
+		Attempt int
+		Result  Result
+	}
+	// Stopped tells how far an attempt that Stop ended had come.
+	Stopped struct {
+		ID       uint64
+		Attempt  int
+		Progress Progress
+	}
+	// Probed is the result of a probe.
+	Probed struct {
+		Node   string
+		Took   Micros
+		Result Result
+	}
+	// Listed is news of the list of storage nodes.
+	Listed struct {
+		Kind    logic.ListKind
+		Version uint64
+		Nodes   []Node
+	}
+	// Heard is a message of another broker.
+	Heard struct {
+		From int
+		Data []byte
+	}
+)
+
+// Node is an entry of the list with the address at which this broker reaches it.
+type Node struct {
+	logic.NodeInfo
+	Address string
+	Born    Micros // its last start on the loop's clock, 0 for long ago
+}
+
+func (Arrived) event() {}
+func (Left) event()    {}
+func (Ended) event()   {}
+func (Stopped) event() {}
+func (Probed) event()  {}
+func (Listed) event()  {}
+func (Heard) event()   {}
+
+// Effect is something that the reducer wants done.
+type Effect interface{ effect() }
+
+// The effects.
+type (
+	// Start begins an attempt.
+	Start struct {
+		ID      uint64
+		Number  int
+		Attempt Attempt
+	}
+	// Stop ends an attempt and asks for Stopped.
+	Stop struct {
+		ID     uint64
+		Number int
+	}
+	// Answer gives the final answer to a request's client.
+	Answer struct {
+		ID    uint64
+		Final Final
+	}
+	// Tell sends bytes to one broker, or to all others.
+	Tell struct {
+		Peer int
+		Data []byte
+	}
+	// Probe asks for a probe of a node.
+	Probe struct{ Node, Address string }
+	// CloseIdle asks to close idle connections.
+	CloseIdle struct{ Address string }
+	// Log is a line for the people on call.
+	Log struct{ Text string }
+)
+
+func (Start) effect()     {}
+func (Stop) effect()      {}
+func (Answer) effect()    {}
+func (Tell) effect()      {}
+func (Probe) effect()     {}
+func (CloseIdle) effect() {}
+func (Log) effect()       {}
+
+// entry is a request from its arrival until it is answered and no attempt is out.
+type entry struct {
+	req      *Request
+	deadline Micros
+	sentAt   Micros
+	attempts int
+	node     string // where an attempt is out
+	out      bool
+	stopping logic.Outcome // why the attempt out was stopped, if stopped
+	stopped  bool
+	answered bool
+}
+
+// State is all that the broker knows. It does no I/O and reads no clock.
+type State struct {
+	gateway *logic.Gateway
+	entries map[uint64]*entry
+	nodes   map[string]string // addresses by name
+	shards  map[string]int
+	alarms  alarms
+	now     Micros
+	news    []logic.Event // what the gateway is told next
+	effects []Effect
+}
+
+// NewState returns the state of a broker that has taken nothing yet.
+func NewState(set logic.Settings, seed uint64) (*State, error) {
+	gateway, err := logic.New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &State{gateway: gateway, entries: map[uint64]*entry{}, nodes: map[string]string{},
+		shards: map[string]int{}}, nil
+}
+
+// rounds bounds how often the gateway may act on the news of its own actions within one turn.
+const rounds = 8
+
+// Reduce takes the events of one turn of the loop and returns what is to be done, in order.
+func (s *State) Reduce(now Micros, events []Event) []Effect {
+	s.now, s.effects = now, nil
+	for _, e := range events {
+		s.take(e)
+	}
+	for len(s.alarms) > 0 && s.alarms[0].at <= now {
+		s.ring(heap.Pop(&s.alarms).(alarm))
+	}
+	for i := 0; i == 0 || len(s.news) > 0 && i < rounds; i++ {
+		news := s.news
+		s.news = nil
+		for _, action := range s.gateway.Step(now.Duration(), news) {
+			s.act(action)
+		}
+	}
+	return s.effects
+}
+
+// Next tells when Reduce wants to be called again at the latest.
+func (s *State) Next() (at Micros, any bool) {
+	if len(s.news) > 0 {
+		return s.now, true
+	}
+	if len(s.alarms) == 0 {
+		return 0, false
+	}
+	return s.alarms[0].at, true
+}
+
+// Open tells how many requests still wait for their final answer.
+func (s *State) Open() int {
+	open := 0
+	for _, e := range s.entries {
+		if !e.answered {
+			open++
+		}
+	}
+	return open
+}
+
+func (s *State) do(e Effect)            { s.effects = append(s.effects, e) }
+func (s *State) tell(e logic.Event)     { s.news = append(s.news, e) }
+func (s *State) wake(a alarm)           { heap.Push(&s.alarms, a) }
+func (s *State) log(f string, a ...any) { s.do(Log{fmt.Sprintf(f, a...)}) }
+
+func (s *State) take(event Event) {
+	switch e := event.(type) {
+	case Arrived:
+		s.arrive(e.ID, e.Request)
+	case Left:
+		if r := s.entries[e.ID]; r != nil && !r.answered {
+			r.answered = true
+			s.tell(logic.ClientGone{ID: e.ID})
+			s.forget(e.ID, r)
+		}
+	case Ended:
+		if r := s.entries[e.ID]; r != nil && r.out && r.attempts-1 == e.Attempt && !r.stopped {
+			s.end(e.ID, r, e.Result.outcome(), e.Result)
+		}
+	case Stopped:
+		if r := s.entries[e.ID]; r != nil && r.out && r.attempts-1 == e.Attempt {
+			outcome := r.stopping
+			if e.Progress != WrittenWhole {
+				outcome = logic.Unreachable // proved never to have run
+			}
+			s.end(e.ID, r, outcome, Result{Load: logic.NoLoad})
+		}
+	case Probed:
+		s.tell(logic.ProbeResult{Node: e.Node, Took: e.Took.Duration(), Outcome: e.Result.outcome(), Load: e.Result.Load})
+	case Listed:
+		s.list(e)
+	case Heard:
+		s.tell(logic.PeerMessage{From: e.From, Data: e.Data})
+	}
+}
+
+func (s *State) arrive(id uint64, req *Request) {
+	r := &entry{req: req, deadline: s.now + max(0, req.Wait)}
+	s.entries[id] = r
+	s.wake(alarm{at: r.deadline, kind: overdue, id: id})
+	s.tell(logic.Request{ID: id, Class: req.Class, Plan: req.Plan, Key: req.Key, Remaining: req.Wait.Duration(),
+		Volume: req.Volume, Units: req.Units, Shard: req.Shard, Hosts: req.Hosts, Retry: req.Retry, Write: req.Write})
+}
+
+func (s *State) list(e Listed) {
+	infos := make([]logic.NodeInfo, 0, len(e.Nodes))
+	for _, n := range e.Nodes {
+		if n.Address != "" {
+			s.nodes[n.Node] = n.Address
+		}
+		s.shards[n.Node] = n.Shard
+		n.UpSince = n.Born.Duration()
+		infos = append(infos, n.NodeInfo)
+	}
+	s.tell(logic.NodeList{Kind: e.Kind, Version: e.Version, Nodes: infos})
+}
+
+// end tells the gateway of an attempt's one outcome and passes a served answer on.
+func (s *State) end(id uint64, r *entry, outcome logic.Outcome, result Result) {
+	r.out, r.stopped = false, false
+	if outcome == logic.Success && !r.answered {
+		s.answer(id, r, Final{Verdict: Served, Value: result.Value})
+	}
+	s.tell(logic.AttemptEnded{ID: id, Attempt: r.attempts - 1, Node: r.node, Outcome: outcome,
+		Took: (s.now - r.sentAt).Duration(), Finished: r.answered, Used: result.Used, Elsewhere: result.Elsewhere,
+		Load: result.Load})
+	s.forget(id, r)
+}
+
+func (s *State) answer(id uint64, r *entry, final Final) {
+	r.answered = true
+	s.do(Answer{ID: id, Final: final})
+}
+
+func (s *State) forget(id uint64, r *entry) {
+	if r.answered && !r.out {
+		delete(s.entries, id)
+	}
+}
+
+// stop ends the attempt that is out.
+func (s *State) stop(id uint64, r *entry, why logic.Outcome) {
+	if r.out && !r.stopped {
+		r.stopped, r.stopping = true, why
+		s.do(Stop{ID: id, Number: r.attempts - 1})
+	}
+}
+
+// ring takes an alarm that fell due.
+func (s *State) ring(a alarm) {
+	r := s.entries[a.id]
+	switch {
+	case a.kind == timer:
+		s.tell(logic.Timer{Token: a.id})
+	case r == nil:
+	case a.kind == timeout:
+		if r.attempts-1 == a.attempt {
+			s.stop(a.id, r, logic.TimedOut)
+		}
+	case r.out:
+		s.stop(a.id, r, logic.TimedOut)
+		s.wake(alarm{at: s.now + grace, kind: overdue, id: a.id})
+	case !r.answered:
+		// Guards against a gateway that holds a request past its client's patience.
+		s.answer(a.id, r, Final{Verdict: Failed})
+		s.tell(logic.ClientGone{ID: a.id})
+		s.forget(a.id, r)
+	}
+}
+
+// grace is how long past a deadline the gateway may take to answer by itself.
+const grace Micros = 5000
+
+func (s *State) act(action logic.Action) {
+	switch a := action.(type) {
+	case logic.Send:
+		s.send(a)
+	case logic.Refuse:
+		s.conclude(a.ID, Final{Verdict: Refused, After: MicrosOf(a.After)})
+	case logic.Fail:
+		s.conclude(a.ID, Final{Verdict: Failed})
+	case logic.Cancel:
+		if r := s.entries[a.ID]; r != nil && r.attempts-1 == a.Attempt {
+			s.stop(a.ID, r, logic.Withdrawn)
+		}
+	case logic.Probe:
+		s.do(Probe{Node: a.Node, Address: s.nodes[a.Node]})
+	case logic.Tell:
+		s.do(Tell{Peer: a.Peer, Data: a.Data})
+	case logic.SetTimer:
+		s.wake(alarm{at: s.now + MicrosOf(a.After), kind: timer, id: a.Token})
+	case logic.CloseIdle:
+		s.do(CloseIdle{Address: s.nodes[a.Node]})
+	case logic.Log:
+		s.do(Log{a.Text})
+	case logic.Watch, logic.FetchList: // discovery is always watched
+	default:
+		s.log("unknown action %T", action)
+	}
+}
+
+// conclude gives the gateway's own final answer.
+func (s *State) conclude(id uint64, final Final) {
+	if r := s.entries[id]; r != nil && !r.answered {
+		s.answer(id, r, final)
+		s.forget(id, r)
+	}
+}
+
+// send starts an attempt, or tells at once that it is void: an id that is over, time that is up, a
+// second copy, an unknown node, or the wrong shard.
+func (s *State) send(a logic.Send) {
+	r := s.entries[a.ID]
+	if r == nil {
+		return
+	}
+	r.attempts++
+	address := s.nodes[a.Node]
+	shard, known := s.shards[a.Node]
+	if r.out || r.answered || s.now >= r.deadline || a.Timeout < 0 || !known || address == "" ||
+		r.req.Shard >= 0 && shard != r.req.Shard {
+		s.tell(logic.AttemptEnded{ID: a.ID, Attempt: r.attempts - 1, Node: a.Node, Outcome: logic.Void,
+			Finished: r.answered, Load: logic.NoLoad})
+		return
+	}
+	wait := r.deadline - s.now
+	if a.Timeout > 0 && MicrosOf(a.Timeout) < wait {
+		wait = MicrosOf(a.Timeout)
+		s.wake(alarm{at: s.now + wait, kind: timeout, id: a.ID, attempt: r.attempts - 1})
+	}
+	r.out, r.node, r.sentAt = true, a.Node, s.now
+	s.do(Start{ID: a.ID, Number: r.attempts - 1,
+		Attempt: Attempt{Node: a.Node, Address: address, Request: r.req, Wait: wait}})
+}
+
+// ---- alarms
+
+type alarmKind int
+
+const (
+	timer alarmKind = iota
+	timeout
+	overdue
+)
+
+type alarm struct {
+	at      Micros
+	kind    alarmKind
+	id      uint64 // a request's id, or a timer's token
+	attempt int
+}
+
+type alarms []alarm
+
+func (h alarms) Len() int           { return len(h) }
+func (h alarms) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h alarms) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *alarms) Push(x any)        { *h = append(*h, x.(alarm)) }
+func (h *alarms) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/cmd/junctionwharf/serve.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"junctionwharf/broker"
+	"junctionwharf/internal/config"
+	"junctionwharf/internal/discovery"
+	"junctionwharf/internal/peer"
+	"junctionwharf/internal/pool"
+	"junctionwharf/internal/resp"
+	"junctionwharf/logic"
+)
+
+const (
+	memoryPart   = 0.6 // of the memory limit for Go's heap: the rest is for stacks, sockets and the runtime
+	gcPercent    = 400 // the live heap is small, so collections may be rare
+	spareSockets = 48  // for all that is neither a client nor a node
+	nodePart     = 4   // a quarter of the sockets goes to nodes
+	nodeSockets  = 256 // and no more than this
+
+	// handover is how long after SIGTERM clients are still taken; new ones come for 0.4 s at most.
+	handover  = 450 * time.Millisecond
+	lastCheck = 20 * time.Millisecond
+)
+
+// serve runs the broker until ctx ends, and then until what it took is answered.
+func serve(ctx context.Context, c *config.Config) error {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
+	debug.SetMemoryLimit(int64(memoryPart * c.Limits.MemoryMB * (1 << 20)))
+	debug.SetGCPercent(gcPercent)
+	logger := log.New(os.Stderr, c.Name+" ", log.LstdFlags|log.Lmicroseconds)
+	say := func(text string) { logger.Print(text) }
+
+	state, err := broker.NewState(c.Settings.Logic, c.Seed)
+	if err != nil {
+		return err
+	}
+	clock := broker.NewClock()
+	forNodes := min(nodeSockets, c.Limits.Sockets/nodePart)
+	nodes := pool.New(pool.Options{ConnectTimeout: c.Settings.ConnectTimeout.Duration(),
+		Idle: c.Settings.ConnIdle.Duration(), Sockets: forNodes})
+	outside := broker.Outside{Log: say}
+	var link *peer.Link
+	if c.PeerListen != "" && c.Settings.Logic.Bounds.Peers {
+		if link, err = peer.Open(c.PeerListen, c.Peers, c.PeersAll, c.Settings.Logic.Ordinal); err != nil {
+			return err
+		}
+		defer link.Close()
+		outside.Tell = link.Tell
+	}
+	loop := broker.NewLoop(state, clock, resp.NewNodes(nodes), outside)
+	if c.Known != nil {
+		loop.Post(c.Known.Event(logic.ListCached, clock))
+	}
+	front := resp.NewFront(loop, c.Limits.Sockets-spareSockets-forNodes, say)
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	go loop.Run(running)
+	go discovery.NewWatcher(c.Discovery, say).Run(running, clock, loop.Post)
+	if link != nil {
+		go link.Run(loop.Post)
+	}
+	go retire(running, nodes)
+	served := make(chan error, 1)
+	go func() { served <- front.Serve(ln) }()
+	say("serving: clients on " + c.Listen)
+
+	select {
+	case err := <-served:
+		return fmt.Errorf("clients: %w", err)
+	case <-ctx.Done():
+	}
+	say("stopping: SIGTERM")
+	finish(c, loop, front)
+	say("stopped")
+	return nil
+}
+
+// finish hands clients over after SIGTERM and waits for the answers that are owed.
+func finish(c *config.Config, loop *broker.Loop, front *resp.Front) {
+	time.Sleep(handover)
+	front.Drain()
+	last := time.Duration(0)
+	for _, class := range c.Settings.Logic.Classes {
+		last = max(last, class.Deadline)
+	}
+	end := time.Now().Add(last + c.Settings.Logic.Rules.AnswerSlack)
+	for time.Now().Before(end) && (loop.Open() > 0 || front.Clients() > 0) {
+		time.Sleep(lastCheck)
+	}
+}
+
+func retire(ctx context.Context, nodes *pool.Pool) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			nodes.Retire(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,200 @@
+// Package config reads, checks and completes the configuration. Its errors name the faulty key.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strconv"
+
+	"junctionwharf/broker"
+	"junctionwharf/internal/discovery"
+)
+
+// The defaults of what a configuration may leave out.
+const (
+	defaultCores    = 1.0
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+
+	defaultConnIdle       = 30 * broker.Second
+	defaultConnectTimeout = broker.Second / 4
+)
+
+// Limits is what the process may use.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Config is all that a broker is told.
+type Config struct {
+	Name       string
+	Listen     string
+	Discovery  string
+	Seed       uint64
+	Limits     Limits
+	PeerListen string
+	Peers      []string
+	PeersAll   string
+	Known      *discovery.List // nil if none is held
+	Settings   *Settings
+}
+
+// Load reads the file that BALANCER_CONFIG names. The other variables stand in for keys it lacks.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("BALANCER_CONFIG")
+	if path == "" {
+		return nil, errors.New("BALANCER_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("BALANCER_CONFIG: %w", err)
+	}
+	c, err := Parse(text, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads a configuration's JSON.
+func Parse(text []byte, getenv func(string) string) (*Config, error) {
+	var raw struct {
+		Name       string          `json:"name"`
+		Listen     string          `json:"listen"`
+		Discovery  string          `json:"discovery"`
+		Seed       string          `json:"seed"`
+		Limits     Limits          `json:"limits"`
+		PeerListen string          `json:"peer_listen"`
+		Peers      []string        `json:"peers"`
+		PeersAll   string          `json:"peers_all"`
+		Known      json.RawMessage `json:"known"`
+		Settings   json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		var kind *json.UnmarshalTypeError
+		if errors.As(err, &kind) {
+			return nil, fmt.Errorf("%s: want a %s, have a %s", kind.Field, kind.Type, kind.Value)
+		}
+		return nil, err
+	}
+	c := &Config{Name: or(raw.Name, getenv("BALANCER_NAME")), Listen: or(raw.Listen, getenv("BALANCER_LISTEN")),
+		Discovery: or(raw.Discovery, getenv("BALANCER_DISCOVERY")), Limits: raw.Limits,
+		PeerListen: raw.PeerListen, Peers: raw.Peers, PeersAll: raw.PeersAll}
+	if err := c.addresses(); err != nil {
+		return nil, err
+	}
+	if err := c.limits(); err != nil {
+		return nil, err
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(or(raw.Seed, "0"), 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q is not 16 hex digits at most", raw.Seed)
+	}
+	if len(raw.Known) > 0 && string(raw.Known) != "null" {
+		if c.Known, err = discovery.ParseList(raw.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	if len(raw.Settings) == 0 {
+		return nil, errors.New("settings: missing")
+	}
+	if c.Settings, err = ParseSettings(raw.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := c.Settings.complete(); err != nil {
+		return nil, fmt.Errorf("settings.%w", err)
+	}
+	return c, nil
+}
+
+func or(value, fallback string) string {
+	if value == "" {
+		return fallback
+	}
+	return value
+}
+
+func (c *Config) addresses() error {
+	for _, a := range []struct {
+		key, value string
+		needed     bool
+	}{{"listen", c.Listen, true}, {"discovery", c.Discovery, true}, {"peer_listen", c.PeerListen, false},
+		{"peers_all", c.PeersAll, false}} {
+		if err := checkAddress(a.value, a.needed); err != nil {
+			return fmt.Errorf("%s: %w", a.key, err)
+		}
+	}
+	for i, peer := range c.Peers {
+		if err := checkAddress(peer, true); err != nil {
+			return fmt.Errorf("peers[%d]: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func checkAddress(address string, needed bool) error {
+	if address == "" && !needed {
+		return nil
+	}
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return fmt.Errorf("%q is no address:port", address)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || net.ParseIP(host) == nil {
+		return fmt.Errorf("%q is no numeric address:port (port %d)", address, n)
+	}
+	return nil
+}
+
+func (c *Config) limits() error {
+	l := &c.Limits
+	if l.Cores == 0 {
+		l.Cores = defaultCores
+	}
+	if l.MemoryMB == 0 {
+		l.MemoryMB = defaultMemoryMB
+	}
+	if l.Sockets == 0 {
+		l.Sockets = defaultSockets
+	}
+	switch {
+	case l.Cores < 0 || math.IsNaN(l.Cores):
+		return fmt.Errorf("limits.cores: %v is below 0", l.Cores)
+	case l.MemoryMB < 32:
+		return fmt.Errorf("limits.memory_mb: %v is below 32", l.MemoryMB)
+	case l.Sockets < 64:
+		return fmt.Errorf("limits.sockets: %d is below 64", l.Sockets)
+	}
+	return nil
+}
+
+func (s *Settings) complete() error {
+	if s.ConnIdle < 0 {
+		return fmt.Errorf("bounds.connIdle: %d is below 0", s.ConnIdle)
+	}
+	if s.ConnectTimeout < 0 {
+		return fmt.Errorf("bounds.connectTimeout: %d is below 0", s.ConnectTimeout)
+	}
+	if s.ConnIdle == 0 {
+		s.ConnIdle = defaultConnIdle
+	}
+	if s.ConnectTimeout == 0 {
+		s.ConnectTimeout = defaultConnectTimeout
+	}
+	if len(s.Logic.Classes) == 0 {
+		return errors.New("classes: none")
+	}
+	if s.Logic.Hosts < 1 {
+		return fmt.Errorf("nInstances: %d is below 1", s.Logic.Hosts)
+	}
+	if s.Logic.Ordinal < 0 || s.Logic.Ordinal >= s.Logic.Hosts {
+		return fmt.Errorf("ordinal: %d is not below nInstances (%d)", s.Logic.Ordinal, s.Logic.Hosts)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,158 @@
+// Package discovery follows the list of storage nodes by HTTP long poll.
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"junctionwharf/broker"
+	"junctionwharf/logic"
+)
+
+// List is what discovery answers: the whole list, or changed entries.
+type List struct {
+	Seq   uint64
+	Whole bool
+	Hosts []Host
+}
+
+// Host is an entry of a List.
+type Host struct {
+	Host, Dial, Site, Class string
+
+	Block  int
+	State  logic.NodeState
+	Share  float64
+	BornMS int64
+}
+
+var states = map[string]logic.NodeState{
+	"SERVING": logic.Ready, "DRAINING": logic.Draining, "DELETED": logic.Gone,
+}
+
+// ParseList reads a list's JSON.
+func ParseList(text []byte) (*List, error) {
+	var raw struct {
+		Seq   uint64 `json:"seq"`
+		Whole bool   `json:"whole"`
+		Hosts []struct {
+			Host   string  `json:"host"`
+			Dial   string  `json:"dial"`
+			Site   string  `json:"site"`
+			Class  string  `json:"class"`
+			Block  int     `json:"block"`
+			Health string  `json:"health"`
+			Share  float64 `json:"share"`
+			BornMS float64 `json:"born_ms"`
+		} `json:"hosts"`
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return nil, err
+	}
+	list := &List{Seq: raw.Seq, Whole: raw.Whole}
+	for i, h := range raw.Hosts {
+		state, known := states[h.Health]
+		if !known || h.Host == "" {
+			return nil, fmt.Errorf("hosts[%d]: host %q has health %q", i, h.Host, h.Health)
+		}
+		list.Hosts = append(list.Hosts, Host{Host: h.Host, Dial: h.Dial, Site: h.Site, Class: h.Class,
+			Block: h.Block, State: state, Share: h.Share, BornMS: int64(h.BornMS)})
+	}
+	return list, nil
+}
+
+// Event turns a list into the core's event.
+func (l *List) Event(kind logic.ListKind, clock *broker.Clock) broker.Listed {
+	event := broker.Listed{Kind: kind, Version: l.Seq}
+	for _, h := range l.Hosts {
+		event.Nodes = append(event.Nodes, broker.Node{
+			NodeInfo: logic.NodeInfo{Node: h.Host, Zone: h.Site, Kind: h.Class, Shard: h.Block, State: h.State, Weight: h.Share},
+			Address:  h.Dial, Born: clock.At(h.BornMS)})
+	}
+	return event
+}
+
+const (
+	hold      = 5 * time.Second // how long a call may wait for news
+	slack     = time.Second     // past that a call counts as lost
+	callAgain = 50 * time.Millisecond
+	maxList   = 4 << 20 // bytes of an answer
+)
+
+// Watcher follows discovery.
+type Watcher struct {
+	base   string
+	client *http.Client
+	log    func(string)
+}
+
+// NewWatcher returns a watcher of the service at address. log gets a line when the service falls
+// silent and when it is back.
+func NewWatcher(address string, log func(string)) *Watcher {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: slack}).DialContext,
+		MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true}
+	return &Watcher{base: "http://" + address + "/registry/instances", client: &http.Client{Transport: transport}, log: log}
+}
+
+// Run posts each list until ctx ends. After a failed call it asks for the whole list anew.
+func (w *Watcher) Run(ctx context.Context, clock *broker.Clock, post func(broker.Event)) {
+	seq, whole, silent := uint64(0), true, false
+	for ctx.Err() == nil {
+		list, err := w.call(ctx, seq, whole)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if !silent {
+				w.log("discovery: silent: " + err.Error())
+			}
+			silent, whole = true, true
+			select {
+			case <-ctx.Done():
+			case <-time.After(callAgain):
+			}
+			continue
+		}
+		if silent {
+			w.log("discovery: back")
+		}
+		silent, whole, seq = false, false, list.Seq
+		if list.Whole {
+			post(list.Event(logic.ListFull, clock))
+		} else if len(list.Hosts) > 0 {
+			post(list.Event(logic.ListChanges, clock))
+		}
+	}
+}
+
+func (w *Watcher) call(ctx context.Context, seq uint64, whole bool) (*List, error) {
+	url, wait := w.base, slack
+	if !whole {
+		url = fmt.Sprintf("%s?index=%d&wait=%d", w.base, seq, hold.Milliseconds())
+		wait += hold
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := w.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxList))
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", response.StatusCode)
+	}
+	return ParseList(body)
+}
--- /dev/null
+++ b/internal/resp/guard.go
@@ -0,0 +1,107 @@
+package resp
+
+import (
+	"errors"
+	"net"
+)
+
+// attach is the first command of each connection: the guard makes it, no client sends it. On it the
+// handler detaches, so that all that a client sends is read where a panic ends its connection only.
+const attach = "*1\r\n$6\r\nATTACH\r\n"
+
+var errProtocol = errors.New("Protocol error: want arrays of bulk strings")
+
+// guard checks what a client sends before redcon's reader sees it. It guards against lengths that
+// would have the reader allocate, count or index without bound.
+type guard struct {
+	net.Conn
+	attached bool
+	state    guardState
+	figure   int // the length being read, -1 before its first digit
+	args     int // bulk strings still to come
+	skip     int // bytes of a bulk string still to come
+	err      error
+}
+
+type guardState int
+
+const (
+	atCommand guardState = iota
+	inCount
+	atBulk
+	inLength
+	inBulk
+)
+
+// Read implements net.Conn. It hands on what is sound and then fails.
+func (g *guard) Read(p []byte) (int, error) {
+	if !g.attached {
+		g.attached = true
+		return copy(p, attach), nil
+	}
+	if g.err != nil {
+		return 0, g.err
+	}
+	n, err := g.Conn.Read(p)
+	if sound := g.check(p[:n]); sound < n {
+		g.err = errProtocol
+		if sound == 0 {
+			return 0, g.err
+		}
+		return sound, nil
+	}
+	return n, err
+}
+
+// check tells how many bytes are sound.
+func (g *guard) check(p []byte) int {
+	for i := 0; i < len(p); i++ {
+		ok := true
+		switch g.state {
+		case atCommand:
+			ok, g.state, g.figure = p[i] == '*', inCount, -1
+		case inCount:
+			var end bool
+			if ok, end = g.digit(p[i], maxArgs); end && ok {
+				ok = g.figure > 0
+				g.args, g.state = g.figure, atBulk
+			}
+		case atBulk:
+			ok, g.state, g.figure = p[i] == '$', inLength, -1
+		case inLength:
+			var end bool
+			if ok, end = g.digit(p[i], maxValue); end && ok {
+				g.skip, g.state = g.figure+2, inBulk
+			}
+		case inBulk:
+			step := min(g.skip, len(p)-i)
+			g.skip -= step
+			i += step - 1
+			if g.skip == 0 {
+				g.args--
+				g.state = atBulk
+				if g.args == 0 {
+					g.state = atCommand
+				}
+			}
+		}
+		if !ok {
+			return i
+		}
+	}
+	return len(p)
+}
+
+// digit takes a byte of a length up to most; LF ends it.
+func (g *guard) digit(c byte, most int) (ok, end bool) {
+	switch {
+	case c >= '0' && c <= '9':
+		g.figure = max(0, g.figure)*10 + int(c-'0')
+		return g.figure <= most, false
+	case c == '\r':
+		return g.figure >= 0, false
+	case c == '\n':
+		return g.figure >= 0, true
+	}
+	return false, false
+}
--- /dev/null
+++ b/internal/resp/nodes.go
@@ -0,0 +1,53 @@
+package resp
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"time"
+
+	"junctionwharf/broker"
+	"junctionwharf/internal/pool"
+	"junctionwharf/logic"
+)
+
+// Nodes carries attempts to storage nodes, each alone on its connection.
+type Nodes struct{ pool *pool.Pool }
+
+// NewNodes returns a transport over connections from p.
+func NewNodes(p *pool.Pool) *Nodes { return &Nodes{pool: p} }
+
+// Start implements broker.Transport.
+func (n *Nodes) Start(a broker.Attempt, done func(broker.Result)) broker.Handle {
+	m, ok := a.Request.Message.(*message)
+	if !ok {
+		return pool.Refuse(errors.New("not a RESP request"), done)
+	}
+	return n.pool.Start(a.Address, pool.Exchange{
+		Message: func(waited time.Duration) net.Buffers { return m.forward(a.Wait - broker.MicrosOf(waited)) },
+		Read:    readReply,
+	}, done)
+}
+
+// Probe implements broker.Transport.
+func (n *Nodes) Probe(address string, done func(broker.Result)) {
+	n.pool.Start(address, pool.Exchange{
+		Message: func(time.Duration) net.Buffers { return net.Buffers{[]byte("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n")} },
+		Read:    readProbe, Most: probeTime}, done)
+}
+
+const probeTime = time.Second
+
+// readProbe reads a load report, which comes as a bulk string.
+func readProbe(r *bufio.Reader) (broker.Result, error) {
+	if next, err := r.Peek(1); err != nil || next[0] != '$' {
+		return readReply(r)
+	}
+	result := broker.Result{Load: logic.NoLoad}
+	text, err := readBulk(r)
+	readFigures(text, &result)
+	return result, err
+}
+
+// CloseIdle implements broker.Transport.
+func (n *Nodes) CloseIdle(address string) { n.pool.CloseIdle(address) }
--- /dev/null
+++ b/internal/resp/reply.go
@@ -0,0 +1,134 @@
+package resp
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"time"
+
+	"junctionwharf/broker"
+	"junctionwharf/logic"
+)
+
+const (
+	maxLine     = 512 // bytes of a line of a reply
+	maxElements = 8
+)
+
+var errReply = errors.New("malformed reply")
+
+// readLine returns a line without its end. It lies in the reader's buffer until the next read.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	line, err := r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) || len(line) > maxLine {
+		return nil, fmt.Errorf("%w: a line is too long", errReply)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if len(line) < 3 || line[len(line)-2] != '\r' {
+		return nil, fmt.Errorf("%w: a line ends without CR LF", errReply)
+	}
+	return line[:len(line)-2], nil
+}
+
+// readBulk reads a bulk string: nil if it is null.
+func readBulk(r *bufio.Reader) ([]byte, error) {
+	line, err := readLine(r)
+	if err != nil {
+		return nil, err
+	}
+	n, err := strconv.Atoi(string(line[1:]))
+	if line[0] != '$' || err != nil || n < -1 || n > maxValue {
+		return nil, fmt.Errorf("%w: %.20q is no bulk string", errReply, line)
+	}
+	if n == -1 {
+		return nil, nil
+	}
+	text := make([]byte, n+2)
+	if _, err := io.ReadFull(r, text); err != nil {
+		return nil, err
+	}
+	if text[n] != '\r' || text[n+1] != '\n' {
+		return nil, fmt.Errorf("%w: a bulk string ends without CR LF", errReply)
+	}
+	return text[:n:n], nil
+}
+
+// readReply reads a node's answer to a command. An error means that the connection is of no more use.
+func readReply(r *bufio.Reader) (broker.Result, error) {
+	result := broker.Result{Load: logic.NoLoad}
+	line, err := readLine(r)
+	if err != nil {
+		return result, err
+	}
+	switch line[0] {
+	case '-':
+		words := bytes.Fields(line[1:])
+		result.Reply = broker.Errored
+		if len(words) > 0 && string(words[0]) == "BUSY" {
+			result.Reply = broker.TurnedAway
+		}
+		for _, word := range words {
+			readFigures(word, &result)
+		}
+		return result, nil
+	case '+': // the answer to a probe
+		return result, nil
+	case '*':
+	default:
+		return result, fmt.Errorf("%w: %.20q is no array", errReply, line)
+	}
+	n, err := strconv.Atoi(string(line[1:]))
+	if err != nil || n < 1 || n > maxElements {
+		return result, fmt.Errorf("%w: %.20q is no array of 1 to %d", errReply, line, maxElements)
+	}
+	for i := range n {
+		part, err := readBulk(r)
+		if err != nil {
+			return result, err
+		}
+		if i > 0 {
+			readFigures(part, &result)
+		} else if result.Value = part; part == nil {
+			result.Reply = broker.Errored // a null value serves nothing
+		}
+	}
+	return result, nil
+}
+
+// readFigures reads the figures on use and the load report: names and values such as used=37,cost=4.
+func readFigures(text []byte, result *broker.Result) {
+	for len(text) > 0 {
+		var pair []byte
+		pair, text, _ = bytes.Cut(text, []byte{','})
+		name, value, ok := bytes.Cut(pair, []byte{'='})
+		x, err := strconv.ParseFloat(string(value), 64)
+		if !ok || err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+			continue
+		}
+		load := &result.Load
+		switch string(name) {
+		case "used":
+			result.Used = 1 + int(max(0, min(x, 1e9)))
+		case "cost":
+			result.Elsewhere = x
+		case "inflight", "busy_reqs":
+			load.InFlight = x
+		case "queue", "pending":
+			load.Queue = x
+		case "util", "cpu_share":
+			load.Busy = x
+		case "latency_ms", "svc_ms":
+			load.Service = time.Duration(min(x, 1e9) * float64(time.Millisecond))
+		case "qps", "served_ps":
+			load.Served = x
+		case "eps", "failed_ps":
+			load.Failed = x
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +13,7 @@
 	"strings"
 	"time"
 
+	"junctionwharf/internal/config"
 	"junctionwharf/logic"
 )
 
@@ -188,10 +188,6 @@
 	nodeStates = map[string]logic.NodeState{
 		"in_service": logic.Ready, "terminating": logic.Draining, "terminated": logic.Gone,
 	}
-	effects = map[string]logic.Effect{"safe": logic.Safe, "keyed": logic.Keyed, "unsafe": logic.Unsafe}
-	scopes  = map[string]logic.Scope{
-		"": logic.ScopeAll, "all": logic.ScopeAll, "zone": logic.ScopeZone, "cell": logic.ScopeShard,
-	}
 )
 
 func (r *Reader) list(text string) error {
@@ -371,68 +367,10 @@
 	if f.err != nil {
 		return
 	}
-	var raw struct {
-		Bounds struct {
-			Cancel, Peers, Probes, RetryAfter, SecondCopies bool
-			MaxAttempts                                     int
-			MaxRetryAfter                                   micros
-		}
-		Classes []struct {
-			Name, Effect, KeyScope            string
-			Aim, Deadline, Window             micros
-			AimStretch, Importance, LateWorth float64
-			ByArrival, Stream                 bool
-		}
-		Discovery  string
-		Invariants struct {
-			AnswerSlack, Cold, DrainGrace, Fall, MustAskIn, KeyQuiet, RatioSpan micros
-			ColdShare, FallMultiple, ExtraFloor, ResendRatio                    float64
-		}
-		NInstances, Ordinal int
-		ServiceLevels       []struct {
-			Name                                                               string
-			CapDepth, CeilingRate, FloorRate, Nominal, Parts, Price, Tolerance float64
-		}
-		Specifics struct {
-			IdleWorth, MaxUnits, UsualUnits, WithinShare, YoungLimit float64
-			UsePeriod                                                micros
-		}
-		Zone string
-	}
-	if err := json.Unmarshal([]byte(f.word()), &raw); err != nil {
+	set, err := config.ParseSettings([]byte(f.word()))
+	if err != nil {
 		f.fail("settings: %w", err)
 		return
 	}
-	b, v, x := raw.Bounds, raw.Invariants, raw.Specifics
-	*s = logic.Settings{
-		Hosts: raw.NInstances, Ordinal: raw.Ordinal, Zone: raw.Zone, Subscribe: raw.Discovery == "subscribe",
-		MeanUnits: x.UsualUnits, MaxUnits: x.MaxUnits, ColdUnits: x.YoungLimit,
-		MeterPeriod: x.UsePeriod.span(), ShareWorth: x.WithinShare, SpareWorth: x.IdleWorth,
-		Bounds: logic.Bounds{MaxAttempts: b.MaxAttempts, MaxRetryAfter: b.MaxRetryAfter.span(),
-			RetryAfter: b.RetryAfter, Cancel: b.Cancel, Peers: b.Peers, Probes: b.Probes,
-			SecondCopies: b.SecondCopies},
-		Rules: logic.Rules{AnswerSlack: v.AnswerSlack.span(), DrainGrace: v.DrainGrace.span(),
-			ColdTime: v.Cold.span(), ColdShare: v.ColdShare, FallTime: v.Fall.span(),
-			FallMultiple: v.FallMultiple, MustAskIn: v.MustAskIn.span(), KeyQuiet: v.KeyQuiet.span(),
-			BudgetFloor: v.ExtraFloor, BudgetRatio: v.ResendRatio, BudgetSpan: v.RatioSpan.span()},
-	}
-	for _, c := range raw.Classes {
-		effect, known := effects[c.Effect]
-		scope, scoped := scopes[c.KeyScope]
-		if !known || !scoped {
-			f.fail("settings: class %q has effect %q and scope %q", c.Name, c.Effect, c.KeyScope)
-		}
-		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Aim: c.Aim.span(), AimStretch: c.AimStretch,
-			Deadline: c.Deadline.span(), Worth: c.Importance, LateWorth: c.LateWorth, Effect: effect, Scope: scope,
-			Window: c.Window.span(), Ordered: c.ByArrival, Stream: c.Stream})
-	}
-	for _, p := range raw.ServiceLevels {
-		s.Plans = append(s.Plans, logic.Plan{Name: p.Name, Rate: p.Nominal, Reserve: p.FloorRate,
-			Limit: p.CeilingRate, LimitBurst: p.CapDepth, LimitSlack: p.Tolerance, Weight: p.Parts, Price: p.Price})
-	}
+	*s = set.Logic
 }
-
-// micros is a span of the settings, in microseconds.
-type micros float64
-
-func (m micros) span() time.Duration { return time.Duration(float64(m) * float64(time.Microsecond)) }
