Add the second front: SFTP-style file commands on the same core

Each file command is one request of the core and one exchange with a node; handles live in the front, so nothing depends on where an earlier command went. internal/pool now runs exchanges of several messages and tells how far one came; Halt ends those that would go on sending to a draining node.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -119,6 +119,8 @@
 type Handle interface {
 	// Stop ends the attempt before it returns and tells how far it came; done is not called after.
 	Stop() Progress
+	// Halt bars further sending. An attempt that was not written whole yet ends by it.
+	Halt()
 }
 
 // outcome is what package logic is told; it follows from the result alone.
--- a/broker/loop.go
+++ b/broker/loop.go
@@ -191,6 +191,10 @@
 			delete(l.handles, attemptKey{e.ID, e.Number})
 		}
 		return Stopped{ID: e.ID, Attempt: e.Number, Progress: progress}
+	case Halt:
+		if h := l.handles[attemptKey{e.ID, e.Number}]; h != nil {
+			h.Halt()
+		}
 	case Answer:
 		l.answer(e)
 	case Tell:
--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
+	"slices"
 
 	"junctionwharf/logic"
 )
@@ -81,6 +83,11 @@
 		ID     uint64
 		Number int
 	}
+	// Halt bars an attempt from sending more to its node.
+	Halt struct {
+		ID     uint64
+		Number int
+	}
 	// Answer gives the final answer to a request's client.
 	Answer struct {
 		ID    uint64
@@ -101,6 +108,7 @@
 
 func (Start) effect()     {}
 func (Stop) effect()      {}
+func (Halt) effect()      {}
 func (Answer) effect()    {}
 func (Tell) effect()      {}
 func (Probe) effect()     {}
@@ -126,6 +134,8 @@
 	entries map[uint64]*entry
 	nodes   map[string]string // addresses by name
 	shards  map[string]int
+	leaving map[string]bool // nodes that were told to be draining or gone
+	grace   Micros          // how long after that an attempt may still send
 	alarms  alarms
 	now     Micros
 	news    []logic.Event // what the gateway is told next
@@ -139,7 +149,7 @@
 		return nil, err
 	}
 	return &State{gateway: gateway, entries: map[uint64]*entry{}, nodes: map[string]string{},
-		shards: map[string]int{}}, nil
+		shards: map[string]int{}, leaving: map[string]bool{}, grace: MicrosOf(set.Rules.DrainGrace) / 2}, nil
 }
 
 // rounds bounds how often the gateway may act on the news of its own actions within one turn.
@@ -237,12 +247,37 @@
 			s.nodes[n.Node] = n.Address
 		}
 		s.shards[n.Node] = n.Shard
+		s.leave(n.Node, n.State != logic.Ready)
 		n.UpSince = n.Born.Duration()
 		infos = append(infos, n.NodeInfo)
 	}
+	if e.Kind != logic.ListChanges {
+		for name := range s.shards {
+			if !slices.ContainsFunc(e.Nodes, func(n Node) bool { return n.Node == name }) {
+				s.leave(name, true)
+			}
+		}
+	}
 	s.tell(logic.NodeList{Kind: e.Kind, Version: e.Version, Nodes: infos})
 }
 
+// leave notes whether a node drains or is gone. It guards the rule on drains against attempts of several
+// messages, which would go on sending to such a node: after half the grace they are halted.
+func (s *State) leave(node string, leaving bool) {
+	if leaving && !s.leaving[node] {
+		s.wake(alarm{at: s.now + s.grace, kind: leave, node: node})
+	}
+	s.leaving[node] = leaving
+}
+
+func (s *State) halt(node string) {
+	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
+		if r := s.entries[id]; r.out && r.node == node && !r.stopped {
+			s.do(Halt{ID: id, Number: r.attempts - 1})
+		}
+	}
+}
+
 // end tells the gateway of an attempt's one outcome and passes a served answer on.
 func (s *State) end(id uint64, r *entry, outcome logic.Outcome, result Result) {
 	r.out, r.stopped = false, false
@@ -280,6 +315,10 @@
 	switch {
 	case a.kind == timer:
 		s.tell(logic.Timer{Token: a.id})
+	case a.kind == leave:
+		if s.leaving[a.node] {
+			s.halt(a.node)
+		}
 	case r == nil:
 	case a.kind == timeout:
 		if r.attempts-1 == a.attempt {
@@ -369,6 +408,7 @@
 	timer alarmKind = iota
 	timeout
 	overdue
+	leave
 )
 
 type alarm struct {
@@ -376,6 +416,7 @@
 	kind    alarmKind
 	id      uint64 // a request's id, or a timer's token
 	attempt int
+	node    string
 }
 
 type alarms []alarm
--- a/cmd/junctionwharf/main.go
+++ b/cmd/junctionwharf/main.go
@@ -16,13 +16,16 @@
 // version is set by the linker for a release.
 var version = "devel"
 
+// flags name the file of what is off on the platform.
+var flags = []cli.Flag{&cli.StringFlag{Name: "site", Usage: "read the second front and the metrics from `FILE` (such as deploy/site.toml)"}}
+
 func main() {
 	app := &cli.Command{
 		Name:  "junctionwharf",
 		Usage: "broker in front of storage nodes",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve until SIGTERM", Action: serveCommand},
-			{Name: "check", Usage: "check the configuration and say what it holds", Action: checkCommand},
+			{Name: "serve", Usage: "serve until SIGTERM", Flags: flags, Action: serveCommand},
+			{Name: "check", Usage: "check the configuration and say what it holds", Flags: flags, Action: checkCommand},
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
 				fmt.Println("junctionwharf", version)
 				return nil
@@ -35,8 +38,19 @@
 	}
 }
 
-func serveCommand(ctx context.Context, _ *cli.Command) error {
+func load(cmd *cli.Command) (*config.Config, error) {
 	c, err := config.Load(os.Getenv)
+	if err != nil {
+		return nil, err
+	}
+	if path := cmd.String("site"); path != "" {
+		c.Site, err = config.LoadSite(path, c.Settings.Logic)
+	}
+	return c, err
+}
+
+func serveCommand(ctx context.Context, cmd *cli.Command) error {
+	c, err := load(cmd)
 	if err != nil {
 		return err
 	}
@@ -45,12 +59,16 @@
 	return serve(ctx, c)
 }
 
-func checkCommand(context.Context, *cli.Command) error {
-	c, err := config.Load(os.Getenv)
+func checkCommand(_ context.Context, cmd *cli.Command) error {
+	c, err := load(cmd)
 	if err != nil {
 		return err
 	}
+	set := c.Settings.Logic
 	fmt.Printf("%s listens on %s: broker %d of %d, %d classes, %d plans\n", c.Name, c.Listen,
-		c.Settings.Logic.Ordinal, c.Settings.Logic.Hosts, len(c.Settings.Logic.Classes), len(c.Settings.Logic.Plans))
+		set.Ordinal, set.Hosts, len(set.Classes), len(set.Plans))
+	if c.Site.SFTP.Listen != "" {
+		fmt.Printf("file commands on %s: %d volumes\n", c.Site.SFTP.Listen, len(c.Site.SFTP.Plan().Volumes))
+	}
 	return nil
 }
--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -17,6 +17,7 @@
 	"junctionwharf/internal/peer"
 	"junctionwharf/internal/pool"
 	"junctionwharf/internal/resp"
+	"junctionwharf/internal/sftp"
 	"junctionwharf/logic"
 )
 
@@ -61,7 +62,13 @@
 	if c.Known != nil {
 		loop.Post(c.Known.Event(logic.ListCached, clock))
 	}
-	front := resp.NewFront(loop, c.Limits.Sockets-spareSockets-forNodes, say)
+	files := c.Site.SFTP
+	forFiles := 0
+	if files.Listen != "" {
+		forFiles = files.Connections + forNodes
+	}
+	front := resp.NewFront(loop, c.Limits.Sockets-spareSockets-forNodes-forFiles, say)
+	fronts := []drainer{front}
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -75,7 +82,20 @@
 		go link.Run(loop.Post)
 	}
 	go retire(running, nodes)
-	served := make(chan error, 1)
+	served := make(chan error, 2)
+	if files.Listen != "" {
+		filePool := pool.New(pool.Options{ConnectTimeout: c.Settings.ConnectTimeout.Duration(),
+			Idle: c.Settings.ConnIdle.Duration(), Sockets: forNodes, Greet: sftp.Greet})
+		fileFront := sftp.NewFront(loop, sftp.NewNodes(filePool, files.NodePort), files.Plan(), files.Connections, say)
+		fileLn, err := net.Listen("tcp", files.Listen)
+		if err != nil {
+			return fmt.Errorf("sftp.listen: %w", err)
+		}
+		go retire(running, filePool)
+		go func() { served <- fileFront.Serve(fileLn) }()
+		fronts = append(fronts, fileFront)
+		say("serving: file commands on " + files.Listen)
+	}
 	go func() { served <- front.Serve(ln) }()
 	say("serving: clients on " + c.Listen)
 
@@ -85,25 +105,41 @@
 	case <-ctx.Done():
 	}
 	say("stopping: SIGTERM")
-	finish(c, loop, front)
+	finish(c, loop, fronts)
 	say("stopped")
 	return nil
 }
 
 // finish hands clients over after SIGTERM and waits for the answers that are owed.
-func finish(c *config.Config, loop *broker.Loop, front *resp.Front) {
+func finish(c *config.Config, loop *broker.Loop, fronts []drainer) {
 	time.Sleep(handover)
-	front.Drain()
+	for _, front := range fronts {
+		front.Drain()
+	}
 	last := time.Duration(0)
 	for _, class := range c.Settings.Logic.Classes {
 		last = max(last, class.Deadline)
 	}
 	end := time.Now().Add(last + c.Settings.Logic.Rules.AnswerSlack)
-	for time.Now().Before(end) && (loop.Open() > 0 || front.Clients() > 0) {
+	for time.Now().Before(end) && (loop.Open() > 0 || clients(fronts) > 0) {
 		time.Sleep(lastCheck)
 	}
 }
 
+// drainer is a front that can hand its clients over.
+type drainer interface {
+	Drain()
+	Clients() int
+}
+
+func clients(fronts []drainer) int {
+	sum := 0
+	for _, front := range fronts {
+		sum += front.Clients()
+	}
+	return sum
+}
+
 func retire(ctx context.Context, nodes *pool.Pool) {
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,6 +43,7 @@
 	PeersAll   string
 	Known      *discovery.List // nil if none is held
 	Settings   *Settings
+	Site       Site // all off unless a file says otherwise
 }
 
 // Load reads the file that BALANCER_CONFIG names. The other variables stand in for keys it lacks.
--- /dev/null
+++ b/internal/config/site.go
@@ -0,0 +1,75 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/BurntSushi/toml"
+
+	"junctionwharf/internal/sftp"
+	"junctionwharf/logic"
+)
+
+const (
+	defaultConnections = 32
+	defaultUnitBytes   = 16 << 10
+	maxConnections     = 256
+)
+
+// Site is what a broker does besides the platform's port. All of it is off by default.
+type Site struct {
+	SFTP SFTP `toml:"sftp"`
+}
+
+// SFTP is the second front, file commands.
+type SFTP struct {
+	Listen      string                      `toml:"listen"`    // empty: off
+	NodePort    int                         `toml:"node_port"` // where nodes take file commands; 0: the list's port
+	Connections int                         `toml:"connections"`
+	UnitBytes   int                         `toml:"unit_bytes"`
+	Commands    map[sftp.Command]sftp.Terms `toml:"command"`
+	Volumes     []sftp.Volume               `toml:"volume"`
+
+	plan sftp.Plan
+}
+
+// Plan maps file commands to the core's terms.
+func (s *SFTP) Plan() *sftp.Plan { return &s.plan }
+
+// LoadSite reads a site file and checks it against the settings.
+func LoadSite(path string, set logic.Settings) (Site, error) {
+	var s Site
+	meta, err := toml.DecodeFile(path, &s)
+	if err != nil {
+		return Site{}, fmt.Errorf("%s: %w", path, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return Site{}, fmt.Errorf("%s: %s: unknown key", path, unknown[0])
+	}
+	if err := s.SFTP.complete(set); err != nil {
+		return Site{}, fmt.Errorf("%s: sftp.%w", path, err)
+	}
+	return s, nil
+}
+
+func (s *SFTP) complete(set logic.Settings) error {
+	if s.Listen == "" {
+		return nil
+	}
+	if err := checkAddress(s.Listen, true); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if s.Connections == 0 {
+		s.Connections = defaultConnections
+	}
+	if s.UnitBytes == 0 {
+		s.UnitBytes = defaultUnitBytes
+	}
+	switch {
+	case s.NodePort < 0 || s.NodePort > 65535:
+		return fmt.Errorf("node_port: %d is no port", s.NodePort)
+	case s.Connections < 1 || s.Connections > maxConnections:
+		return fmt.Errorf("connections: %d is not within 1 to %d", s.Connections, maxConnections)
+	}
+	s.plan = sftp.Plan{UnitBytes: s.UnitBytes, Commands: s.Commands, Volumes: s.Volumes}
+	return s.plan.Check(set)
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -1,5 +1,5 @@
-// Package pool keeps connections to storage nodes and runs one exchange at a time on each: a message
-// out, an answer back. Both wires' node sides are built on it.
+// Package pool keeps connections to storage nodes and runs one exchange at a time on each. The node
+// sides of both wires are built on it.
 package pool
 
 import (
@@ -26,12 +26,9 @@
 // meets the node's own close ends as a reset, which for a write is final.
 const retireAt = 0.7
 
-// Exchange is one message and how its answer is read. Message gets the time since Start.
-type Exchange struct {
-	Message func(waited time.Duration) net.Buffers
-	Read    func(*bufio.Reader) (broker.Result, error)
-	Most    time.Duration // closes the connection after it; 0 for exchanges that are stopped
-}
+// Exchange is the talk of one attempt: what it sends and how it reads the answer. An error means that
+// the connection is of no more use.
+type Exchange func(*Session) (broker.Result, error)
 
 // Pool keeps connections by address.
 type Pool struct {
@@ -53,116 +50,160 @@
 	return &Pool{opt: opt, slots: make(chan struct{}, opt.Sockets), idle: map[string][]*link{}}
 }
 
-// Start begins an exchange and returns at once.
-func (p *Pool) Start(address string, x Exchange, done func(broker.Result)) broker.Handle {
+// Start begins an exchange and returns at once. A time of most above 0 bounds it.
+func (p *Pool) Start(address string, x Exchange, most time.Duration, done func(broker.Result)) broker.Handle {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &call{done: done, cancel: cancel, written: make(chan struct{})}
-	go p.run(ctx, c, address, x)
-	return c
+	s := &Session{began: time.Now(), done: done, cancel: cancel}
+	go p.run(ctx, s, address, x, most)
+	return s
 }
 
-// call is an exchange that is out.
-type call struct {
-	done    func(broker.Result)
-	cancel  context.CancelFunc
-	written chan struct{} // closed once the write is over
+// Session is an exchange that is out.
+type Session struct {
+	In *bufio.Reader // what the node sends
+
+	began  time.Time
+	done   func(broker.Result)
+	cancel context.CancelFunc
 
-	mu       sync.Mutex
-	conn     net.Conn // nil before the write begins
-	progress broker.Progress
-	over     bool // stopped or done
+	writing sync.Mutex // held during a write
+	mu      sync.Mutex
+	conn    net.Conn // nil before the exchange has it and after
+	at      broker.Progress
+	halted  bool
+	over    bool // stopped or done
 }
 
-// Stop implements broker.Handle. It waits for a write that is under way, which the close ends.
-func (c *call) Stop() broker.Progress {
-	c.mu.Lock()
-	c.over = true
-	conn, progress := c.conn, c.progress
-	c.mu.Unlock()
-	c.cancel()
-	if conn == nil {
-		return progress
+var errHalted = errors.New("halted")
+
+// Waited is the time since Start.
+func (s *Session) Waited() time.Duration { return time.Since(s.began) }
+
+// Send writes a message. Once a deciding one is written whole the attempt may have run.
+func (s *Session) Send(message net.Buffers, deciding bool) error {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	s.mu.Lock()
+	conn, barred := s.conn, s.over || s.halted
+	s.mu.Unlock()
+	if barred {
+		return errHalted
+	}
+	n, err := message.WriteTo(conn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil && deciding {
+		s.at = broker.WrittenWhole
+	} else if n > 0 {
+		s.at = max(s.at, broker.PartlyWritten)
 	}
-	conn.Close()
-	<-c.written
-	return c.progress
+	return err
 }
 
-// begin hands the connection to the call, unless it was stopped.
-func (c *call) begin(conn net.Conn) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.over {
-		return false
+// tidyTime is how long a node may take over what follows an answer.
+const tidyTime = 250 * time.Millisecond
+
+// Tidy runs what follows the answer. If that fails, the answer stands and the connection is not used again.
+func (s *Session) Tidy(rest func() error) {
+	s.mu.Lock()
+	conn := s.conn
+	s.mu.Unlock()
+	conn.SetReadDeadline(time.Now().Add(tidyTime))
+	if rest() == nil && conn.SetReadDeadline(time.Time{}) == nil {
+		return
 	}
-	c.conn = conn
-	return true
+	s.mu.Lock()
+	s.halted = true
+	s.mu.Unlock()
 }
 
-// settle takes the connection back from the call, so that a late Stop does not close it under its next
-// user. It tells whether the result still counts, which it does unless the call was stopped.
-func (c *call) settle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	counts := !c.over
-	c.over, c.conn = true, nil
-	return counts
+func (s *Session) progress() broker.Progress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.at
 }
 
-func (c *call) fail(progress broker.Progress, err error) {
-	if c.settle() {
-		c.done(broker.Result{Err: &broker.AttemptError{Progress: progress, Err: err}})
+// Stop implements broker.Handle. It waits for a write that is under way, which the close ends.
+func (s *Session) Stop() broker.Progress {
+	s.mu.Lock()
+	s.over = true
+	conn := s.conn
+	s.mu.Unlock()
+	s.cancel()
+	if conn != nil {
+		conn.Close()
 	}
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	return s.progress()
 }
 
-func (p *Pool) run(ctx context.Context, c *call, address string, x Exchange) {
-	defer c.cancel()
-	began := time.Now()
-	l, err := p.get(ctx, address)
-	if err != nil {
-		c.fail(broker.NotConnected, err)
-		return
-	}
-	if !c.begin(l) {
-		p.put(address, l) // never written to: as good as new
+// Halt implements broker.Handle. What was written whole keeps its connection and its answer.
+func (s *Session) Halt() {
+	s.mu.Lock()
+	s.halted = true
+	conn, at := s.conn, s.at
+	s.mu.Unlock()
+	if at == broker.WrittenWhole {
 		return
 	}
-	if x.Most > 0 {
-		l.SetDeadline(time.Now().Add(x.Most))
+	s.cancel()
+	if conn != nil {
+		conn.Close()
 	}
-	message := x.Message(time.Since(began))
-	size := int64(0)
-	for _, part := range message {
-		size += int64(len(part))
-	}
-	n, err := message.WriteTo(l)
-	c.mu.Lock()
-	if n == size {
-		c.progress = broker.WrittenWhole
-	} else if n > 0 {
-		c.progress = broker.PartlyWritten
+}
+
+// begin hands the connection to the exchange, unless it was stopped or halted.
+func (s *Session) begin(l *link) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over || s.halted {
+		return false
 	}
-	progress := c.progress
-	c.mu.Unlock()
-	close(c.written)
-	if progress != broker.WrittenWhole {
-		p.drop(l)
-		c.fail(progress, err)
-		return
+	s.conn, s.In = l.Conn, l.in
+	return true
+}
+
+// settle takes the connection back, so that a late Stop does not close it under its next user. It tells
+// whether the result still counts, which it does unless the exchange was stopped, and whether the
+// connection can be used again.
+func (s *Session) settle() (counts, reuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts = !s.over
+	s.over, s.conn = true, nil
+	return counts, counts && !s.halted
+}
+
+func (p *Pool) run(ctx context.Context, s *Session, address string, x Exchange, most time.Duration) {
+	defer s.cancel()
+	var result broker.Result
+	l, err := p.get(ctx, address)
+	began := err == nil && s.begin(l)
+	if began {
+		if most > 0 {
+			l.SetDeadline(time.Now().Add(most))
+		}
+		result, err = x(s)
+	} else if err == nil {
+		err = errHalted
 	}
-	result, err := x.Read(l.in)
-	counts := c.settle()
-	if err != nil || !counts || l.in.Buffered() > 0 { // bytes that nobody asked for belong to no later request
+	counts, reuse := s.settle()
+	switch {
+	case l == nil:
+	case began && (err != nil || !reuse || l.in.Buffered() > 0): // bytes that nobody asked for belong to no later request
 		p.drop(l)
-	} else {
-		l.SetDeadline(time.Time{})
+	default: // never written to, or done with
+		if most > 0 {
+			l.SetDeadline(time.Time{})
+		}
 		p.put(address, l)
 	}
 	if err != nil {
-		result = broker.Result{Err: &broker.AttemptError{Progress: broker.WrittenWhole, Err: err}}
+		result = broker.Result{Err: &broker.AttemptError{Progress: s.progress(), Err: err}}
 	}
 	if counts {
-		c.done(result)
+		s.done(result)
 	}
 }
 
@@ -329,10 +370,11 @@
 
 // Refuse returns the handle of an attempt that was never begun and tells why.
 func Refuse(err error, done func(broker.Result)) broker.Handle {
-	done(broker.Result{Err: &broker.AttemptError{Progress: broker.NotConnected, Err: err}})
+	go done(broker.Result{Err: &broker.AttemptError{Progress: broker.NotConnected, Err: err}})
 	return refused{}
 }
 
 type refused struct{}
 
 func (refused) Stop() broker.Progress { return broker.NotConnected }
+func (refused) Halt()                 {}
--- a/internal/resp/nodes.go
+++ b/internal/resp/nodes.go
@@ -23,17 +23,22 @@
 	if !ok {
 		return pool.Refuse(errors.New("not a RESP request"), done)
 	}
-	return n.pool.Start(a.Address, pool.Exchange{
-		Message: func(waited time.Duration) net.Buffers { return m.forward(a.Wait - broker.MicrosOf(waited)) },
-		Read:    readReply,
-	}, done)
+	return n.pool.Start(a.Address, func(s *pool.Session) (broker.Result, error) {
+		if err := s.Send(m.forward(a.Wait-broker.MicrosOf(s.Waited())), true); err != nil {
+			return broker.Result{}, err
+		}
+		return readReply(s.In)
+	}, 0, done)
 }
 
 // Probe implements broker.Transport.
 func (n *Nodes) Probe(address string, done func(broker.Result)) {
-	n.pool.Start(address, pool.Exchange{
-		Message: func(time.Duration) net.Buffers { return net.Buffers{[]byte("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n")} },
-		Read:    readProbe, Most: probeTime}, done)
+	n.pool.Start(address, func(s *pool.Session) (broker.Result, error) {
+		if err := s.Send(net.Buffers{[]byte("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n")}, true); err != nil {
+			return broker.Result{}, err
+		}
+		return readProbe(s.In)
+	}, probeTime, done)
 }
 
 const probeTime = time.Second
--- /dev/null
+++ b/internal/sftp/nodes.go
@@ -0,0 +1,246 @@
+package sftp
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"junctionwharf/broker"
+	"junctionwharf/internal/pool"
+	"junctionwharf/logic"
+)
+
+// busyWord begins the words of a FAILURE status by which a node turns a command away unrun.
+const busyWord = "BUSY"
+
+// maxListing bounds the bytes of a whole directory.
+const maxListing = 1 << 20
+
+// Nodes carries file commands to storage nodes.
+type Nodes struct {
+	pool *pool.Pool
+	port int // where nodes listen for file commands; 0: at the list's own address
+}
+
+// NewNodes returns a transport over connections from p, which Greet must have opened.
+func NewNodes(p *pool.Pool, port int) *Nodes { return &Nodes{pool: p, port: port} }
+
+// Greet opens a session on a new connection to a node.
+func Greet(conn net.Conn, in *bufio.Reader) error {
+	hello := message(typeInit, protocolVersion)
+	if _, err := hello.WriteTo(conn); err != nil {
+		return err
+	}
+	p, err := readPacket(in)
+	if err == nil && (p.kind != typeVersion || p.id < protocolVersion) {
+		err = fmt.Errorf("%w: want VERSION %d", errPacket, protocolVersion)
+	}
+	return err
+}
+
+func (n *Nodes) address(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if n.port == 0 || err != nil {
+		return address
+	}
+	return net.JoinHostPort(host, strconv.Itoa(n.port))
+}
+
+// Start implements broker.Transport.
+func (n *Nodes) Start(a broker.Attempt, done func(broker.Result)) broker.Handle {
+	op, ok := a.Request.Message.(*operation)
+	if !ok {
+		return pool.Refuse(errors.New("not a file command"), done)
+	}
+	return n.pool.Start(n.address(a.Address), func(s *pool.Session) (broker.Result, error) {
+		return (&exchange{Session: s}).run(op)
+	}, 0, done)
+}
+
+// Probe implements broker.Transport: a STAT of the root.
+func (n *Nodes) Probe(address string, done func(broker.Result)) {
+	n.pool.Start(n.address(address), func(s *pool.Session) (broker.Result, error) {
+		return (&exchange{Session: s}).run(&operation{command: Stat, path: "/"})
+	}, time.Second, done)
+}
+
+// CloseIdle implements broker.Transport.
+func (n *Nodes) CloseIdle(address string) { n.pool.CloseIdle(n.address(address)) }
+
+// exchange is one file command's talk with a node. A command that needs a handle opens one for itself and
+// closes it behind, so that no command depends on where an earlier one went.
+type exchange struct {
+	*pool.Session
+	id uint32
+}
+
+// ask sends a packet and reads its answer.
+func (x *exchange) ask(deciding bool, kind byte, parts ...[]byte) (packet, error) {
+	x.id++
+	if err := x.Send(message(kind, x.id, parts...), deciding); err != nil {
+		return packet{}, err
+	}
+	return x.answer(x.id)
+}
+
+func (x *exchange) answer(id uint32) (packet, error) {
+	p, err := readPacket(x.In)
+	if err == nil && p.id != id {
+		err = fmt.Errorf("%w: answer to %d, not %d", errPacket, p.id, id)
+	}
+	return p, err
+}
+
+func (x *exchange) run(op *operation) (broker.Result, error) {
+	switch op.command {
+	case Open, OpenWrite:
+		return x.open(op)
+	case Read, Write:
+		return x.transfer(op)
+	case List:
+		return x.list(op)
+	}
+	kind := byte(typeStat)
+	if op.command == Remove {
+		kind = typeRemove
+	}
+	return result(x.ask(true, kind, text(op.path)))
+}
+
+// open opens the file and closes it again: the client's handle is the front's own.
+func (x *exchange) open(op *operation) (broker.Result, error) {
+	p, err := x.ask(true, typeOpen, text(op.path), number(op.flags), op.attrs)
+	if err != nil || p.kind != typeHandle {
+		return result(p, err)
+	}
+	f := fields{rest: p.body}
+	handle := f.string(maxHandle)
+	if f.err != nil {
+		return broker.Result{}, f.err
+	}
+	x.Tidy(func() error {
+		_, err := x.ask(true, typeClose, text(handle))
+		return err
+	})
+	return broker.Result{Value: answer{kind: typeHandle}, Load: logic.NoLoad}, nil
+}
+
+// transfer reads or writes. Opening has no effect of its own, since OPEN as the client sent it has been
+// answered before: only the READ or WRITE decides, and until its last byte is written nothing has run.
+func (x *exchange) transfer(op *operation) (broker.Result, error) {
+	flags := uint32(flagRead)
+	if op.command == Write {
+		flags = op.flags & (flagWrite | flagAppend)
+	}
+	p, err := x.ask(false, typeOpen, text(op.path), number(flags), number(0))
+	if err != nil || p.kind != typeHandle {
+		return result(p, err)
+	}
+	f := fields{rest: p.body}
+	handle := f.string(maxHandle)
+	if f.err != nil {
+		return broker.Result{}, f.err
+	}
+	x.id += 2
+	m := message(typeRead, x.id-1, text(handle), offset(op.offset), number(op.length))
+	if op.command == Write {
+		m = message(typeWrite, x.id-1, text(handle), offset(op.offset), number(uint32(len(op.data))), op.data)
+	}
+	if err := x.Send(append(m, message(typeClose, x.id, text(handle))...), true); err != nil {
+		return broker.Result{}, err
+	}
+	r, err := result(x.answer(x.id - 1))
+	if err == nil {
+		x.Tidy(func() error {
+			_, err := x.answer(x.id)
+			return err
+		})
+	}
+	return r, err
+}
+
+// list reads a whole directory. It sends packet after packet, so that a node that begins to drain must
+// see it end: Halt makes the next Send fail.
+func (x *exchange) list(op *operation) (broker.Result, error) {
+	p, err := x.ask(false, typeOpendir, text(op.path))
+	if err != nil || p.kind != typeHandle {
+		return result(p, err)
+	}
+	f := fields{rest: p.body}
+	handle := f.string(maxHandle)
+	if f.err != nil {
+		return broker.Result{}, f.err
+	}
+	var names [][]byte
+	for size := 0; ; {
+		p, err := x.ask(false, typeReaddir, text(handle))
+		if err != nil {
+			return broker.Result{}, err
+		}
+		if p.kind == typeName {
+			if size += len(p.body); size > maxListing {
+				return broker.Result{}, fmt.Errorf("%w: a directory of over %d bytes", errPacket, maxListing)
+			}
+			names = append(names, p.body)
+			continue
+		}
+		r, err := result(p, nil)
+		if err != nil || p.kind != typeStatus || code(p) != statusEOF {
+			return r, err
+		}
+		x.Tidy(func() error {
+			_, err := x.ask(false, typeClose, text(handle))
+			return err
+		})
+		return broker.Result{Value: answer{kind: typeName, names: names}, Load: logic.NoLoad}, nil
+	}
+}
+
+// answer is what a node gave: a packet's type and body, or a whole directory.
+type answer struct {
+	kind  byte
+	body  []byte
+	names [][]byte // bodies of NAME packets
+}
+
+func code(p packet) uint32 {
+	f := fields{rest: p.body}
+	return f.uint32()
+}
+
+// result judges a node's packet. A status that settles the command is an answer like any other.
+func result(p packet, err error) (broker.Result, error) {
+	r := broker.Result{Load: logic.NoLoad}
+	if err != nil {
+		return r, err
+	}
+	switch p.kind {
+	case typeData, typeAttrs, typeName, typeHandle:
+	case typeStatus:
+		f := fields{rest: p.body}
+		code, words := f.uint32(), string(f.string(maxPacket))
+		if len(p.body) < 4 {
+			return r, errPacket
+		}
+		switch code {
+		case statusOK, statusEOF, statusNoSuchFile, statusDenied, statusBadMessage, statusUnsupported:
+		case statusFailure:
+			r.Reply = broker.Errored
+			if strings.HasPrefix(words, busyWord) {
+				r.Reply = broker.TurnedAway
+			}
+			return r, nil
+		default:
+			r.Reply = broker.Errored
+			return r, nil
+		}
+	default:
+		return r, fmt.Errorf("%w: type %d", errPacket, p.kind)
+	}
+	r.Value = answer{kind: p.kind, body: p.body}
+	return r, nil
+}
