Run one loopback suite over both fronts with identical rule checks

Eleven scenarios against stand-in clients and nodes: one final answer in time, at most one effect, one attempt at a time, drains, cold start, leaving clients, stopping.

--- /dev/null
+++ b/internal/loopback/resp_test.go
@@ -0,0 +1,129 @@
+package loopback
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"junctionwharf/broker"
+	"junctionwharf/internal/pool"
+	"junctionwharf/internal/resp"
+)
+
+type respProtocol struct{}
+
+func (respProtocol) name() string { return "resp" }
+
+func (respProtocol) transport(opt pool.Options) broker.Transport { return resp.NewNodes(pool.New(opt)) }
+
+func (respProtocol) front(loop *broker.Loop, _ broker.Transport, log func(string)) front {
+	return resp.NewFront(loop, 64, log)
+}
+
+// node is a stand-in that speaks RESP2.
+func (respProtocol) node(conn net.Conn, name string, w *world) {
+	defer conn.Close()
+	in := redcon.NewReader(conn)
+	for {
+		cmd, err := in.ReadCommand()
+		if err != nil {
+			return
+		}
+		units := 0.0
+		for pair := range strings.SplitSeq(string(cmd.Args[3]), ",") {
+			if text, ok := strings.CutPrefix(pair, "units="); ok {
+				units, _ = strconv.ParseFloat(text, 64)
+			}
+		}
+		v, do := w.begin(name, string(cmd.Args[2]), units)
+		switch do {
+		case turnAway:
+			v.end()
+			fmt.Fprint(conn, "-BUSY\r\n")
+		case hang, drip:
+			in.ReadCommand() // until the broker closes
+			v.end()
+			return
+		case cutMid: // this wire's node knows a request only once it is whole
+			v.end()
+			conn.(*net.TCPConn).SetLinger(0)
+			return
+		case cutAfter:
+			v.apply()
+			v.end()
+			return
+		default:
+			if len(cmd.Args) == 5 {
+				v.apply()
+			}
+			v.end()
+			fmt.Fprintf(conn, "*3\r\n$2\r\nok\r\n$-1\r\n$10\r\ninflight=1\r\n")
+		}
+	}
+}
+
+func (respProtocol) client(t *testing.T, address string) client {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return &respClient{conn: conn, in: bufio.NewReader(conn)}
+}
+
+type respClient struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (c *respClient) prepare(*testing.T, ...string) {}
+
+func (c *respClient) send(id string, k kind) {
+	word, class, body := "BLK.READ", "read", ""
+	args := 4
+	switch k {
+	case write:
+		word, class, body, args = "BLK.WRITE", "write", "$4\r\nBODY\r\n", 5
+	case listing:
+		class = "list"
+	}
+	list := fmt.Sprintf("c=%s,t=plan,d=%d,volume=00000003b4d60021,units=2,shard=0,hosts=1", class, waits[k].Milliseconds())
+	fmt.Fprintf(c.conn, "*%d\r\n$%d\r\n%s\r\n$16\r\n7f3a9c21e0b4d655\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n%s", args, len(word), word,
+		len(id), id, len(list), list, body)
+}
+
+func (c *respClient) receive() (verdict, error) {
+	c.conn.SetReadDeadline(time.Now().Add(patience))
+	line, err := c.in.ReadString('\n')
+	switch {
+	case err != nil:
+		return "", err
+	case line[0] == '$':
+		_, err = io.ReadFull(c.in, make([]byte, len("ok\r\n")))
+		return served, err
+	case strings.HasPrefix(line, "-BUSY"):
+		return refused, nil
+	case line[0] == '-':
+		return failed, nil
+	}
+	return "", fmt.Errorf("unexpected %q", line)
+}
+
+func (c *respClient) quiet() error {
+	fmt.Fprint(c.conn, "*1\r\n$4\r\nPING\r\n")
+	c.conn.SetReadDeadline(time.Now().Add(patience))
+	line, err := c.in.ReadString('\n')
+	if err == nil && line != "+PONG\r\n" {
+		err = fmt.Errorf("a second answer: %q", line)
+	}
+	return err
+}
+
+func (c *respClient) close() { c.conn.Close() }
--- /dev/null
+++ b/internal/loopback/suite_test.go
@@ -0,0 +1,316 @@
+package loopback
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"junctionwharf/broker"
+	"junctionwharf/internal/pool"
+	"junctionwharf/logic"
+)
+
+const (
+	drainGrace = 800 * time.Millisecond
+	slack      = 400 * time.Millisecond // of a loaded machine
+	coldUnits  = 12.0
+)
+
+type kind int
+
+const (
+	read kind = iota
+	write
+	listing
+)
+
+var waits = map[kind]time.Duration{read: 900 * time.Millisecond, write: time.Second, listing: 1500 * time.Millisecond}
+
+func settings() logic.Settings {
+	class := func(name string, k kind, effect logic.Effect) logic.Class {
+		return logic.Class{Name: name, Aim: waits[k] - 100*time.Millisecond, Deadline: waits[k], Worth: 1, Effect: effect}
+	}
+	return logic.Settings{Hosts: 1, MeanUnits: 2, MaxUnits: 8, ColdUnits: coldUnits,
+		Classes: []logic.Class{class("read", read, logic.Safe), class("write", write, logic.Unsafe), class("list", listing, logic.Safe)},
+		Plans:   []logic.Plan{{Name: "plan", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1}},
+		Bounds:  logic.Bounds{MaxAttempts: 3, Cancel: true, RetryAfter: true, MaxRetryAfter: time.Second},
+		Rules: logic.Rules{AnswerSlack: 50 * time.Millisecond, DrainGrace: drainGrace, ColdTime: 10 * time.Second,
+			ColdShare: 0.2, FallTime: 3 * time.Second, FallMultiple: 4}}
+}
+
+type front interface {
+	Serve(net.Listener) error
+	Drain()
+	Clients() int
+}
+
+type client interface {
+	prepare(t *testing.T, ids ...string)
+	send(id string, k kind)
+	receive() (verdict, error)
+	quiet() error // nothing more comes
+	close()
+}
+
+type protocol interface {
+	name() string
+	transport(pool.Options) broker.Transport
+	front(*broker.Loop, broker.Transport, func(string)) front
+	node(net.Conn, string, *world)
+	client(*testing.T, string) client
+}
+
+// bench is a broker between a stand-in client and two stand-in nodes of one shard.
+type bench struct {
+	*testing.T
+	protocol
+	world   *world
+	loop    *broker.Loop
+	clock   *broker.Clock
+	front   front
+	address string
+	nodes   []broker.Node
+	client  client
+}
+
+func newBench(t *testing.T, p protocol) *bench {
+	b := &bench{T: t, protocol: p, world: newWorld(), clock: broker.NewClock()}
+	state, err := broker.NewState(settings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	via := p.transport(pool.Options{ConnectTimeout: 500 * time.Millisecond, Idle: 30 * time.Second, Sockets: 64})
+	b.loop = broker.NewLoop(state, b.clock, via, broker.Outside{Log: func(string) {}})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go b.loop.Run(ctx)
+	for _, name := range []string{"n1", "n2"} {
+		ln := listen(t)
+		go func() {
+			for {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go p.node(conn, name, b.world)
+			}
+		}()
+		b.nodes = append(b.nodes, broker.Node{NodeInfo: logic.NodeInfo{Node: name, Weight: 1}, Address: ln.Addr().String()})
+	}
+	ln := listen(t)
+	b.address = ln.Addr().String()
+	b.front = p.front(b.loop, via, func(line string) { t.Log(line) })
+	go b.front.Serve(ln)
+	b.list(b.nodes...)
+	b.client = p.client(t, b.address)
+	return b
+}
+
+func listen(t *testing.T) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+func (b *bench) list(nodes ...broker.Node) {
+	b.loop.Post(broker.Listed{Kind: logic.ListFull, Version: 1, Nodes: nodes})
+}
+
+// drain tells the broker that one node drains.
+func (b *bench) drain(name string) {
+	nodes := append([]broker.Node(nil), b.nodes...)
+	for i := range nodes {
+		if nodes[i].Node == name {
+			nodes[i].State = logic.Draining
+		}
+	}
+	b.world.mu.Lock()
+	b.world.drained[name] = time.Now()
+	b.world.mu.Unlock()
+	b.list(nodes...)
+}
+
+// run sends requests one behind another without waiting, takes all answers and judges all rules.
+func (b *bench) run(k kind, ids ...string) []final {
+	b.Helper()
+	began := time.Now()
+	for _, id := range ids {
+		b.client.send(id, k)
+	}
+	var finals []final
+	for _, id := range ids {
+		v, err := b.client.receive()
+		finals = append(finals, final{id: id, write: k == write, verdict: v, wait: waits[k], took: time.Since(began), err: err})
+	}
+	if err := b.client.quiet(); err != nil {
+		b.Error(err)
+	}
+	b.world.check(b.T, finals)
+	return finals
+}
+
+func (b *bench) want(finals []final, wants ...verdict) {
+	b.Helper()
+	for i, f := range finals {
+		if f.verdict != wants[i] {
+			b.Errorf("%s was %s, want %s", f.id, f.verdict, wants[i])
+		}
+	}
+}
+
+// first plays one behaviour at the first visit of each request and serves the later ones.
+func first(do behaviour) func(string, string, int) behaviour {
+	return func(_, _ string, visit int) behaviour {
+		if visit == 0 {
+			return do
+		}
+		return serve
+	}
+}
+
+var scenarios = []struct {
+	name string
+	run  func(*bench)
+}{
+	{"served", func(b *bench) {
+		b.client.prepare(b.T, "r", "w", "dir")
+		b.want(b.run(write, "w"), served)
+		b.world.play(first(serve))
+		b.want(b.run(read, "w"), served)
+		b.want(b.run(listing, "dir"), served)
+	}},
+	{"turned away, then served", func(b *bench) {
+		b.client.prepare(b.T, "w")
+		b.world.play(first(turnAway))
+		b.want(b.run(write, "w"), served)
+	}},
+	{"a write that ran and lost its answer is never sent again", func(b *bench) {
+		b.client.prepare(b.T, "w")
+		b.world.play(first(cutAfter))
+		b.want(b.run(write, "w"), failed)
+		if n := b.world.count("w"); n != 1 {
+			b.Errorf("sent %d times", n)
+		}
+	}},
+	{"a write cut mid-transfer has at most one effect", func(b *bench) {
+		b.client.prepare(b.T, "w")
+		b.world.play(first(cutMid))
+		b.run(write, "w") // served or failed: the wires differ in what the broker can know
+	}},
+	{"a read that lost its answer is sent again", func(b *bench) {
+		b.client.prepare(b.T, "r")
+		b.world.play(first(cutAfter))
+		b.want(b.run(read, "r"), served)
+	}},
+	{"silence ends in an answer before the deadline", func(b *bench) {
+		b.client.prepare(b.T, "r", "w")
+		b.world.play(func(string, string, int) behaviour { return hang })
+		b.want(b.run(write, "w"), failed)
+		if f := b.run(read, "r"); f[0].verdict == served {
+			b.Error("a silent node served")
+		}
+	}},
+	{"requests behind one another are all answered", func(b *bench) {
+		ids := []string{"a", "b", "c", "e"}
+		b.client.prepare(b.T, ids...)
+		b.world.play(first(serve))
+		b.want(b.run(write, ids...), served, served, served, served)
+	}},
+	{"a draining node gets nothing new", func(b *bench) {
+		b.client.prepare(b.T, "dir", "r")
+		b.world.play(func(node, id string, visit int) behaviour {
+			if id == "dir" && visit == 0 {
+				return drip
+			}
+			return serve
+		})
+		b.client.send("dir", listing)
+		b.world.awaitVisits(b.T, "dir", 1)
+		b.world.mu.Lock()
+		at := b.world.visits[0].node
+		b.world.mu.Unlock()
+		b.drain(at)
+		began := time.Now()
+		v, err := b.client.receive()
+		b.world.check(b.T, []final{{id: "dir", verdict: v, err: err, wait: waits[listing], took: time.Since(began)}})
+		if b.name() == "sftp" && v != served {
+			b.Errorf("the listing was %s, want it served by the other node", v)
+		}
+		b.run(read, "r")
+		b.world.mu.Lock()
+		defer b.world.mu.Unlock()
+		for _, visit := range b.world.visits[1:] {
+			if visit.node == at {
+				b.Errorf("%s went to the draining node", visit.id)
+			}
+		}
+	}},
+	{"a cold node is not pushed over", func(b *bench) {
+		var ids []string
+		for i := range 16 {
+			ids = append(ids, fmt.Sprint("c", i))
+		}
+		b.client.prepare(b.T, ids...)
+		cold := b.nodes[0]
+		cold.Born = b.clock.Now()
+		b.world.play(func(string, string, int) behaviour { return hang }) // an answer would prove capacity
+		b.list(cold)
+		b.run(read, ids...)
+		b.world.mu.Lock()
+		defer b.world.mu.Unlock()
+		sum := 0.0
+		for _, v := range b.world.visits {
+			sum += v.units
+		}
+		if sum == 0 || sum > coldUnits {
+			b.Errorf("a cold node was sent %v units, want some and at most %v", sum, coldUnits)
+		}
+	}},
+	{"a client that leaves frees its requests", func(b *bench) {
+		b.client.prepare(b.T, "r")
+		b.world.play(func(string, string, int) behaviour { return hang })
+		b.client.send("r", read)
+		b.world.awaitVisits(b.T, "r", 1)
+		b.client.close()
+		eventually(b.T, "the request is forgotten", func() bool { return b.loop.Open() == 0 && b.front.Clients() == 0 })
+	}},
+	{"what was taken before a stop is answered", func(b *bench) {
+		b.client.prepare(b.T, "w")
+		release := make(chan struct{})
+		b.world.play(func(string, string, int) behaviour { <-release; return serve })
+		b.client.send("w", write)
+		eventually(b.T, "the request is taken", func() bool { return b.loop.Open() == 1 })
+		b.front.Drain()
+		close(release)
+		v, err := b.client.receive()
+		b.world.check(b.T, []final{{id: "w", write: true, verdict: v, err: err, wait: waits[write]}})
+		eventually(b.T, "the connection is closed", func() bool { return b.front.Clients() == 0 })
+	}},
+}
+
+func eventually(t *testing.T, what string, fits func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !fits(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// TestRules runs each scenario over both wires with the same checks.
+func TestRules(t *testing.T) {
+	for _, s := range scenarios {
+		for _, p := range []protocol{respProtocol{}, sftpProtocol{&files{data: map[string][]byte{}}}} {
+			t.Run(strings.ReplaceAll(s.name, " ", "_")+"/"+p.name(), func(t *testing.T) {
+				t.Parallel()
+				s.run(newBench(t, p))
+			})
+		}
+	}
+}
