Halt attempts of several messages at once when their node drains

Seen: a reducer test with a fake clock showed that an attempt halted after half the drain's grace is past its aim by then, so the module refuses it instead of finding another node. Ruled out: the module's own part (it retries within the aim). At fault: State.leave, which waited.

--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -135,7 +135,6 @@
 	nodes   map[string]string // addresses by name
 	shards  map[string]int
 	leaving map[string]bool // nodes that were told to be draining or gone
-	grace   Micros          // how long after that an attempt may still send
 	alarms  alarms
 	now     Micros
 	news    []logic.Event // what the gateway is told next
@@ -149,7 +148,7 @@
 		return nil, err
 	}
 	return &State{gateway: gateway, entries: map[uint64]*entry{}, nodes: map[string]string{},
-		shards: map[string]int{}, leaving: map[string]bool{}, grace: MicrosOf(set.Rules.DrainGrace) / 2}, nil
+		shards: map[string]int{}, leaving: map[string]bool{}}, nil
 }
 
 // rounds bounds how often the gateway may act on the news of its own actions within one turn.
@@ -262,10 +261,11 @@
 }
 
 // leave notes whether a node drains or is gone. It guards the rule on drains against attempts of several
-// messages, which would go on sending to such a node: after half the grace they are halted.
+// messages, which would go on sending to such a node: they are halted at once, while the gateway may still
+// find them another node in time.
 func (s *State) leave(node string, leaving bool) {
 	if leaving && !s.leaving[node] {
-		s.wake(alarm{at: s.now + s.grace, kind: leave, node: node})
+		s.halt(node)
 	}
 	s.leaving[node] = leaving
 }
@@ -315,10 +315,6 @@
 	switch {
 	case a.kind == timer:
 		s.tell(logic.Timer{Token: a.id})
-	case a.kind == leave:
-		if s.leaving[a.node] {
-			s.halt(a.node)
-		}
 	case r == nil:
 	case a.kind == timeout:
 		if r.attempts-1 == a.attempt {
@@ -408,7 +404,6 @@
 	timer alarmKind = iota
 	timeout
 	overdue
-	leave
 )
 
 type alarm struct {
@@ -416,7 +411,6 @@
 	kind    alarmKind
 	id      uint64 // a request's id, or a timer's token
 	attempt int
-	node    string
 }
 
 type alarms []alarm
--- /dev/null
+++ b/broker/reducer_test.go
@@ -0,0 +1,225 @@
+package broker
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"junctionwharf/logic"
+)
+
+func testSettings() logic.Settings {
+	return logic.Settings{Hosts: 2, MeanUnits: 2, MaxUnits: 8,
+		Classes: []logic.Class{{Name: "read", Aim: 150 * time.Millisecond, Deadline: 750 * time.Millisecond, Worth: 3, Effect: logic.Safe},
+			{Name: "write", Aim: 200 * time.Millisecond, Deadline: 1200 * time.Millisecond, Worth: 2, Effect: logic.Unsafe}},
+		Plans:  []logic.Plan{{Name: "plan", Rate: 100, Reserve: 100, Weight: 1, Price: 1}},
+		Bounds: logic.Bounds{MaxAttempts: 3, MaxRetryAfter: time.Second, RetryAfter: true, Cancel: true, Peers: true},
+		Rules:  logic.Rules{AnswerSlack: 50 * time.Millisecond, DrainGrace: 2 * time.Second}}
+}
+
+// rig drives a State by a clock of its own.
+type rig struct {
+	*testing.T
+	state   *State
+	now     Micros
+	finals  map[uint64][]Final
+	starts  []Start
+	stops   []Stop
+	halts   []Halt
+	effects []Effect
+}
+
+func newRig(t *testing.T) *rig {
+	state, err := NewState(testSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{T: t, state: state, now: clockStart, finals: map[uint64][]Final{}}
+	r.turn(Listed{Kind: logic.ListFull, Version: 1, Nodes: []Node{node("n1", 0, logic.Ready), node("n2", 1, logic.Ready)}})
+	return r
+}
+
+func node(name string, shard int, state logic.NodeState) Node {
+	return Node{NodeInfo: logic.NodeInfo{Node: name, Shard: shard, State: state, Weight: 1}, Address: "192.0.2.1:" + name}
+}
+
+func request(class string, shard int) *Request {
+	wait := Micros(750_000)
+	if class == "write" {
+		wait = 1_200_000
+	}
+	return &Request{Class: class, Plan: "plan", Key: "k", Volume: "v", Units: 2, Shard: shard, Hosts: 1, Wait: wait, Write: class == "write"}
+}
+
+func (r *rig) turn(events ...Event) {
+	for _, e := range r.state.Reduce(r.now, events) {
+		r.effects = append(r.effects, e)
+		switch e := e.(type) {
+		case Answer:
+			r.finals[e.ID] = append(r.finals[e.ID], e.Final)
+		case Start:
+			r.starts = append(r.starts, e)
+		case Stop:
+			r.stops = append(r.stops, e)
+		case Halt:
+			r.halts = append(r.halts, e)
+		}
+	}
+}
+
+// pass lets time go by, alarm after alarm.
+func (r *rig) pass(span Micros) {
+	for end := r.now + span; ; r.turn() {
+		at, any := r.state.Next()
+		if !any || at > end {
+			r.now = end
+			return
+		}
+		r.now = max(r.now, at)
+	}
+}
+
+func (r *rig) final(id uint64, want Verdict) Final {
+	r.Helper()
+	if len(r.finals[id]) != 1 || r.finals[id][0].Verdict != want {
+		r.Fatalf("request %d got %+v, want one answer of kind %d", id, r.finals[id], want)
+	}
+	return r.finals[id][0]
+}
+
+func broke(p Progress) Result {
+	return Result{Err: &AttemptError{Progress: p, Err: errors.New("cut")}, Load: logic.NoLoad}
+}
+
+func TestServed(t *testing.T) {
+	r := newRig(t)
+	r.turn(Arrived{1, request("read", 0)})
+	if len(r.starts) != 1 || r.starts[0].Attempt.Node != "n1" || r.starts[0].Attempt.Wait != 750_000 {
+		t.Fatalf("%+v", r.starts)
+	}
+	r.now += 20_000
+	r.turn(Ended{1, 0, Result{Value: "v", Load: logic.NoLoad}})
+	if f := r.final(1, Served); f.Value != "v" {
+		t.Errorf("%+v", f)
+	}
+	r.pass(2 * Second)
+	r.final(1, Served)
+	if len(r.state.entries) != 0 {
+		t.Error("the request is not forgotten")
+	}
+}
+
+// What an attempt's progress means: a write goes out again only if it never ran.
+func TestProgressDecides(t *testing.T) {
+	for progress, again := range map[Progress]bool{NotConnected: true, PartlyWritten: true, WrittenWhole: false} {
+		r := newRig(t)
+		r.turn(Arrived{1, request("write", 0)})
+		r.turn(Ended{1, 0, broke(progress)})
+		r.pass(200_000)
+		if got := len(r.starts) == 2; got != again {
+			t.Errorf("%v: sent %d times", progress, len(r.starts))
+		}
+		if !again {
+			r.final(1, Failed)
+		}
+	}
+}
+
+// The deadline ends an attempt however far it came, and its late answer finds no one.
+func TestStoppedAtDeadline(t *testing.T) {
+	for _, progress := range []Progress{NotConnected, PartlyWritten, WrittenWhole} {
+		r := newRig(t)
+		r.turn(Arrived{1, request("write", 0)})
+		r.pass(1_200_000)
+		if len(r.stops) != 1 || r.now != clockStart+1_200_000 {
+			t.Fatalf("%d stops", len(r.stops))
+		}
+		entry := r.state.entries[1]
+		if entry == nil || !entry.stopped || entry.stopping != logic.TimedOut {
+			t.Fatalf("%+v", entry)
+		}
+		r.turn(Stopped{1, 0, progress})
+		r.final(1, Failed)
+		r.turn(Ended{1, 0, Result{Value: "late"}}) // was on its way
+		r.final(1, Failed)
+	}
+}
+
+// A request that no node can serve is answered before its client leaves.
+func TestNoNode(t *testing.T) {
+	r := newRig(t)
+	r.turn(Arrived{1, request("read", 7)})
+	r.pass(750_000)
+	if f := r.final(1, Refused); f.After <= 0 {
+		t.Errorf("%+v names no time to come again", f)
+	}
+	if len(r.starts) > 0 {
+		t.Error("it was sent")
+	}
+}
+
+func TestLeft(t *testing.T) {
+	r := newRig(t)
+	r.turn(Arrived{1, request("read", 0)})
+	r.turn(Left{1})
+	r.turn(Ended{1, 0, Result{Value: "v", Load: logic.NoLoad}})
+	r.pass(Second)
+	if len(r.finals) > 0 || len(r.state.entries) > 0 || len(r.starts) != 1 {
+		t.Errorf("%+v, %d held, %d sent", r.finals, len(r.state.entries), len(r.starts))
+	}
+}
+
+// An attempt of several messages must not go on at a draining node past the rule's grace.
+func TestDrainHalts(t *testing.T) {
+	r := newRig(t)
+	r.turn(Arrived{1, request("write", 0)})
+	r.turn(Listed{Kind: logic.ListChanges, Version: 2, Nodes: []Node{node("n1", 0, logic.Draining), node("n3", 0, logic.Ready)}})
+	r.turn(Listed{Kind: logic.ListChanges, Version: 3, Nodes: []Node{node("n1", 0, logic.Draining)}})
+	if len(r.halts) != 1 {
+		t.Fatalf("%d halts", len(r.halts))
+	}
+	r.turn(Ended{1, 0, broke(PartlyWritten)})
+	r.pass(100_000)
+	if len(r.starts) < 2 || r.starts[1].Attempt.Node != "n3" {
+		t.Errorf("%+v", r.starts)
+	}
+}
+
+// A node that a whole list no longer names is gone.
+func TestMissingFromList(t *testing.T) {
+	r := newRig(t)
+	r.turn(Listed{Kind: logic.ListFull, Version: 2, Nodes: []Node{node("n2", 1, logic.Ready)}})
+	r.turn(Arrived{1, request("read", 0)})
+	r.pass(Second)
+	if len(r.starts) > 0 {
+		t.Error("sent to a node that is gone")
+	}
+}
+
+// Demand for a shared volume is told to its keeper; of four volumes this broker does not keep all.
+func TestPeers(t *testing.T) {
+	r := newRig(t)
+	for i := range uint64(40) {
+		req := request("read", 1)
+		req.Hosts, req.Volume = 2, []string{"v", "w", "x", "y"}[i%4]
+		r.turn(Arrived{i + 1, req})
+		r.pass(25_000)
+	}
+	for _, e := range r.effects {
+		if tell, ok := e.(Tell); ok && len(tell.Data) > 0 && len(tell.Data) <= 256 && tell.Peer == 1 {
+			return
+		}
+	}
+	t.Error("no peer was told")
+}
+
+func TestClockAt(t *testing.T) {
+	c := NewClock()
+	if c.At(0) != 0 || c.At(1) != 0 {
+		t.Error("long ago is not 0")
+	}
+	// A node that started before this process is cold all the same.
+	if at := c.At(time.Now().Add(-5 * time.Second).UnixMilli()); at <= 0 || c.Now()-at < 4*Second || c.Now()-at > 6*Second {
+		t.Errorf("5 s ago is %d, now is %d", at, c.Now())
+	}
+}
--- /dev/null
+++ b/internal/resp/resp_test.go
@@ -0,0 +1,261 @@
+package resp
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/tidwall/redcon"
+
+	"junctionwharf/broker"
+)
+
+func bulk(words ...string) string {
+	text := fmt.Sprintf("*%d\r\n", len(words))
+	for _, w := range words {
+		text += fmt.Sprintf("$%d\r\n%s\r\n", len(w), w)
+	}
+	return text
+}
+
+const listText = "c=read,t=gold,d=480,volume=00000003b4d60021,units=2,shard=5,hosts=3"
+
+var (
+	readText  = bulk("BLK.READ", "7f3a9c21e0b4d655", "9b1f03aa5c7e2d41", listText)
+	writeText = bulk("BLK.WRITE", "7f3a9c21e0b4d655", "9b1f03aa5c7e2d41", listText+",k=7", "BODY\r\n*$")
+	pingText  = bulk("PING")
+)
+
+// cuts is a connection whose reads end where a seeded source of chance says.
+type cuts struct {
+	net.Conn
+	in  io.Reader
+	rng *rand.Rand
+}
+
+func (c *cuts) Read(p []byte) (int, error) { return c.in.Read(p[:1+c.rng.IntN(min(len(p), 40))]) }
+
+// commands reads all of a client's text through the guard and redcon's reader.
+func commands(text []byte, seed uint64) ([]redcon.Command, error) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	in := redcon.NewReader(&guard{Conn: &cuts{in: bytes.NewReader(text), rng: rng}, attached: true})
+	var all []redcon.Command
+	for {
+		cmd, err := in.ReadCommand()
+		if err != nil {
+			return all, err
+		}
+		all = append(all, cmd)
+	}
+}
+
+// Cuts anywhere must not change what a client said.
+func TestCutsAnywhere(t *testing.T) {
+	for seed := range uint64(200) {
+		all, err := commands([]byte(readText+pingText+writeText), seed)
+		if err != io.EOF || len(all) != 3 || string(all[2].Raw) != writeText {
+			t.Fatalf("seed %d: %d commands, %v", seed, len(all), err)
+		}
+	}
+}
+
+// Lengths without bound, which redcon's reader would count or index by, must end the connection.
+func TestGuardStopsLengths(t *testing.T) {
+	for _, text := range []string{"*999999999\r\n", "*1\r\n$9223372036854775800\r\n", "*0\r\n", "*-1\r\n", "PING\r\n",
+		"*1\r\n$\r\n", "*2\r\n$1\r\na\r\n:1\r\n", "*1\r\n$70000\r\n"} {
+		if all, err := commands([]byte(readText+text), 1); !errors.Is(err, errProtocol) || len(all) > 1 {
+			t.Errorf("%q: %d commands, %v", text, len(all), err)
+		}
+	}
+}
+
+func FuzzCommands(f *testing.F) {
+	for _, text := range []string{readText, writeText, pingText, "*1\r\n$-1\r\n", "*3\r\n$1\r\na", "\x00\xff*"} {
+		f.Add([]byte(text), uint64(1))
+	}
+	f.Fuzz(func(t *testing.T, text []byte, seed uint64) {
+		all, _ := commands(text, seed)
+		for _, cmd := range all {
+			req, err := parse(cmd.Raw, cmd.Args)
+			if err != nil {
+				continue
+			}
+			forwarded(t, req, cmd.Args, broker.Second)
+		}
+	})
+}
+
+// forwarded checks that a node gets the client's command with only d changed.
+func forwarded(t *testing.T, req *broker.Request, args [][]byte, wait broker.Micros) string {
+	t.Helper()
+	m := req.Message.(*message)
+	before := string(m.raw)
+	buffers := m.forward(wait)
+	text := bytes.Join(buffers, nil)
+	if string(m.raw) != before {
+		t.Fatal("the client's bytes were changed")
+	}
+	all, err := commands(text, 1)
+	if err != io.EOF || len(all) != 1 || len(all[0].Args) != len(args) {
+		t.Fatalf("%q: %d commands, %v", text, len(all), err)
+	}
+	for i, arg := range all[0].Args {
+		if i != 3 && !bytes.Equal(arg, args[i]) {
+			t.Errorf("part %d is %q, was %q", i, arg, args[i])
+		}
+	}
+	return string(all[0].Args[3])
+}
+
+func TestForward(t *testing.T) {
+	for _, c := range []struct {
+		wait broker.Micros
+		list string
+	}{{479_999, "d=479"}, {1_234_567, "d=1234"}, {99_000, "d=99"}, {-5, "d=1"}} {
+		all, _ := commands([]byte(writeText), 1)
+		req, err := parse(all[0].Raw, all[0].Args)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := strings.Replace(listText+",k=7", "d=480", c.list, 1)
+		if list := forwarded(t, req, all[0].Args, c.wait); list != want {
+			t.Errorf("after %d: %q, want %q", c.wait, list, want)
+		}
+	}
+}
+
+func TestParse(t *testing.T) {
+	all, _ := commands([]byte(writeText), 1)
+	r, err := parse(all[0].Raw, all[0].Args)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Class != "read" || r.Plan != "gold" || r.Wait != 480_000 || r.Volume != "00000003b4d60021" || r.Units != 2 ||
+		r.Shard != 5 || r.Hosts != 3 || !r.Write || r.Retry || r.Key != "7f3a9c21e0b4d655" {
+		t.Errorf("%+v", r)
+	}
+	for _, words := range [][]string{{"GET", "a"}, {"BLK.READ", "7f3a9c21e0b4d655", "id", "c=read"},
+		{"BLK.READ", "xyz", "id", listText}, {"BLK.READ", "7f3a9c21e0b4d655", "id", listText, "body"},
+		{"BLK.READ", "7f3a9c21e0b4d655", "id", "c=read,d=5,units=NaN"}, {"BLK.READ", "7f3a9c21e0b4d655", "id", "c=read,d=-1"},
+		{"BLK.READ", "7f3a9c21e0b4d655", "id", "c=read,d=5,shard"}} {
+		all, _ := commands([]byte(bulk(words...)), 1)
+		if _, err := parse(all[0].Raw, all[0].Args); !errors.Is(err, errForm) {
+			t.Errorf("%q: %v", words, err)
+		}
+	}
+}
+
+var replies = []struct {
+	text  string
+	reply broker.Reply
+	value string
+	used  int
+	cost  float64
+	load  float64
+	sound bool
+}{
+	{"*3\r\n$2\r\nhi\r\n$14\r\nused=37,cost=4\r\n$10\r\ninflight=7\r\n", broker.Done, "hi", 38, 4, 7, true},
+	{"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n", broker.Done, "", 0, 0, -1, true},
+	{"*1\r\n$-1\r\n", broker.Errored, "", 0, 0, -1, true},
+	{"-BUSY\r\n", broker.TurnedAway, "", 0, 0, -1, true},
+	{"-BUSY used=9 busy_reqs=3\r\n", broker.TurnedAway, "", 10, 0, 3, true},
+	{"-ERR failed used=1,cost=2 inflight=5\r\n", broker.Errored, "", 2, 2, 5, true},
+	{"-SYNTAX\r\n", broker.Errored, "", 0, 0, -1, true},
+	{"*99\r\n", 0, "", 0, 0, 0, false},
+	{"$2\r\nhi\r\n", 0, "", 0, 0, 0, false},
+	{"*1\r\n$70000\r\n", 0, "", 0, 0, 0, false},
+	{"*1\r\n$2\r\nhi!!", 0, "", 0, 0, 0, false},
+	{"-" + strings.Repeat("x", 5000) + "\r\n", 0, "", 0, 0, 0, false},
+}
+
+func TestReplies(t *testing.T) {
+	for _, c := range replies {
+		r, err := readReply(bufio.NewReader(iotest.OneByteReader(strings.NewReader(c.text))))
+		if (err == nil) != c.sound {
+			t.Errorf("%.40q: %v", c.text, err)
+		}
+		value, _ := r.Value.([]byte)
+		if err == nil && (r.Reply != c.reply || string(value) != c.value || r.Used != c.used || r.Elsewhere != c.cost ||
+			r.Load.InFlight != c.load) {
+			t.Errorf("%.40q: %+v", c.text, r)
+		}
+	}
+}
+
+func FuzzReply(f *testing.F) {
+	for _, c := range replies {
+		f.Add([]byte(c.text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r, err := readReply(bufio.NewReader(bytes.NewReader(text)))
+		if value, _ := r.Value.([]byte); err == nil && len(value) > maxValue {
+			t.Errorf("a value of %d bytes", len(value))
+		}
+	})
+}
+
+func TestAnswers(t *testing.T) {
+	for want, final := range map[string]broker.Final{
+		"$2\r\nhi\r\n":    {Verdict: broker.Served, Value: []byte("hi")},
+		"-BUSY 151\r\n":   {Verdict: broker.Refused, After: 150_001},
+		"-BUSY\r\n":       {Verdict: broker.Refused},
+		"-ERR failed\r\n": {Verdict: broker.Failed},
+	} {
+		if text := bytes.Join(answer(final), nil); string(text) != want {
+			t.Errorf("%q, want %q", text, want)
+		}
+	}
+}
+
+// A client that sends nonsense gets an error behind its other answers, and its connection ends.
+func TestMalformedEndsConnection(t *testing.T) {
+	front := NewFront(nil, 4, func(line string) { t.Log(line) })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go front.Serve(ln)
+	for _, text := range []string{"*9\r\n", "GET\r\n", bulk("NOTHING"), "*1\r\n$99999999999999999999\r\n", bulk("BLK.READ", "x", "y", "z")} {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(conn, pingText+pingText+text)
+		got, err := io.ReadAll(conn)
+		if err != nil || !strings.HasPrefix(string(got), "+PONG\r\n+PONG\r\n-ERR ") || !strings.HasSuffix(string(got), "\r\n") {
+			t.Errorf("%q: %q, %v", text, got, err)
+		}
+		conn.Close()
+	}
+}
+
+// A full front closes a connection without requests to let the next client in.
+func TestFullFrontMakesRoom(t *testing.T) {
+	front := NewFront(nil, 2, func(line string) { t.Log(line) })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go front.Serve(ln)
+	for i := range 5 {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprint(conn, pingText)
+		got := make([]byte, 7)
+		if _, err := io.ReadFull(conn, got); err != nil || string(got) != "+PONG\r\n" {
+			t.Fatalf("client %d: %q, %v", i, got, err)
+		}
+	}
+}
