--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,123 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"junctionwharf/broker"
+	"junctionwharf/logic"
+)
+
+const settingsText = `{"bounds":{"connIdle":30000000,"connectTimeout":250000,"maxAttempts":3,"peers":true},
+ "classes":[{"name":"read","aim":150000,"deadline":750000,"effect":"safe"},{"name":"write","aim":200000,"deadline":1200000,"effect":"unsafe"}],
+ "serviceLevels":[{"name":"plan","nominal":6.7}],"specifics":{"maxUnits":8},"nInstances":3,"ordinal":2,"telemetry":{"fields":[]}}`
+
+const configText = `{"name":"n3","listen":"10.0.0.4:6379","discovery":"10.2.0.1:8500","seed":"8c1f30d27a5be964",
+ "limits":{"memory_mb":100},"peer_listen":"10.0.0.4:7946","peers":["10.3.0.1:7946"],
+ "known":{"seq":41,"whole":true,"hosts":[{"host":"a","dial":"10.1.0.18:6379","block":3,"health":"SERVING"}]},"settings":` + settingsText + `}`
+
+func none(string) string { return "" }
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(configText), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Seed != 0x8c1f30d27a5be964 || c.Limits != (Limits{1, 100, 1024}) || c.Known.Seq != 41 || c.Settings.ConnIdle != 30*broker.Second ||
+		c.Settings.ConnectTimeout != broker.Second/4 || c.Settings.Logic.Ordinal != 2 || c.Settings.Logic.Classes[1].Effect != logic.Unsafe ||
+		c.Settings.Logic.Classes[0].Deadline != 750*time.Millisecond || c.Site.SFTP.Listen != "" {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestVariablesStandIn(t *testing.T) {
+	text := strings.Replace(configText, `"listen":"10.0.0.4:6379",`, "", 1)
+	c, err := Parse([]byte(text), func(name string) string { return map[string]string{"BALANCER_LISTEN": "10.9.9.9:1"}[name] })
+	if err != nil || c.Listen != "10.9.9.9:1" {
+		t.Errorf("%v", err)
+	}
+}
+
+// Each fault is named by its key.
+func TestFaults(t *testing.T) {
+	for _, c := range []struct{ old, new, key string }{
+		{`"listen":"10.0.0.4:6379"`, `"listen":"here"`, "listen"},
+		{`"discovery":"10.2.0.1:8500"`, `"discovery":""`, "discovery"},
+		{`"peers":["10.3.0.1:7946"]`, `"peers":["x:1"]`, "peers[0]"},
+		{`"memory_mb":100`, `"memory_mb":1`, "limits.memory_mb"},
+		{`"memory_mb":100`, `"memory_mb":"much"`, "limits.memory_mb"},
+		{`"memory_mb":100`, `"sockets":-1`, "limits.sockets"},
+		{`"seed":"8c1f30d27a5be964"`, `"seed":"zz"`, "seed"},
+		{`"health":"SERVING"`, `"health":"UP"`, "known"},
+		{`"ordinal":2`, `"ordinal":3`, "settings.ordinal"},
+		{`"connIdle":30000000`, `"connIdle":-1`, "settings.bounds.connIdle"},
+		{`"effect":"unsafe"`, `"effect":"odd"`, `class "write"`},
+		{`"settings":`, `"other":`, "settings"},
+	} {
+		_, err := Parse([]byte(strings.Replace(configText, c.old, c.new, 1)), none)
+		if err == nil || !strings.Contains(err.Error(), c.key) {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+	if _, err := Load(none); err == nil || !strings.Contains(err.Error(), "BALANCER_CONFIG") {
+		t.Error(err)
+	}
+}
+
+const siteText = `[sftp]
+listen = "127.0.0.1:2022"
+[sftp.command]
+open = { class = "read" }
+open_write = { class = "write" }
+read = { class = "read", wait_ms = 500 }
+write = { class = "write" }
+stat = { class = "read" }
+list = { class = "read" }
+remove = { class = "write" }
+[[sftp.volume]]
+prefix = "/d"
+volume = "v"
+plan = "plan"
+`
+
+func TestSite(t *testing.T) {
+	set, err := ParseSettings([]byte(settingsText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	load := func(text string) (Site, error) {
+		path := filepath.Join(t.TempDir(), "site.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return LoadSite(path, set.Logic)
+	}
+	s, err := load(siteText)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := s.SFTP.Plan()
+	if p.Commands["read"].WaitMS != 500 || p.Commands["write"].WaitMS != 1200 || p.Volumes[0].Hosts != 3 || s.SFTP.Connections != defaultConnections {
+		t.Errorf("%+v", p)
+	}
+	for _, c := range []struct{ old, new, key string }{
+		{`listen = "127`, `listen = "x`, "sftp.listen"},
+		{`write = { class = "write" }`, `write = { class = "read" }`, "sftp.command.write.class"},
+		{`stat = { class = "read" }`, ``, "sftp.command.stat"},
+		{`prefix = "/d"`, `prefix = "d"`, "sftp.volume[0].prefix"},
+		{`plan = "plan"`, `plan = "none"`, "sftp.volume[0].plan"},
+		{`volume = "v"`, `volumes = "v"`, "volumes"},
+		{`[sftp.command]`, "node_port = 70000\n[sftp.command]", "sftp.node_port"},
+	} {
+		text := siteText
+		if i := strings.LastIndex(text, c.old); i >= 0 {
+			text = text[:i] + c.new + text[i+len(c.old):]
+		}
+		if _, err := load(text); err == nil || !strings.Contains(err.Error(), c.key) {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,238 @@
+package pool
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"junctionwharf/broker"
+)
+
+// peer is a stand-in node that hands its connections to the test.
+type peer struct {
+	*testing.T
+	address string
+	conns   chan net.Conn
+}
+
+func newPeer(t *testing.T) *peer {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	p := &peer{T: t, address: ln.Addr().String(), conns: make(chan net.Conn, 16)}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.conns <- conn
+		}
+	}()
+	return p
+}
+
+func (p *peer) next() net.Conn {
+	p.Helper()
+	select {
+	case conn := <-p.conns:
+		p.Cleanup(func() { conn.Close() })
+		conn.SetDeadline(time.Now().Add(5 * time.Second))
+		return conn
+	case <-time.After(5 * time.Second):
+		p.Fatal("no connection came")
+		return nil
+	}
+}
+
+// echo sends a line and reads one.
+func echo(s *Session) (broker.Result, error) {
+	if err := s.Send(net.Buffers{[]byte("li"), []byte("ne\n")}, true); err != nil {
+		return broker.Result{}, err
+	}
+	line, err := s.In.ReadString('\n')
+	return broker.Result{Value: line}, err
+}
+
+func start(p *Pool, address string, x Exchange) (broker.Handle, chan broker.Result) {
+	results := make(chan broker.Result, 2)
+	return p.Start(address, x, 0, func(r broker.Result) { results <- r }), results
+}
+
+func options() Options { return Options{ConnectTimeout: 2 * time.Second, Idle: time.Hour, Sockets: 2} }
+
+func (p *peer) serve(conn net.Conn) {
+	p.Helper()
+	if line, err := bufio.NewReader(conn).ReadString('\n'); err != nil || line != "line\n" {
+		p.Fatalf("%q, %v", line, err)
+	}
+	io.WriteString(conn, "answer\n")
+}
+
+func TestReuse(t *testing.T) {
+	node, p := newPeer(t), New(options())
+	_, results := start(p, node.address, echo)
+	conn := node.next()
+	for range 3 {
+		node.serve(conn)
+		if r := <-results; r.Err != nil || r.Value != "answer\n" {
+			t.Fatalf("%+v", r)
+		}
+		_, results = start(p, node.address, echo)
+	}
+	node.serve(conn)
+	<-results
+	if len(node.conns) > 0 {
+		t.Error("a second connection was opened")
+	}
+}
+
+// A connection that the node has closed must not be used: for a write the reset would be final.
+func TestClosedIdleIsNotUsed(t *testing.T) {
+	node, p := newPeer(t), New(options())
+	_, results := start(p, node.address, echo)
+	conn := node.next()
+	node.serve(conn)
+	<-results
+	conn.Close()
+	for len(p.idle[node.address]) > 0 && alive(p.idle[node.address][0].Conn) {
+		time.Sleep(time.Millisecond) // the close is on its way through the kernel
+	}
+	_, results = start(p, node.address, echo)
+	node.serve(node.next())
+	if r := <-results; r.Err != nil {
+		t.Fatal(r.Err)
+	}
+}
+
+// A connection near the idle limit is retired before the node closes it.
+func TestRetire(t *testing.T) {
+	node, p := newPeer(t), New(options())
+	_, results := start(p, node.address, echo)
+	conn := node.next()
+	node.serve(conn)
+	<-results
+	p.Retire(time.Now().Add(40 * time.Minute))
+	if len(p.idle) != 1 {
+		t.Fatal("retired too early")
+	}
+	p.Retire(time.Now().Add(43 * time.Minute))
+	if len(p.idle) != 0 || len(p.slots) != 0 {
+		t.Errorf("%d addresses idle, %d slots taken", len(p.idle), len(p.slots))
+	}
+	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("not closed: %v", err)
+	}
+}
+
+func TestProgress(t *testing.T) {
+	node, p := newPeer(t), New(options())
+	closed := newPeer(t)
+	unused, _ := net.Listen("tcp", "127.0.0.1:0")
+	unused.Close()
+	progress := func(results chan broker.Result) broker.Progress {
+		r := <-results
+		if r.Err == nil || r.Err.Unwrap() == nil {
+			t.Fatalf("%+v", r)
+		}
+		return r.Err.Progress
+	}
+	if _, results := start(p, unused.Addr().String(), echo); progress(results) != broker.NotConnected {
+		t.Error("a refused connection is not NotConnected")
+	}
+	_, results := start(p, closed.address, echo)
+	conn := closed.next()
+	bufio.NewReader(conn).ReadString('\n')
+	conn.Close()
+	if progress(results) != broker.WrittenWhole {
+		t.Error("a lost answer is not WrittenWhole")
+	}
+	_, results = start(p, node.address, func(s *Session) (broker.Result, error) {
+		if err := s.Send(net.Buffers{[]byte("open\n")}, false); err != nil {
+			return broker.Result{}, err
+		}
+		_, err := s.In.ReadString('\n')
+		return broker.Result{}, err
+	})
+	conn = node.next()
+	bufio.NewReader(conn).ReadString('\n')
+	conn.Close()
+	if progress(results) != broker.PartlyWritten {
+		t.Error("an exchange cut before its deciding message is not PartlyWritten")
+	}
+}
+
+// Stop must end the sending before it returns, and no result may follow.
+func TestStop(t *testing.T) {
+	node, p := newPeer(t), New(options())
+	h, results := start(p, node.address, echo)
+	conn := node.next()
+	bufio.NewReader(conn).ReadString('\n')
+	if at := h.Stop(); at != broker.WrittenWhole {
+		t.Errorf("stopped %v", at)
+	}
+	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the connection is open: %v", err)
+	}
+	big := make([]byte, 64<<20) // more than the sockets hold
+	h, _ = start(p, node.address, func(s *Session) (broker.Result, error) {
+		return broker.Result{}, s.Send(net.Buffers{big}, true)
+	})
+	conn = node.next()
+	io.ReadFull(conn, make([]byte, 1))
+	if at := h.Stop(); at != broker.PartlyWritten {
+		t.Errorf("stopped %v in the middle of a write", at)
+	}
+	select {
+	case r := <-results:
+		t.Errorf("a result after Stop: %+v", r)
+	default:
+	}
+}
+
+// Halt lets a whole message have its answer, and bars the next.
+func TestHalt(t *testing.T) {
+	node, p := newPeer(t), New(options())
+	h, results := start(p, node.address, func(s *Session) (broker.Result, error) {
+		r, err := echo(s)
+		if err == nil && !errors.Is(s.Send(net.Buffers{[]byte("more\n")}, false), errHalted) {
+			t.Error("it may still send")
+		}
+		return r, err
+	})
+	conn := node.next()
+	line, _ := bufio.NewReader(conn).ReadString('\n')
+	h.Halt()
+	io.WriteString(conn, "answer\n")
+	if r := <-results; r.Err != nil || line != "line\n" {
+		t.Errorf("%+v", r)
+	}
+	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the connection is kept: %v", err)
+	}
+}
+
+// A full table makes room by closing what is idle elsewhere, and otherwise waits for a connection to end.
+func TestFull(t *testing.T) {
+	a, b, p := newPeer(t), newPeer(t), New(options())
+	_, first := start(p, a.address, echo)
+	a.serve(a.next())
+	<-first
+	var handles []broker.Handle
+	for range 2 {
+		h, _ := start(p, b.address, echo)
+		handles = append(handles, h)
+		b.next()
+	}
+	_, results := start(p, b.address, echo)
+	handles[0].Stop()
+	b.serve(b.next())
+	if r := <-results; r.Err != nil {
+		t.Error(r.Err)
+	}
+}
--- a/internal/sftp/front.go
+++ b/internal/sftp/front.go
@@ -56,8 +56,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		s := &session{front: f, conn: conn, wake: make(chan struct{}, 1), handles: map[string]*handle{}}
-		s.room = sync.NewCond(&s.mu)
+		s := newSession(f, conn)
 		f.mu.Lock()
 		f.conns[s] = struct{}{}
 		f.mu.Unlock()
@@ -124,6 +123,12 @@
 	gone    bool
 }
 
+func newSession(f *Front, conn net.Conn) *session {
+	s := &session{front: f, conn: conn, wake: make(chan struct{}, 1), handles: map[string]*handle{}}
+	s.room = sync.NewCond(&s.mu)
+	return s
+}
+
 // pending is a command that waits for its answer, or for an earlier one on the same file.
 type pending struct {
 	*operation
--- /dev/null
+++ b/internal/sftp/sftp_test.go
@@ -0,0 +1,235 @@
+package sftp
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"junctionwharf/broker"
+	"junctionwharf/logic"
+)
+
+func joined(buffers ...net.Buffers) []byte {
+	var all []byte
+	for _, b := range buffers {
+		all = append(all, bytes.Join(b, nil)...)
+	}
+	return all
+}
+
+// talk is a client's side of a connection that uses each command.
+var talk = joined(message(typeInit, 3),
+	message(typeOpen, 1, text("/d/f"), number(flagRead|flagWrite|flagCreate), number(0)),
+	message(typeOpendir, 2, text("/d")), message(typeReaddir, 3, text("\x00\x00\x00\x00\x00\x00\x00\x01")),
+	message(typeStat, 4, text("/d/f")), message(typeRemove, 5, text("/d/f")), message(200, 6, text("other")),
+	message(typeRead, 7, text("none"), offset(0), number(10)), message(typeClose, 8, text("\x00\x00\x00\x00\x00\x00\x00\x01")))
+
+func testPlan(t testing.TB) *Plan {
+	set := logic.Settings{Hosts: 1, MaxUnits: 8, Plans: []logic.Plan{{Name: "plan"}}, Classes: []logic.Class{
+		{Name: "read", Aim: time.Second, Deadline: 2 * time.Second},
+		{Name: "write", Aim: time.Second, Deadline: 2 * time.Second, Effect: logic.Unsafe}}}
+	terms := map[Command]Terms{}
+	for _, c := range Commands {
+		terms[c] = Terms{Class: "read"}
+		if changes[c] {
+			terms[c] = Terms{Class: "write"}
+		}
+	}
+	p := &Plan{UnitBytes: 10, Commands: terms, Volumes: []Volume{{Prefix: "/d", Volume: "v", Plan: "plan", Shard: 4},
+		{Prefix: "/d/deep", Volume: "w", Plan: "plan", Shard: 5}}}
+	if err := p.Check(set); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// testFront serves one end of a pipe; its loop is never turned, so requests wait.
+func testFront(t testing.TB) (*Front, *session, net.Conn) {
+	state, err := broker.NewState(logic.Settings{Hosts: 1, Classes: []logic.Class{{Name: "read", Aim: time.Second}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Log: func(string) {}})
+	f := NewFront(loop, nil, testPlan(t), 1, func(line string) { t.Error(line) })
+	near, far := net.Pipe()
+	s := newSession(f, near)
+	f.room <- struct{}{}
+	f.conns[s] = struct{}{}
+	return f, s, far
+}
+
+// FuzzFront sends anything, cut anywhere: no panic, and the connection ends when its client does.
+func FuzzFront(f *testing.F) {
+	f.Add(talk, uint64(1))
+	f.Add(talk[:50], uint64(2))
+	f.Add([]byte("\x00\x00\x00\x05\x01\x00\x00\x00\x03\xff\xff\xff\xff"), uint64(3))
+	f.Add(joined(message(typeInit, 3), message(typeWrite, 1, text("h"), offset(1<<63), number(1<<31))), uint64(4))
+	f.Fuzz(func(t *testing.T, input []byte, seed uint64) {
+		front, s, far := testFront(t)
+		rng := rand.New(rand.NewPCG(seed, 1))
+		go s.write()
+		go io.Copy(io.Discard, far)
+		go func() {
+			for rest := input; len(rest) > 0; {
+				n := 1 + rng.IntN(len(rest))
+				if _, err := far.Write(rest[:n]); err != nil {
+					return
+				}
+				rest = rest[n:]
+			}
+			far.Close()
+		}()
+		s.read()
+		for end := time.Now().Add(5 * time.Second); front.Clients() > 0; time.Sleep(50 * time.Microsecond) {
+			if time.Now().After(end) {
+				t.Fatal("the connection did not end")
+			}
+		}
+	})
+}
+
+func FuzzPacket(f *testing.F) {
+	f.Add(talk)
+	f.Add(joined(message(typeStatus, 1, status(statusFailure, "BUSY")), message(typeData, 2, text("abc"))))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		in := bufio.NewReader(bytes.NewReader(input))
+		for {
+			p, err := readPacket(in)
+			if err != nil {
+				return
+			}
+			if again := joined(message(p.kind, p.id, p.body)); !bytes.Contains(input, again) {
+				t.Fatalf("%x was read, not sent", again)
+			}
+			result(p, nil)
+		}
+	})
+}
+
+func TestCutsAnywhere(t *testing.T) {
+	in := bufio.NewReader(iotest.OneByteReader(bytes.NewReader(talk)))
+	var kinds []byte
+	for {
+		p, err := readPacket(in)
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		kinds = append(kinds, p.kind)
+	}
+	if want := []byte{1, 3, 11, 12, 17, 13, 200, 5, 4}; !bytes.Equal(kinds, want) {
+		t.Errorf("%v, want %v", kinds, want)
+	}
+	for n := 1; n < 20; n++ {
+		if _, err := readPacket(bufio.NewReader(bytes.NewReader(talk[9 : 9+n]))); err == nil {
+			t.Errorf("a packet cut to %d bytes was read", n)
+		}
+	}
+}
+
+func TestStatuses(t *testing.T) {
+	for _, c := range []struct {
+		code  uint32
+		words string
+		reply broker.Reply
+	}{{statusOK, "", broker.Done}, {statusEOF, "", broker.Done}, {statusNoSuchFile, "no such file", broker.Done},
+		{statusDenied, "", broker.Done}, {statusFailure, "disk", broker.Errored}, {statusFailure, "BUSY", broker.TurnedAway},
+		{6, "", broker.Errored}, {7, "", broker.Errored}, {99, "", broker.Errored}} {
+		r, err := result(packet{kind: typeStatus, body: status(c.code, c.words)}, nil)
+		if err != nil || r.Reply != c.reply {
+			t.Errorf("%d %q: %v, %v", c.code, c.words, r.Reply, err)
+		}
+	}
+	if _, err := result(packet{kind: 77}, nil); !errors.Is(err, errPacket) {
+		t.Error(err)
+	}
+	s := &session{}
+	for want, final := range map[string]broker.Final{"BUSY: come again after 151 ms": {Verdict: broker.Refused, After: 150_001},
+		"failed: it may or may not have run": {Verdict: broker.Failed}} {
+		if got := joined(s.word(9, final, nil)); !strings.Contains(string(got), want) {
+			t.Errorf("%q lacks %q", got, want)
+		}
+	}
+}
+
+func TestPlan(t *testing.T) {
+	p := testPlan(t)
+	for _, c := range []struct {
+		op     operation
+		volume string
+		units  float64
+		write  bool
+	}{{operation{command: Read, path: "/d/f", length: 25}, "v", 3, false}, {operation{command: Write, path: "/d/deep/f", data: make([]byte, 500)}, "w", 8, true},
+		{operation{command: Stat, path: "/d"}, "v", 1, false}, {operation{command: Remove, path: "/deep/f"}, "", 0, false},
+		{operation{command: List, path: "/dx"}, "", 0, false}} {
+		r := p.request(&c.op)
+		if r == nil {
+			if c.volume != "" {
+				t.Errorf("%s has no volume", c.op.path)
+			}
+			continue
+		}
+		if r.Volume != c.volume || r.Units != c.units || r.Write != c.write || r.Wait != 2*broker.Second || len(r.Key) != 16 {
+			t.Errorf("%+v", r)
+		}
+	}
+}
+
+// Commands on one file keep their order only where that can be seen.
+func TestConflicts(t *testing.T) {
+	read := func(at uint64) *operation { return &operation{command: Read, path: "/d/f", offset: at, length: 10} }
+	write := func(at uint64) *operation {
+		return &operation{command: Write, path: "/d/f", offset: at, data: make([]byte, 10)}
+	}
+	other := &operation{command: Remove, path: "/d/g"}
+	appended := &operation{command: Write, path: "/d/f", flags: flagAppend, data: make([]byte, 1)}
+	for i, c := range []struct {
+		a, b *operation
+		want bool
+	}{{read(0), read(5), false}, {write(0), read(5), true}, {write(0), write(9), true}, {write(0), write(10), false},
+		{write(0), other, false}, {&operation{command: Remove, path: "/d/f"}, read(900), true}, {appended, write(100), true},
+		{write(1<<64 - 5), read(1<<64 - 3), true}} {
+		if c.a.conflicts(c.b) != c.want || c.b.conflicts(c.a) != c.want {
+			t.Errorf("case %d: want %v", i, c.want)
+		}
+	}
+}
+
+// A write that waits for an earlier one on its file is sent only after that is answered, and if its deadline
+// passes first it is refused, never sent.
+func TestOrderOnOneFile(t *testing.T) {
+	front, s, _ := testFront(t)
+	submit := func(id uint32, wait int64) *pending {
+		front.plan.Commands[Write] = Terms{Class: "write", WaitMS: wait}
+		if err := s.submit(id, &operation{command: Write, path: "/d/f", data: []byte("x")}, pass(id)); err != nil {
+			t.Fatal(err)
+		}
+		return s.ops[len(s.ops)-1]
+	}
+	first, second, third := submit(1, 60_000), submit(2, 60_000), submit(3, 1)
+	if !first.taken || second.taken || third.taken {
+		t.Fatal("the order is lost")
+	}
+	for len(s.wake) == 0 { // until the third's deadline rings
+		time.Sleep(time.Millisecond)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if out := fmt.Sprintf("%s", joined(s.out)); !strings.Contains(out, "BUSY") || third.taken {
+		t.Errorf("%q, taken %v", out, third.taken)
+	}
+	s.settle(first, broker.Final{Verdict: broker.Failed})
+	if !second.taken || len(s.ops) != 1 {
+		t.Error("the second did not follow")
+	}
+}
