--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -9,11 +9,13 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"junctionwharf/broker"
 	"junctionwharf/internal/config"
 	"junctionwharf/internal/discovery"
+	"junctionwharf/internal/metrics"
 	"junctionwharf/internal/peer"
 	"junctionwharf/internal/pool"
 	"junctionwharf/internal/resp"
@@ -96,6 +98,7 @@
 		fronts = append(fronts, fileFront)
 		say("serving: file commands on " + files.Listen)
 	}
+	push(running, c, loop, fronts, say)
 	go func() { served <- front.Serve(ln) }()
 	say("serving: clients on " + c.Listen)
 
@@ -140,6 +143,35 @@
 	return sum
 }
 
+// push starts the pushing of figures, where a receiver is named.
+func push(ctx context.Context, c *config.Config, loop *broker.Loop, fronts []drainer, say func(string)) {
+	if g := c.Site.Graphite; g.Address != "" {
+		to := metrics.Graphite{Address: g.Address, Prefix: g.Prefix + "." + c.Name}
+		go metrics.Run(ctx, g.Interval(), func(ctx context.Context, now time.Time) error {
+			return to.Push(ctx, now, samples(loop, fronts))
+		}, say)
+	}
+	if d := c.Site.Collectd; d.Address != "" {
+		to := metrics.Collectd{Address: d.Address, Host: c.Name}
+		go metrics.Run(ctx, d.Interval(), func(ctx context.Context, now time.Time) error {
+			return to.Push(ctx, now, d.Interval(), samples(loop, fronts))
+		}, say)
+	}
+}
+
+func samples(loop *broker.Loop, fronts []drainer) []metrics.Sample {
+	n := &loop.Counters
+	all := []metrics.Sample{{Name: "open", Value: uint64(loop.Open())}, {Name: "clients", Value: uint64(clients(fronts))}}
+	for _, s := range []struct {
+		name  string
+		value *atomic.Uint64
+	}{{"taken", &n.Taken}, {"served", &n.Served}, {"refused", &n.Refused}, {"failed", &n.Failed}, {"left", &n.Left},
+		{"attempts", &n.Attempts}, {"stopped", &n.Stopped}, {"probes", &n.Probes}, {"peer_sent", &n.Told}, {"peer_heard", &n.Heard}} {
+		all = append(all, metrics.Sample{Name: s.name, Value: s.value.Load(), Counter: true})
+	}
+	return all
+}
+
 func retire(ctx context.Context, nodes *pool.Pool) {
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -110,6 +110,8 @@
 		{`prefix = "/d"`, `prefix = "d"`, "sftp.volume[0].prefix"},
 		{`plan = "plan"`, `plan = "none"`, "sftp.volume[0].plan"},
 		{`volume = "v"`, `volumes = "v"`, "volumes"},
+		{`[sftp]`, "[graphite]\naddress = \"x\"\n[sftp]", "graphite.address"},
+		{`[sftp]`, "[collectd]\ninterval_s = -1\n[sftp]", "collectd.interval_s"},
 		{`[sftp.command]`, "node_port = 70000\n[sftp.command]", "sftp.node_port"},
 	} {
 		text := siteText
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/BurntSushi/toml"
 
@@ -13,11 +14,41 @@
 	defaultConnections = 32
 	defaultUnitBytes   = 16 << 10
 	maxConnections     = 256
+	defaultIntervalS   = 10
+	defaultPrefix      = "junctionwharf"
 )
 
 // Site is what a broker does besides the platform's port. All of it is off by default.
 type Site struct {
-	SFTP SFTP `toml:"sftp"`
+	SFTP     SFTP     `toml:"sftp"`
+	Graphite Receiver `toml:"graphite"`
+	Collectd Receiver `toml:"collectd"`
+}
+
+// Receiver is where figures are pushed to.
+type Receiver struct {
+	Address   string `toml:"address"` // empty: off
+	Prefix    string `toml:"prefix"`  // of Graphite's names; the broker's name follows
+	IntervalS int    `toml:"interval_s"`
+}
+
+// Interval is the time between two pushes.
+func (r Receiver) Interval() time.Duration { return time.Duration(r.IntervalS) * time.Second }
+
+func (r *Receiver) complete() error {
+	if err := checkAddress(r.Address, false); err != nil {
+		return fmt.Errorf("address: %w", err)
+	}
+	if r.IntervalS == 0 {
+		r.IntervalS = defaultIntervalS
+	}
+	if r.IntervalS < 0 {
+		return fmt.Errorf("interval_s: %d is below 0", r.IntervalS)
+	}
+	if r.Prefix == "" {
+		r.Prefix = defaultPrefix
+	}
+	return nil
 }
 
 // SFTP is the second front, file commands.
@@ -48,6 +79,12 @@
 	if err := s.SFTP.complete(set); err != nil {
 		return Site{}, fmt.Errorf("%s: sftp.%w", path, err)
 	}
+	if err := s.Graphite.complete(); err != nil {
+		return Site{}, fmt.Errorf("%s: graphite.%w", path, err)
+	}
+	if err := s.Collectd.complete(); err != nil {
+		return Site{}, fmt.Errorf("%s: collectd.%w", path, err)
+	}
 	return s, nil
 }
 
