Share what both fronts need: room, handing over on SIGTERM, a budget of bytes

Seen: the fronts repeated their accept loop and drain; 64 pipelined values on each of 700 connections had no common bound; a request that crossed the close of its connection after SIGTERM met a closed port. Checked: PROTOCOL lets a broker close a connection between requests, and has the client send once more on a new one. Now the port stays open for 150 ms behind the first closes, and a new connection has its first request answered. Both wires' tests show it; internal/front has the shared code, with bytes held bounded at a fifth of the memory.

--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -25,6 +25,7 @@
 
 const (
 	memoryPart   = 0.6 // of the memory limit for Go's heap: the rest is for stacks, sockets and the runtime
+	clientMemory = 0.2 // of the limit for requests and answers that wait
 	gcPercent    = 400 // the live heap is small, so collections may be rare
 	spareSockets = 48  // for all that is neither a client nor a node
 	nodePart     = 4   // a quarter of the sockets goes to nodes
@@ -32,6 +33,7 @@
 
 	// handover is how long after SIGTERM clients are still taken; new ones come for 0.4 s at most.
 	handover  = 450 * time.Millisecond
+	crossing  = 150 * time.Millisecond // for requests that crossed the end of their connection
 	lastCheck = 20 * time.Millisecond
 )
 
@@ -69,7 +71,8 @@
 	if files.Listen != "" {
 		forFiles = files.Connections + forNodes
 	}
-	front := resp.NewFront(loop, c.Limits.Sockets-spareSockets-forNodes-forFiles, say)
+	front := resp.NewFront(loop, c.Limits.Sockets-spareSockets-forNodes-forFiles,
+		int(clientMemory*c.Limits.MemoryMB*(1<<20)), say)
 	fronts := []drainer{front}
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
@@ -119,6 +122,10 @@
 	for _, front := range fronts {
 		front.Drain()
 	}
+	time.Sleep(crossing)
+	for _, front := range fronts {
+		front.Close()
+	}
 	last := time.Duration(0)
 	for _, class := range c.Settings.Logic.Classes {
 		last = max(last, class.Deadline)
@@ -132,6 +139,7 @@
 // drainer is a front that can hand its clients over.
 type drainer interface {
 	Drain()
+	Close()
 	Clients() int
 }
 
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,137 @@
+// Package front holds what the fronts share: the set of open connections, room for them, and how they are
+// handed over when the broker stops.
+package front
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// Guest is one connection of a front.
+type Guest interface {
+	Wake() // has it look whether it should go on
+}
+
+const (
+	acceptPause = 10 * time.Millisecond
+	roomPause   = 50 * time.Millisecond
+)
+
+// Hall is the set of a front's connections.
+type Hall struct {
+	MakeRoom func() // called now and then while the hall is full; may be nil
+
+	log    func(string)
+	room   chan struct{} // one for each connection
+	mu     sync.Mutex
+	guests map[Guest]struct{}
+	ln     net.Listener
+	stage  stage
+}
+
+type stage int
+
+const (
+	open     stage = iota
+	draining       // guests leave as soon as they are idle, new ones after their first request
+	closed         // no new ones come
+)
+
+// NewHall returns a hall for so many guests. log gets a line when the system refuses a connection.
+func NewHall(most int, log func(string)) *Hall {
+	return &Hall{log: log, room: make(chan struct{}, most), guests: map[Guest]struct{}{}}
+}
+
+// Accept accepts a connection when there is room for it: until then it waits in the kernel's queue. Each
+// must be given back with Leave. net.ErrClosed follows Close.
+func (h *Hall) Accept(ln net.Listener) (net.Conn, error) {
+	h.mu.Lock()
+	h.ln = ln
+	h.mu.Unlock()
+	for taken := false; !taken; {
+		select {
+		case h.room <- struct{}{}:
+			taken = true
+		case <-time.After(roomPause):
+			if h.MakeRoom != nil {
+				h.MakeRoom()
+			}
+		}
+	}
+	for {
+		conn, err := ln.Accept()
+		if err == nil {
+			return conn, nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			<-h.room
+			return nil, err
+		}
+		h.log("accept: " + err.Error())
+		time.Sleep(acceptPause)
+	}
+}
+
+// Enter adds an accepted connection and tells whether it came while others leave.
+func (h *Hall) Enter(g Guest) (late bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.guests[g] = struct{}{}
+	return h.stage != open
+}
+
+// Leave gives back the room of a connection that has ended.
+func (h *Hall) Leave(g Guest) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, held := h.guests[g]; held {
+		delete(h.guests, g)
+		<-h.room
+	}
+}
+
+// Each calls f with each guest.
+func (h *Hall) Each(f func(Guest)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for g := range h.guests {
+		f(g)
+	}
+}
+
+// Clients tells how many connections are open.
+func (h *Hall) Clients() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.guests)
+}
+
+// Drain has connections end as soon as they wait for no answer. New ones are taken still: a client whose
+// request crossed the end of its connection sends it once more on a new one.
+func (h *Hall) Drain() { h.proceed(draining) }
+
+// Close takes no more connections.
+func (h *Hall) Close() {
+	h.proceed(closed)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ln != nil {
+		h.ln.Close()
+	}
+}
+
+func (h *Hall) proceed(to stage) {
+	h.mu.Lock()
+	h.stage = to
+	h.mu.Unlock()
+	h.Each(Guest.Wake)
+}
+
+// Dismisses tells whether an idle connection should end; fresh says that it came late and has had no request.
+func (h *Hall) Dismisses(fresh bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stage == closed || h.stage == draining && !fresh
+}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,70 @@
+package front
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+type guest struct{ woken int }
+
+func (g *guest) Wake() { g.woken++ }
+
+func TestStages(t *testing.T) {
+	h := NewHall(2, func(line string) { t.Log(line) })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	early, late := &guest{}, &guest{}
+	accept := func(g *guest) bool {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := h.Accept(ln); err != nil {
+			t.Fatal(err)
+		}
+		return h.Enter(g)
+	}
+	if accept(early) || h.Dismisses(false) {
+		t.Error("an open hall dismisses")
+	}
+	h.Drain()
+	if !accept(late) || !h.Dismisses(false) || h.Dismisses(true) || early.woken != 1 {
+		t.Error("a draining hall dismisses the idle, not the fresh")
+	}
+	h.Leave(early)
+	h.Leave(early)
+	h.Close()
+	if h.Clients() != 1 || !h.Dismisses(true) || late.woken != 1 {
+		t.Error("a closed hall dismisses all")
+	}
+	if _, err := h.Accept(ln); err == nil {
+		t.Error("a closed hall accepts")
+	}
+}
+
+// A full budget holds up a reader until something is given back.
+func TestBudget(t *testing.T) {
+	b := NewBudget(10)
+	b.Take(25) // alone, anything fits
+	var wg sync.WaitGroup
+	taken := make(chan struct{}, 2)
+	for range 2 {
+		wg.Go(func() { b.Take(5); taken <- struct{}{} })
+	}
+	select {
+	case <-taken:
+		t.Error("taken beyond the budget")
+	case <-time.After(20 * time.Millisecond):
+	}
+	b.Give(25)
+	wg.Wait()
+	b.Add(3)
+	if b.held != 13 {
+		t.Errorf("%d held", b.held)
+	}
+}
--- a/internal/loopback/suite_test.go
+++ b/internal/loopback/suite_test.go
@@ -52,6 +52,7 @@
 type front interface {
 	Serve(net.Listener) error
 	Drain()
+	Close()
 	Clients() int
 }
 
@@ -314,6 +315,18 @@
 		v, err := b.client.receive()
 		b.world.check(b.T, []final{{id: "w", write: true, verdict: v, err: err, wait: waits[write]}})
 		eventually(b.T, "the connection is closed", func() bool { return b.front.Clients() == 0 })
+		late := b.protocol.client(b.T, b.address) // its request crossed the end of its connection
+		b.world.play(first(serve))
+		if late.prepare(b.T, "r"); b.name() == "resp" { // to prepare is a file client's first command
+			late.send("r", read)
+			v, err = late.receive()
+			b.world.check(b.T, []final{{id: "r", verdict: v, err: err, wait: waits[read]}})
+		}
+		b.front.Close()
+		eventually(b.T, "all connections are closed", func() bool { return b.front.Clients() == 0 })
+		if _, err := net.Dial("tcp", b.address); err == nil {
+			b.Error("the front still listens")
+		}
 	}},
 }
 
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -12,64 +12,46 @@
 	"github.com/tidwall/redcon"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/front"
 )
 
 const (
-	maxPipeline  = 256             // requests of one connection that wait for answers; beyond it nothing is read
-	writeTime    = 5 * time.Second // a client that reads nothing for so long is given up
-	acceptPause  = 10 * time.Millisecond
-	closeForRoom = 50 * time.Millisecond
+	maxPipeline = 64              // requests of one connection that wait for answers; beyond it nothing is read
+	writeTime   = 5 * time.Second // a client that reads nothing for so long is given up
 )
 
 // Front serves the platform's clients.
 type Front struct {
-	loop  *broker.Loop
-	log   func(string)
-	room  chan struct{} // one for each connection
-	mu    sync.Mutex
-	conns map[*client]struct{}
-	leave bool
-	ln    net.Listener
+	*front.Hall
+	loop   *broker.Loop
+	log    func(string)
+	budget *front.Budget
 }
 
-// NewFront returns a front that holds most connections at the most.
-func NewFront(loop *broker.Loop, most int, log func(string)) *Front {
-	return &Front{loop: loop, log: log, room: make(chan struct{}, most), conns: map[*client]struct{}{}}
+// NewFront returns a front that holds most connections, and bytes of requests and answers, at the most.
+func NewFront(loop *broker.Loop, most, bytes int, log func(string)) *Front {
+	say := func(text string) { log("clients: " + text) }
+	f := &Front{Hall: front.NewHall(most, say), loop: loop, log: say, budget: front.NewBudget(bytes)}
+	f.MakeRoom = f.closeIdlest
+	return f
 }
 
-// Serve serves ln until it is closed.
+// Serve serves ln until Close.
 func (f *Front) Serve(ln net.Listener) error {
-	f.mu.Lock()
-	f.ln = ln
-	f.mu.Unlock()
 	server := redcon.NewServerNetwork(ln.Addr().Network(), ln.Addr().String(), f.handle, nil, nil)
-	server.AcceptError = func(err error) {
-		f.log("clients: accept: " + err.Error())
-		time.Sleep(acceptPause)
-	}
-	return server.Serve(&listener{Listener: ln, front: f})
+	return server.Serve(&listener{Listener: ln, hall: f.Hall})
 }
 
-// listener accepts a client when there is room for it.
+// listener hands redcon guarded connections, as many as there is room for.
 type listener struct {
 	net.Listener
-	front *Front
+	hall *front.Hall
 }
 
-// Accept implements net.Listener. It guards against a full socket table: a client that finds no room waits
-// in the kernel's queue, while connections without requests give way.
+// Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	for taken := false; !taken; {
-		select {
-		case l.front.room <- struct{}{}:
-			taken = true
-		case <-time.After(closeForRoom):
-			l.front.closeIdlest()
-		}
-	}
-	conn, err := l.Listener.Accept()
+	conn, err := l.hall.Accept(l.Listener)
 	if err != nil {
-		<-l.front.room
 		return nil, err
 	}
 	return &guard{Conn: conn}, nil
@@ -79,63 +61,26 @@
 // nothing more before a request is answered.
 func (f *Front) handle(conn redcon.Conn, _ redcon.Command) {
 	c := &client{front: f, in: conn.Detach(), conn: conn.NetConn(), wake: make(chan struct{}, 1), used: time.Now()}
-	f.mu.Lock()
-	f.conns[c] = struct{}{}
-	f.mu.Unlock()
+	c.room = sync.NewCond(&c.mu)
+	c.fresh = f.Enter(c)
 	go c.read()
 	go c.write()
 }
 
-func (f *Front) forget(c *client) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if _, held := f.conns[c]; held {
-		delete(f.conns, c)
-		<-f.room
-	}
-}
-
-// closeIdlest closes the connection that has been without a request for longest.
+// closeIdlest closes the connection that has been without a request for longest. It guards against a full
+// socket table: a client that finds no room waits until one without requests gives way.
 func (f *Front) closeIdlest() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	var idlest *client
-	for c := range f.conns {
-		if c.idle() && (idlest == nil || c.used.Before(idlest.used)) {
+	f.Each(func(g front.Guest) {
+		if c := g.(*client); c.idle() && (idlest == nil || c.used.Before(idlest.used)) {
 			idlest = c
 		}
-	}
+	})
 	if idlest != nil {
 		idlest.conn.Close()
 	}
 }
 
-// Drain takes no more connections and closes each as soon as it waits for no answer.
-func (f *Front) Drain() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.leave = true
-	if f.ln != nil {
-		f.ln.Close()
-	}
-	for c := range f.conns {
-		c.signal()
-	}
-}
-
-// Clients tells how many connections are open.
-func (f *Front) Clients() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.conns)
-}
-
-func (f *Front) leaving() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.leave
-}
-
 // client is one connection. Its slots are the answers owed, in the order of the commands.
 type client struct {
 	front *Front
@@ -147,18 +92,23 @@
 	slots []*slot
 	room  *sync.Cond
 	used  time.Time
+	fresh bool // it came while others leave and has had no request
 	ended bool // nothing more is read; what is owed is still written unless gone
 	gone  bool
+
+	released bool // the writer has ended and given all slots back
 }
 
 type slot struct {
 	id    uint64 // of the request in the core, 0 for none
 	ready bool
 	last  bool // the connection ends after it
+	size  int  // of the budget
 	text  net.Buffers
 }
 
-func (c *client) signal() {
+// Wake implements front.Guest.
+func (c *client) Wake() {
 	select {
 	case c.wake <- struct{}{}:
 	default:
@@ -174,7 +124,7 @@
 // stopPanic guards the process against a fault met by one connection.
 func (c *client) stopPanic() {
 	if r := recover(); r != nil {
-		c.front.log(fmt.Sprintf("clients: panic: %v", r))
+		c.front.log(fmt.Sprintf("panic: %v", r))
 		c.conn.Close()
 	}
 }
@@ -214,16 +164,21 @@
 		c.refuse(err)
 		return false
 	}
-	s := &slot{}
+	s := &slot{size: len(cmd.Raw)}
+	c.front.budget.Take(s.size)
 	if !c.push(s) {
 		return false
 	}
 	id := c.front.loop.Submit(req, func(final broker.Final) {
 		text := answer(final)
+		value, _ := final.Value.([]byte)
 		c.mu.Lock()
-		s.ready, s.text = true, text
+		if !c.released {
+			c.front.budget.Add(len(value))
+			s.ready, s.text, s.size = true, text, s.size+len(value)
+		}
 		c.mu.Unlock()
-		c.signal()
+		c.Wake()
 	})
 	c.mu.Lock()
 	s.id = id
@@ -234,20 +189,21 @@
 // push queues an answer owed. It waits while too many are owed.
 func (c *client) push(s *slot) bool {
 	c.mu.Lock()
-	for len(c.slots) >= maxPipeline && !c.gone {
-		if c.room == nil {
-			c.room = sync.NewCond(&c.mu)
-		}
+	for len(c.slots) >= maxPipeline && !c.released {
 		c.room.Wait()
 	}
-	c.slots = append(c.slots, s)
-	c.used = time.Now()
-	gone := c.gone
+	released := c.released
+	if released { // the writer has ended, so nobody would give the slot back
+		c.front.budget.Give(s.size)
+	} else {
+		c.slots = append(c.slots, s)
+	}
+	c.used, c.fresh = time.Now(), false
 	c.mu.Unlock()
 	if s.ready {
-		c.signal()
+		c.Wake()
 	}
-	return !gone
+	return !released
 }
 
 // end follows the last read: but for an answer to malformed input, the client has gone away.
@@ -270,46 +226,69 @@
 	for _, id := range left {
 		c.front.loop.Leave(id)
 	}
-	c.signal()
+	c.Wake()
 }
 
 func (c *client) write() {
-	defer c.front.forget(c)
+	defer c.front.Leave(c)
+	defer c.release()
 	defer c.conn.Close()
 	defer c.stopPanic()
+	socket := c.conn
+	if g, ok := socket.(*guard); ok { // the socket itself gathers, a wrapper would not
+		socket = g.Conn
+	}
 	for range c.wake {
-		out, last, gone := c.ready()
+		out, size, last, gone := c.ready()
 		if gone {
 			return
 		}
 		if len(out) > 0 {
-			c.conn.SetWriteDeadline(time.Now().Add(writeTime))
-			if g, ok := c.conn.(*guard); ok { // the socket itself gathers, a wrapper would not
-				_, err := out.WriteTo(g.Conn)
-				if err != nil {
-					return
-				}
+			socket.SetWriteDeadline(time.Now().Add(writeTime))
+			_, err := out.WriteTo(socket)
+			c.front.budget.Give(size)
+			if err != nil {
+				return
 			}
 		}
-		if last || c.front.leaving() && c.idle() {
+		if last || c.dismissed() {
 			return
 		}
 	}
 }
 
 // ready takes the answers that are next in order.
-func (c *client) ready() (out net.Buffers, last, gone bool) {
+func (c *client) ready() (out net.Buffers, size int, last, gone bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.gone {
+		return nil, 0, false, true
+	}
 	for len(c.slots) > 0 && c.slots[0].ready && !last {
 		out = append(out, c.slots[0].text...)
+		size += c.slots[0].size
 		last = c.slots[0].last
 		c.slots = c.slots[1:]
 	}
-	if c.room != nil {
-		c.room.Signal()
+	c.room.Signal()
+	return out, size, last, false
+}
+
+func (c *client) dismissed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.slots) == 0 && c.front.Dismisses(c.fresh)
+}
+
+// release gives back what the connection held.
+func (c *client) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.released = true
+	for _, s := range c.slots {
+		c.front.budget.Give(s.size)
 	}
-	return out, last, c.gone
+	c.room.Signal()
 }
 
 // answer words a final answer.
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -216,7 +216,7 @@
 
 // A client that sends nonsense gets an error behind its other answers, and its connection ends.
 func TestMalformedEndsConnection(t *testing.T) {
-	front := NewFront(nil, 4, func(line string) { t.Log(line) })
+	front := NewFront(nil, 4, 1<<20, func(line string) { t.Log(line) })
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -239,7 +239,7 @@
 
 // A full front closes a connection without requests to let the next client in.
 func TestFullFrontMakesRoom(t *testing.T) {
-	front := NewFront(nil, 2, func(line string) { t.Log(line) })
+	front := NewFront(nil, 2, 1<<20, func(line string) { t.Log(line) })
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sftp/front.go
+++ b/internal/sftp/front.go
@@ -11,93 +11,45 @@
 	"time"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/front"
 )
 
 const (
-	maxOps      = 16 // commands of one connection that wait for answers; beyond it nothing is read
-	maxHandles  = 256
-	greetTime   = 10 * time.Second
-	writeTime   = 5 * time.Second
-	acceptPause = 10 * time.Millisecond
+	maxOps     = 16 // commands of one connection that wait for answers; beyond it nothing is read
+	maxHandles = 256
+	greetTime  = 10 * time.Second
+	writeTime  = 5 * time.Second
 )
 
 // Front serves file commands.
 type Front struct {
-	loop  *broker.Loop
-	via   broker.Transport
-	plan  *Plan
-	log   func(string)
-	room  chan struct{}
-	mu    sync.Mutex
-	conns map[*session]struct{}
-	ln    net.Listener
-	leave bool
+	*front.Hall
+	loop *broker.Loop
+	via  broker.Transport
+	plan *Plan
+	log  func(string)
 }
 
 // NewFront returns a front that holds most connections at the most. The plan has been checked.
 func NewFront(loop *broker.Loop, via broker.Transport, plan *Plan, most int, log func(string)) *Front {
-	return &Front{loop: loop, via: via, plan: plan, log: log, room: make(chan struct{}, most), conns: map[*session]struct{}{}}
+	say := func(text string) { log("files: " + text) }
+	return &Front{Hall: front.NewHall(most, say), loop: loop, via: via, plan: plan, log: say}
 }
 
-// Serve serves ln until it is closed.
+// Serve serves ln until Close.
 func (f *Front) Serve(ln net.Listener) error {
-	f.mu.Lock()
-	f.ln = ln
-	f.mu.Unlock()
 	for {
-		f.room <- struct{}{}
-		conn, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
+		conn, err := f.Accept(ln)
 		if err != nil {
-			f.log("files: accept: " + err.Error())
-			<-f.room
-			time.Sleep(acceptPause)
-			continue
+			return nil
 		}
 		s := newSession(f, conn)
-		f.mu.Lock()
-		f.conns[s] = struct{}{}
-		f.mu.Unlock()
+		s.fresh = f.Enter(s)
 		go s.read()
 		go s.write()
 	}
 }
 
-// Drain takes no more connections and closes each as soon as it waits for no answer.
-func (f *Front) Drain() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.leave = true
-	if f.ln != nil {
-		f.ln.Close()
-	}
-	for s := range f.conns {
-		s.signal()
-	}
-}
-
-// Clients tells how many connections are open.
-func (f *Front) Clients() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.conns)
-}
-
-func (f *Front) leaving() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.leave
-}
-
-func (f *Front) forget(s *session) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.conns, s)
-	<-f.room
-}
-
 // handle is what a client opened. It lives in the front only.
 type handle struct {
 	path   string
@@ -118,6 +70,7 @@
 	ops     []*pending // in the order of arrival
 	handles map[string]*handle
 	opened  uint64 // names handles
+	fresh   bool   // it came while others leave and has had no command
 	out     net.Buffers
 	last    bool // the connection ends behind what is in out
 	gone    bool
@@ -141,7 +94,8 @@
 	finish func(broker.Final) net.Buffers
 }
 
-func (s *session) signal() {
+// Wake implements front.Guest.
+func (s *session) Wake() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -151,7 +105,7 @@
 // stopPanic guards the process against a fault met by one connection.
 func (s *session) stopPanic() {
 	if r := recover(); r != nil {
-		s.front.log(fmt.Sprintf("files: panic: %v", r))
+		s.front.log(fmt.Sprintf("panic: %v", r))
 		s.conn.Close()
 	}
 }
@@ -203,16 +157,16 @@
 	if !flush {
 		s.conn.Close()
 	}
-	s.signal()
+	s.Wake()
 }
 
 func (s *session) write() {
-	defer s.front.forget(s)
+	defer s.front.Leave(s)
 	defer s.conn.Close()
 	defer s.stopPanic()
 	for range s.wake {
 		s.mu.Lock()
-		out, idle, stop := s.out, len(s.ops) == 0, s.last || s.gone
+		out, stop := s.out, s.last || s.gone || len(s.ops) == 0 && s.front.Dismisses(s.fresh)
 		s.out = nil
 		s.mu.Unlock()
 		if len(out) > 0 {
@@ -221,7 +175,7 @@
 				return
 			}
 		}
-		if stop || idle && s.front.leaving() {
+		if stop {
 			return
 		}
 	}
@@ -231,7 +185,7 @@
 	s.mu.Lock()
 	s.out = append(s.out, m...)
 	s.mu.Unlock()
-	s.signal()
+	s.Wake()
 }
 
 func (s *session) status(id, code uint32, words string) error {
@@ -402,6 +356,7 @@
 	if s.gone {
 		return net.ErrClosed
 	}
+	s.fresh = false
 	s.ops = append(s.ops, op)
 	if s.free(op) {
 		s.start(op)
@@ -464,7 +419,7 @@
 		}
 	}
 	s.room.Signal()
-	s.signal()
+	s.Wake()
 }
 
 // word words a final answer; the caller holds s.mu.
--- a/internal/sftp/nodes.go
+++ b/internal/sftp/nodes.go
@@ -114,14 +114,10 @@
 // open opens the file and closes it again: the client's handle is the front's own.
 func (x *exchange) open(op *operation) (broker.Result, error) {
 	p, err := x.ask(true, typeOpen, text(op.path), number(op.flags), op.attrs)
-	if err != nil || p.kind != typeHandle {
+	if err != nil || p.handle() == nil {
 		return result(p, err)
 	}
-	f := fields{rest: p.body}
-	handle := f.string(maxHandle)
-	if f.err != nil {
-		return broker.Result{}, f.err
-	}
+	handle := p.handle()
 	x.Tidy(func() error {
 		_, err := x.ask(true, typeClose, text(handle))
 		return err
@@ -137,14 +133,10 @@
 		flags = op.flags & (flagWrite | flagAppend)
 	}
 	p, err := x.ask(false, typeOpen, text(op.path), number(flags), number(0))
-	if err != nil || p.kind != typeHandle {
+	if err != nil || p.handle() == nil {
 		return result(p, err)
 	}
-	f := fields{rest: p.body}
-	handle := f.string(maxHandle)
-	if f.err != nil {
-		return broker.Result{}, f.err
-	}
+	handle := p.handle()
 	x.id += 2
 	m := message(typeRead, x.id-1, text(handle), offset(op.offset), number(op.length))
 	if op.command == Write {
@@ -167,14 +159,10 @@
 // see it end: Halt makes the next Send fail.
 func (x *exchange) list(op *operation) (broker.Result, error) {
 	p, err := x.ask(false, typeOpendir, text(op.path))
-	if err != nil || p.kind != typeHandle {
+	if err != nil || p.handle() == nil {
 		return result(p, err)
 	}
-	f := fields{rest: p.body}
-	handle := f.string(maxHandle)
-	if f.err != nil {
-		return broker.Result{}, f.err
-	}
+	handle := p.handle()
 	var names [][]byte
 	for size := 0; ; {
 		p, err := x.ask(false, typeReaddir, text(handle))
@@ -219,7 +207,7 @@
 		return r, err
 	}
 	switch p.kind {
-	case typeData, typeAttrs, typeName, typeHandle:
+	case typeData, typeAttrs, typeName:
 	case typeStatus:
 		f := fields{rest: p.body}
 		code, words := f.uint32(), string(f.string(maxPacket))
--- a/internal/sftp/packet.go
+++ b/internal/sftp/packet.go
@@ -86,6 +86,15 @@
 	return packet{kind: text[0], id: binary.BigEndian.Uint32(text[1:]), body: text[5:]}, nil
 }
 
+// handle is the handle that a HANDLE packet carries; nil for any other or a malformed one.
+func (p packet) handle() []byte {
+	if p.kind != typeHandle {
+		return nil
+	}
+	f := fields{rest: p.body}
+	return f.string(maxHandle)
+}
+
 // fields takes the fields of a packet's body in place and keeps the first error.
 type fields struct {
 	rest []byte
--- a/internal/sftp/sftp_test.go
+++ b/internal/sftp/sftp_test.go
@@ -60,10 +60,7 @@
 	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Log: func(string) {}})
 	f := NewFront(loop, nil, testPlan(t), 1, func(line string) { t.Error(line) })
 	near, far := net.Pipe()
-	s := newSession(f, near)
-	f.room <- struct{}{}
-	f.conns[s] = struct{}{}
-	return f, s, far
+	return f, newSession(f, near), far
 }
 
 // FuzzFront sends anything, cut anywhere: no panic, and the connection ends when its client does.
@@ -73,9 +70,10 @@
 	f.Add([]byte("\x00\x00\x00\x05\x01\x00\x00\x00\x03\xff\xff\xff\xff"), uint64(3))
 	f.Add(joined(message(typeInit, 3), message(typeWrite, 1, text("h"), offset(1<<63), number(1<<31))), uint64(4))
 	f.Fuzz(func(t *testing.T, input []byte, seed uint64) {
-		front, s, far := testFront(t)
+		_, s, far := testFront(t)
 		rng := rand.New(rand.NewPCG(seed, 1))
-		go s.write()
+		ended := make(chan struct{})
+		go func() { s.write(); close(ended) }()
 		go io.Copy(io.Discard, far)
 		go func() {
 			for rest := input; len(rest) > 0; {
@@ -88,10 +86,10 @@
 			far.Close()
 		}()
 		s.read()
-		for end := time.Now().Add(5 * time.Second); front.Clients() > 0; time.Sleep(50 * time.Microsecond) {
-			if time.Now().After(end) {
-				t.Fatal("the connection did not end")
-			}
+		select {
+		case <-ended:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the connection did not end")
 		}
 	})
 }
