Keep the loop alive through a fault in one turn; let either front end its idlest connection

A panic in a turn ended the process, which voids every request; now the turn ends, a line names it, and what it left undone is answered by its deadline. The search for the idlest connection moved to internal/front, so that file clients that stay idle give way too. Tests: TestFaultInOneTurn, TestEndIdlest.

--- a/broker/loop.go
+++ b/broker/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,7 +129,7 @@
 		case <-alarm.C:
 		}
 		now := l.clock.Now()
-		l.turn(now, l.collect())
+		l.safeTurn(now, l.collect())
 		wait := time.Hour
 		if at, any := l.state.Next(); any {
 			wait = (at - now).Duration()
@@ -137,6 +138,17 @@
 	}
 }
 
+// safeTurn guards the requests that are open against a fault met by one event: the turn ends, and what it left
+// undone is answered by its deadline.
+func (l *Loop) safeTurn(now Micros, events []Event) {
+	defer func() {
+		if r := recover(); r != nil {
+			l.outside.Log(fmt.Sprintf("core: panic: %v", r))
+		}
+	}()
+	l.turn(now, events)
+}
+
 // turn reduces events, and again what stopping attempts brought, at the same point of the clock.
 func (l *Loop) turn(now Micros, events []Event) {
 	for again := true; again; {
--- /dev/null
+++ b/broker/loop_test.go
@@ -0,0 +1,84 @@
+package broker
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"junctionwharf/logic"
+)
+
+// faulty panics at its first attempt and serves the others.
+type faulty struct{ starts int }
+
+func (f *faulty) Start(a Attempt, done func(Result)) Handle {
+	if f.starts++; f.starts == 1 {
+		panic("first")
+	}
+	go done(Result{Value: a.Node, Load: logic.NoLoad})
+	return out{}
+}
+func (*faulty) Probe(string, func(Result)) {}
+func (*faulty) CloseIdle(string)           {}
+
+type out struct{}
+
+func (out) Stop() Progress { return WrittenWhole }
+func (out) Halt()          {}
+
+// A fault in one turn must not end the process or the other requests.
+func TestFaultInOneTurn(t *testing.T) {
+	state, err := NewState(testSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := make(chan string, 8)
+	loop := NewLoop(state, NewClock(), &faulty{}, Outside{Log: func(line string) { lines <- line }})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	loop.Post(Listed{Kind: logic.ListFull, Nodes: []Node{node("n1", 0, logic.Ready)}})
+	finals := make(chan Final, 2)
+	loop.Submit(request("write", 0), func(f Final) { finals <- f })
+	go loop.Run(ctx)
+	if line := <-lines; line != "core: panic: first" {
+		t.Fatal(line)
+	}
+	loop.Submit(request("read", 0), func(f Final) { finals <- f })
+	if f := <-finals; f.Verdict != Served {
+		t.Errorf("the second request: %+v", f)
+	}
+	if f := <-finals; f.Verdict != Failed {
+		t.Errorf("the request whose turn failed: %+v", f)
+	}
+}
+
+// local serves requests in the process itself.
+type local struct{}
+
+func (local) Start(a Attempt, done func(Result)) Handle {
+	go done(Result{Value: fmt.Sprintf("%v from %s", a.Request.Message, a.Node), Load: logic.NoLoad})
+	return out{}
+}
+func (local) Probe(string, func(Result)) {}
+func (local) CloseIdle(string)           {}
+
+func ExampleLoop() {
+	state, err := NewState(logic.Settings{Hosts: 1, MeanUnits: 1, MaxUnits: 8,
+		Classes: []logic.Class{{Name: "read", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Effect: logic.Safe}},
+		Plans:   []logic.Plan{{Name: "plan", Rate: 10, Reserve: 10, Weight: 1, Price: 1}}}, 1)
+	if err != nil {
+		panic(err)
+	}
+	loop := NewLoop(state, NewClock(), local{}, Outside{Log: func(string) {}})
+	loop.Post(Listed{Kind: logic.ListFull, Nodes: []Node{{NodeInfo: logic.NodeInfo{Node: "n1"}, Address: "192.0.2.1:6379"}}})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go loop.Run(ctx)
+
+	final := make(chan Final)
+	loop.Submit(&Request{Class: "read", Plan: "plan", Volume: "v", Units: 1, Hosts: 1, Wait: 2 * Second, Message: "lesson 7"},
+		func(f Final) { final <- f })
+	fmt.Println((<-final).Value)
+	// Output: lesson 7 from n1
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,7 +11,9 @@
 
 // Guest is one connection of a front.
 type Guest interface {
-	Wake() // has it look whether it should go on
+	Wake()                              // has it look whether it should go on
+	Idle() (since time.Time, idle bool) // whether no answer is owed
+	End()                               // closes the connection
 }
 
 const (
@@ -21,8 +23,6 @@
 
 // Hall is the set of a front's connections.
 type Hall struct {
-	MakeRoom func() // called now and then while the hall is full; may be nil
-
 	log    func(string)
 	room   chan struct{} // one for each connection
 	mu     sync.Mutex
@@ -44,8 +44,9 @@
 	return &Hall{log: log, room: make(chan struct{}, most), guests: map[Guest]struct{}{}}
 }
 
-// Accept accepts a connection when there is room for it: until then it waits in the kernel's queue. Each
-// must be given back with Leave. net.ErrClosed follows Close.
+// Accept accepts a connection when there is room for it. It guards against a full socket table: until there is
+// room a connection waits in the kernel's queue, while those that wait for no answer give way. Each must be
+// given back with Leave. net.ErrClosed follows Close.
 func (h *Hall) Accept(ln net.Listener) (net.Conn, error) {
 	h.mu.Lock()
 	h.ln = ln
@@ -55,9 +56,7 @@
 		case h.room <- struct{}{}:
 			taken = true
 		case <-time.After(roomPause):
-			if h.MakeRoom != nil {
-				h.MakeRoom()
-			}
+			h.endIdlest()
 		}
 	}
 	for {
@@ -92,12 +91,19 @@
 	}
 }
 
-// Each calls f with each guest.
-func (h *Hall) Each(f func(Guest)) {
+// endIdlest ends the connection that has been idle for longest.
+func (h *Hall) endIdlest() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	var idlest Guest
+	var least time.Time
 	for g := range h.guests {
-		f(g)
+		if since, idle := g.Idle(); idle && (idlest == nil || since.Before(least)) {
+			idlest, least = g, since
+		}
+	}
+	if idlest != nil {
+		idlest.End()
 	}
 }
 
@@ -124,9 +130,11 @@
 
 func (h *Hall) proceed(to stage) {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.stage = to
-	h.mu.Unlock()
-	h.Each(Guest.Wake)
+	for g := range h.guests {
+		g.Wake()
+	}
 }
 
 // Dismisses tells whether an idle connection should end; fresh says that it came late and has had no request.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -7,9 +7,28 @@
 	"time"
 )
 
-type guest struct{ woken int }
+type guest struct {
+	woken, ended int
+	since        time.Time
+	busy         bool
+}
+
+func (g *guest) Wake()                   { g.woken++ }
+func (g *guest) Idle() (time.Time, bool) { return g.since, !g.busy }
+func (g *guest) End()                    { g.ended++ }
 
-func (g *guest) Wake() { g.woken++ }
+// A full hall ends what has been idle for longest, never what waits for an answer.
+func TestEndIdlest(t *testing.T) {
+	h := NewHall(3, func(line string) { t.Log(line) })
+	busy, old, young := &guest{busy: true}, &guest{since: time.Unix(1, 0)}, &guest{since: time.Unix(2, 0)}
+	for _, g := range []*guest{busy, old, young} {
+		h.Enter(g)
+	}
+	h.endIdlest()
+	if busy.ended+young.ended != 0 || old.ended != 1 {
+		t.Errorf("ended: busy %d, old %d, young %d", busy.ended, old.ended, young.ended)
+	}
+}
 
 func TestStages(t *testing.T) {
 	h := NewHall(2, func(line string) { t.Log(line) })
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -31,9 +31,7 @@
 // NewFront returns a front that holds most connections, and bytes of requests and answers, at the most.
 func NewFront(loop *broker.Loop, most, bytes int, log func(string)) *Front {
 	say := func(text string) { log("clients: " + text) }
-	f := &Front{Hall: front.NewHall(most, say), loop: loop, log: say, budget: front.NewBudget(bytes)}
-	f.MakeRoom = f.closeIdlest
-	return f
+	return &Front{Hall: front.NewHall(most, say), loop: loop, log: say, budget: front.NewBudget(bytes)}
 }
 
 // Serve serves ln until Close.
@@ -67,20 +65,6 @@
 	go c.write()
 }
 
-// closeIdlest closes the connection that has been without a request for longest. It guards against a full
-// socket table: a client that finds no room waits until one without requests gives way.
-func (f *Front) closeIdlest() {
-	var idlest *client
-	f.Each(func(g front.Guest) {
-		if c := g.(*client); c.idle() && (idlest == nil || c.used.Before(idlest.used)) {
-			idlest = c
-		}
-	})
-	if idlest != nil {
-		idlest.conn.Close()
-	}
-}
-
 // client is one connection. Its slots are the answers owed, in the order of the commands.
 type client struct {
 	front *Front
@@ -115,12 +99,16 @@
 	}
 }
 
-func (c *client) idle() bool {
+// Idle implements front.Guest.
+func (c *client) Idle() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.slots) == 0
+	return c.used, len(c.slots) == 0
 }
 
+// End implements front.Guest.
+func (c *client) End() { c.conn.Close() }
+
 // stopPanic guards the process against a fault met by one connection.
 func (c *client) stopPanic() {
 	if r := recover(); r != nil {
@@ -135,7 +123,7 @@
 	for {
 		cmd, err := c.in.ReadCommand()
 		if err != nil {
-			if errors.Is(err, errProtocol) || strings.HasPrefix(err.Error(), errProtocol.Error()[:14]) {
+			if errors.Is(err, errProtocol) {
 				c.refuse(errProtocol)
 			}
 			return
--- a/internal/sftp/front.go
+++ b/internal/sftp/front.go
@@ -70,14 +70,16 @@
 	ops     []*pending // in the order of arrival
 	handles map[string]*handle
 	opened  uint64 // names handles
-	fresh   bool   // it came while others leave and has had no command
+	used    time.Time
+	fresh   bool // it came while others leave and has had no command
 	out     net.Buffers
 	last    bool // the connection ends behind what is in out
 	gone    bool
 }
 
 func newSession(f *Front, conn net.Conn) *session {
-	s := &session{front: f, conn: conn, wake: make(chan struct{}, 1), handles: map[string]*handle{}}
+	s := &session{front: f, conn: conn, wake: make(chan struct{}, 1),
+		handles: map[string]*handle{}, used: time.Now()}
 	s.room = sync.NewCond(&s.mu)
 	return s
 }
@@ -102,6 +104,16 @@
 	}
 }
 
+// Idle implements front.Guest.
+func (s *session) Idle() (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.used, len(s.ops) == 0
+}
+
+// End implements front.Guest.
+func (s *session) End() { s.conn.Close() }
+
 // stopPanic guards the process against a fault met by one connection.
 func (s *session) stopPanic() {
 	if r := recover(); r != nil {
@@ -356,7 +368,7 @@
 	if s.gone {
 		return net.ErrClosed
 	}
-	s.fresh = false
+	s.used, s.fresh = time.Now(), false
 	s.ops = append(s.ops, op)
 	if s.free(op) {
 		s.start(op)
