Count a WRITE as sent once its own last byte is, and end handlers by the core alone

Seen: a WRITE whose trailing CLOSE was cut counted as partly written, so it could have been sent twice; and one run in three of the middleware's late handler was answered 200. Found by reading Session.Send and by repeating the tests. At fault: Send took a whole gathered message as what decides; the attempt's context had a deadline of its own, which could ring before the core's. Also makes TestOrderOnOneFile wait on an event, not on a millisecond.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -79,8 +79,18 @@
 // Waited is the time since Start.
 func (s *Session) Waited() time.Duration { return time.Since(s.began) }
 
-// Send writes a message. Once a deciding one is written whole the attempt may have run.
-func (s *Session) Send(message net.Buffers, deciding bool) error {
+// Size is the bytes of a message.
+func Size(message net.Buffers) int {
+	n := 0
+	for _, part := range message {
+		n += len(part)
+	}
+	return n
+}
+
+// Send writes a message. Once so many of its bytes as deciding says are written, the attempt may have run,
+// even if what stands behind them is cut; 0 is for a message after which nothing has run.
+func (s *Session) Send(message net.Buffers, deciding int) error {
 	s.writing.Lock()
 	defer s.writing.Unlock()
 	s.mu.Lock()
@@ -92,7 +102,7 @@
 	n, err := message.WriteTo(conn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil && deciding {
+	if deciding > 0 && n >= int64(deciding) {
 		s.at = broker.WrittenWhole
 	} else if n > 0 {
 		s.at = max(s.at, broker.PartlyWritten)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -52,7 +52,7 @@
 
 // echo sends a line and reads one.
 func echo(s *Session) (broker.Result, error) {
-	if err := s.Send(net.Buffers{[]byte("li"), []byte("ne\n")}, true); err != nil {
+	if err := s.Send(net.Buffers{[]byte("li"), []byte("ne\n")}, 5); err != nil {
 		return broker.Result{}, err
 	}
 	line, err := s.In.ReadString('\n')
@@ -153,7 +153,7 @@
 		t.Error("a lost answer is not WrittenWhole")
 	}
 	_, results = start(p, node.address, func(s *Session) (broker.Result, error) {
-		if err := s.Send(net.Buffers{[]byte("open\n")}, false); err != nil {
+		if err := s.Send(net.Buffers{[]byte("open\n")}, 0); err != nil {
 			return broker.Result{}, err
 		}
 		_, err := s.In.ReadString('\n')
@@ -180,13 +180,15 @@
 		t.Errorf("the connection is open: %v", err)
 	}
 	big := make([]byte, 64<<20) // more than the sockets hold
-	h, _ = start(p, node.address, func(s *Session) (broker.Result, error) {
-		return broker.Result{}, s.Send(net.Buffers{big}, true)
-	})
-	conn = node.next()
-	io.ReadFull(conn, make([]byte, 1))
-	if at := h.Stop(); at != broker.PartlyWritten {
-		t.Errorf("stopped %v in the middle of a write", at)
+	for deciding, want := range map[int]broker.Progress{len(big): broker.PartlyWritten, 0: broker.PartlyWritten, 1: broker.WrittenWhole} {
+		h, _ = start(p, node.address, func(s *Session) (broker.Result, error) {
+			return broker.Result{}, s.Send(net.Buffers{big}, deciding)
+		})
+		conn = node.next()
+		io.ReadFull(conn, make([]byte, 1))
+		if at := h.Stop(); at != want {
+			t.Errorf("stopped %v in the middle of a write that %d bytes decide", at, deciding)
+		}
 	}
 	select {
 	case r := <-results:
@@ -200,7 +202,7 @@
 	node, p := newPeer(t), New(options())
 	h, results := start(p, node.address, func(s *Session) (broker.Result, error) {
 		r, err := echo(s)
-		if err == nil && !errors.Is(s.Send(net.Buffers{[]byte("more\n")}, false), errHalted) {
+		if err == nil && !errors.Is(s.Send(net.Buffers{[]byte("more\n")}, 0), errHalted) {
 			t.Error("it may still send")
 		}
 		return r, err
--- a/internal/resp/nodes.go
+++ b/internal/resp/nodes.go
@@ -24,7 +24,8 @@
 		return pool.Refuse(errors.New("not a RESP request"), done)
 	}
 	return n.pool.Start(a.Address, func(s *pool.Session) (broker.Result, error) {
-		if err := s.Send(m.forward(a.Wait-broker.MicrosOf(s.Waited())), true); err != nil {
+		command := m.forward(a.Wait - broker.MicrosOf(s.Waited()))
+		if err := s.Send(command, pool.Size(command)); err != nil {
 			return broker.Result{}, err
 		}
 		return readReply(s.In)
@@ -34,7 +35,7 @@
 // Probe implements broker.Transport.
 func (n *Nodes) Probe(address string, done func(broker.Result)) {
 	n.pool.Start(address, func(s *pool.Session) (broker.Result, error) {
-		if err := s.Send(net.Buffers{[]byte("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n")}, true); err != nil {
+		if err := s.Send(net.Buffers{[]byte("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n")}, 0); err != nil {
 			return broker.Result{}, err
 		}
 		return readProbe(s.In)
--- a/internal/sftp/nodes.go
+++ b/internal/sftp/nodes.go
@@ -81,7 +81,11 @@
 // ask sends a packet and reads its answer.
 func (x *exchange) ask(deciding bool, kind byte, parts ...[]byte) (packet, error) {
 	x.id++
-	if err := x.Send(message(kind, x.id, parts...), deciding); err != nil {
+	m, decides := message(kind, x.id, parts...), 0
+	if deciding {
+		decides = pool.Size(m)
+	}
+	if err := x.Send(m, decides); err != nil {
 		return packet{}, err
 	}
 	return x.answer(x.id)
@@ -142,7 +146,8 @@
 	if op.command == Write {
 		m = message(typeWrite, x.id-1, text(handle), offset(op.offset), number(uint32(len(op.data))), op.data)
 	}
-	if err := x.Send(append(m, message(typeClose, x.id, text(handle))...), true); err != nil {
+	decides := pool.Size(m) // a CLOSE that is cut behind it changes nothing
+	if err := x.Send(append(m, message(typeClose, x.id, text(handle))...), decides); err != nil {
 		return broker.Result{}, err
 	}
 	r, err := result(x.answer(x.id - 1))
--- a/internal/sftp/sftp_test.go
+++ b/internal/sftp/sftp_test.go
@@ -207,20 +207,19 @@
 // passes first it is refused, never sent.
 func TestOrderOnOneFile(t *testing.T) {
 	front, s, _ := testFront(t)
-	submit := func(id uint32, wait int64) *pending {
-		front.plan.Commands[Write] = Terms{Class: "write", WaitMS: wait}
+	front.plan.Commands[Write] = Terms{Class: "write", WaitMS: 60_000}
+	submit := func(id uint32) *pending {
 		if err := s.submit(id, &operation{command: Write, path: "/d/f", data: []byte("x")}, pass(id)); err != nil {
 			t.Fatal(err)
 		}
 		return s.ops[len(s.ops)-1]
 	}
-	first, second, third := submit(1, 60_000), submit(2, 60_000), submit(3, 1)
+	first, second, third := submit(1), submit(2), submit(3)
 	if !first.taken || second.taken || third.taken {
 		t.Fatal("the order is lost")
 	}
-	for len(s.wake) == 0 { // until the third's deadline rings
-		time.Sleep(time.Millisecond)
-	}
+	third.timer.Reset(0) // its deadline has passed
+	<-s.wake
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if out := fmt.Sprintf("%s", joined(s.out)); !strings.Contains(out, "BUSY") || third.taken {
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -117,7 +117,9 @@
 
 // Start implements broker.Transport.
 func (t *runner) Start(a broker.Attempt, done func(broker.Result)) broker.Handle {
-	ctx, cancel := context.WithTimeout(t.request.Context(), a.Wait.Duration())
+	// The core ends the attempt in time. A deadline of the context's own could come first, and what a handler
+	// then returns empty-handed would pass for its answer.
+	ctx, cancel := context.WithCancel(t.request.Context())
 	run := &attempt{node: Node{Name: a.Node, Address: a.Address}, cancel: cancel}
 	go func() {
 		defer cancel()
