Leave a write that is under way to its answer when its node drains; stop panics at the exchange

Seen by reading Session.Halt: between a write's end and the note of it, the close could lose the answer to what had run. Now a write under way keeps its connection. A panic in an exchange ended the process; it ends the attempt. Tests: TestHaltDuringWrite, TestPanic, and a scenario with a node that refuses connections.

--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -52,7 +52,7 @@
 	clock := broker.NewClock()
 	forNodes := min(nodeSockets, c.Limits.Sockets/nodePart)
 	nodes := pool.New(pool.Options{ConnectTimeout: c.Settings.ConnectTimeout.Duration(),
-		Idle: c.Settings.ConnIdle.Duration(), Sockets: forNodes})
+		Idle: c.Settings.ConnIdle.Duration(), Sockets: forNodes, Log: say})
 	outside := broker.Outside{Log: say}
 	var link *peer.Link
 	if c.PeerListen != "" && c.Settings.Logic.Bounds.Peers {
@@ -90,7 +90,7 @@
 	served := make(chan error, 2)
 	if files.Listen != "" {
 		filePool := pool.New(pool.Options{ConnectTimeout: c.Settings.ConnectTimeout.Duration(),
-			Idle: c.Settings.ConnIdle.Duration(), Sockets: forNodes, Greet: sftp.Greet})
+			Idle: c.Settings.ConnIdle.Duration(), Sockets: forNodes, Greet: sftp.Greet, Log: say})
 		fileFront := sftp.NewFront(loop, sftp.NewNodes(filePool, files.NodePort), files.Plan(), files.Connections, say)
 		fileLn, err := net.Listen("tcp", files.Listen)
 		if err != nil {
--- a/internal/loopback/suite_test.go
+++ b/internal/loopback/suite_test.go
@@ -91,7 +91,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	via := p.transport(pool.Options{ConnectTimeout: 500 * time.Millisecond, Idle: 30 * time.Second, Sockets: 64})
+	via := p.transport(pool.Options{ConnectTimeout: 500 * time.Millisecond, Idle: 30 * time.Second, Sockets: 64,
+		Log: func(line string) { t.Error(line) }})
 	b.loop = broker.NewLoop(state, b.clock, via, broker.Outside{Log: func(string) {}})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -225,6 +226,17 @@
 			b.Error("a silent node served")
 		}
 	}},
+	{"a node that refuses connections has run nothing", func(b *bench) {
+		ids := []string{"w1", "w2", "w3"}
+		b.client.prepare(b.T, ids...)
+		gone := listen(b.T)
+		gone.Close()
+		moved := b.nodes[0]
+		moved.Address = gone.Addr().String()
+		b.list(moved, b.nodes[1])
+		b.world.play(first(serve))
+		b.want(b.run(write, ids...), served, served, served)
+	}},
 	{"requests behind one another are all answered", func(b *bench) {
 		ids := []string{"a", "b", "c", "e"}
 		b.client.prepare(b.T, ids...)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -20,6 +21,7 @@
 	Idle           time.Duration                       // the node closes a connection that stood idle for so long
 	Sockets        int                                 // connections at the most, idle ones included
 	Greet          func(net.Conn, *bufio.Reader) error // opens a session on a new connection, nil for none
+	Log            func(string)
 }
 
 // retireAt is the part of Options.Idle after which a connection is not used again: a request that
@@ -148,13 +150,18 @@
 	return s.progress()
 }
 
-// Halt implements broker.Handle. What was written whole keeps its connection and its answer.
+// Halt implements broker.Handle. What was written whole, or is being written, keeps its connection: it was on
+// its way before, and to cut it could lose the answer to what has run.
 func (s *Session) Halt() {
 	s.mu.Lock()
 	s.halted = true
 	conn, at := s.conn, s.at
 	s.mu.Unlock()
-	if at == broker.WrittenWhole {
+	if at == broker.WrittenWhole || !s.writing.TryLock() {
+		return
+	}
+	defer s.writing.Unlock()
+	if s.progress() == broker.WrittenWhole {
 		return
 	}
 	s.cancel()
@@ -194,7 +201,7 @@
 		if most > 0 {
 			l.SetDeadline(time.Now().Add(most))
 		}
-		result, err = x(s)
+		result, err = p.safely(x, s)
 	} else if err == nil {
 		err = errHalted
 	}
@@ -217,6 +224,17 @@
 	}
 }
 
+// safely guards the process against a fault met by one exchange.
+func (p *Pool) safely(x Exchange, s *Session) (result broker.Result, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("panic: %v", r)
+			p.opt.Log("nodes: " + err.Error())
+		}
+	}()
+	return x(s)
+}
+
 func (p *Pool) get(ctx context.Context, address string) (*link, error) {
 	for {
 		l := p.take(address)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -64,7 +64,9 @@
 	return p.Start(address, x, 0, func(r broker.Result) { results <- r }), results
 }
 
-func options() Options { return Options{ConnectTimeout: 2 * time.Second, Idle: time.Hour, Sockets: 2} }
+func options() Options {
+	return Options{ConnectTimeout: 2 * time.Second, Idle: time.Hour, Sockets: 2, Log: func(string) {}}
+}
 
 func (p *peer) serve(conn net.Conn) {
 	p.Helper()
@@ -219,6 +221,46 @@
 	}
 }
 
+// Halt leaves a write that is under way: it may be whole already.
+func TestHaltDuringWrite(t *testing.T) {
+	node, p := newPeer(t), New(options())
+	big := make([]byte, 64<<20)
+	h, results := start(p, node.address, func(s *Session) (broker.Result, error) {
+		if err := s.Send(net.Buffers{big}, len(big)); err != nil {
+			return broker.Result{}, err
+		}
+		line, err := s.In.ReadString('\n')
+		return broker.Result{Value: line}, err
+	})
+	conn := node.next()
+	io.ReadFull(conn, make([]byte, 1))
+	h.Halt()
+	if _, err := io.ReadFull(conn, make([]byte, len(big)-1)); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(conn, "answer\n")
+	if r := <-results; r.Err != nil || r.Value != "answer\n" {
+		t.Errorf("%+v", r.Err)
+	}
+}
+
+// A panic in an exchange ends its attempt, which may have run, and nothing else.
+func TestPanic(t *testing.T) {
+	opt, lines := options(), make(chan string, 1)
+	opt.Log = func(line string) { lines <- line }
+	node, p := newPeer(t), New(opt)
+	_, results := start(p, node.address, func(s *Session) (broker.Result, error) {
+		s.Send(net.Buffers{[]byte("line\n")}, 5)
+		panic("fault")
+	})
+	if r := <-results; r.Err == nil || r.Err.Progress != broker.WrittenWhole || <-lines != "nodes: panic: fault" {
+		t.Errorf("%+v", r)
+	}
+	if len(p.slots) != 0 {
+		t.Error("the connection is kept")
+	}
+}
+
 // A full table makes room by closing what is idle elsewhere, and otherwise waits for a connection to end.
 func TestFull(t *testing.T) {
 	a, b, p := newPeer(t), newPeer(t), New(options())
