--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/tidwall/redcon"
 
@@ -259,3 +260,32 @@
 		}
 	}
 }
+
+// asked is a guest that keeps the hall's lock while it is asked.
+type asked struct{ began, end chan struct{} }
+
+func (a *asked) Wake() {}
+func (a *asked) End()  {}
+func (a *asked) Idle() (time.Time, bool) {
+	a.began <- struct{}{}
+	<-a.end
+	return time.Time{}, false
+}
+
+// A connection must not hold its own lock while it waits for the hall's: the hall may be asking it.
+func TestDismissedHoldsNoLock(t *testing.T) {
+	f := NewFront(nil, 0, 1, func(string) {})
+	a := &asked{make(chan struct{}), make(chan struct{})}
+	f.Enter(a)
+	go f.Accept(nil) // no room: it asks, and never comes to accept
+	<-a.began
+	c := &client{front: f}
+	go c.dismissed()
+	for range 200 {
+		time.Sleep(100 * time.Microsecond)
+		if !c.mu.TryLock() {
+			t.Fatal("the connection's lock is held")
+		}
+		c.mu.Unlock()
+	}
+}
