Reread the configuration on SIGHUP and move discovery to its new address

Ruled out: the log holds no panic and no line after the signal; 129 is 128+SIGHUP, which Go's runtime turns into an exit where nothing is registered. At fault: main.go registered SIGTERM and interrupt alone, and a Watcher could not change its address. A list older than the one held is not believed for 10 s, else a lagging agent would bring back drained nodes.

--- a/cmd/junctionwharf/main.go
+++ b/cmd/junctionwharf/main.go
@@ -20,11 +20,18 @@
 var flags = []cli.Flag{&cli.StringFlag{Name: "site", Usage: "read the second front and the metrics from `FILE` (such as deploy/site.toml)"}}
 
 func main() {
-	app := &cli.Command{
+	if err := app().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "junctionwharf:", err)
+		os.Exit(1)
+	}
+}
+
+func app() *cli.Command {
+	return &cli.Command{
 		Name:  "junctionwharf",
 		Usage: "broker in front of storage nodes",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve until SIGTERM", Flags: flags, Action: serveCommand},
+			{Name: "serve", Usage: "serve until SIGTERM; SIGHUP rereads the configuration", Flags: flags, Action: serveCommand},
 			{Name: "check", Usage: "check the configuration and say what it holds", Flags: flags, Action: checkCommand},
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
 				fmt.Println("junctionwharf", version)
@@ -32,10 +39,6 @@
 			}},
 		},
 	}
-	if err := app.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "junctionwharf:", err)
-		os.Exit(1)
-	}
 }
 
 func load(cmd *cli.Command) (*config.Config, error) {
@@ -50,13 +53,15 @@
 }
 
 func serveCommand(ctx context.Context, cmd *cli.Command) error {
+	reload := make(chan os.Signal, 1) // unhandled, the signal would end the process
+	signal.Notify(reload, syscall.SIGHUP)
 	c, err := load(cmd)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return serve(ctx, c)
+	return serve(ctx, c, reload, func() (*config.Config, error) { return load(cmd) })
 }
 
 func checkCommand(_ context.Context, cmd *cli.Command) error {
--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -37,8 +38,9 @@
 	lastCheck = 20 * time.Millisecond
 )
 
-// serve runs the broker until ctx ends, and then until what it took is answered.
-func serve(ctx context.Context, c *config.Config) error {
+// serve runs the broker until ctx ends, and then until what it took is answered. On reload it loads the
+// configuration again.
+func serve(ctx context.Context, c *config.Config, reload <-chan os.Signal, load func() (*config.Config, error)) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	debug.SetMemoryLimit(int64(memoryPart * c.Limits.MemoryMB * (1 << 20)))
 	debug.SetGCPercent(gcPercent)
@@ -82,7 +84,18 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	go loop.Run(running)
-	go discovery.NewWatcher(c.Discovery, say).Run(running, clock, loop.Post)
+	watcher := discovery.NewWatcher(c.Discovery, say)
+	go watcher.Run(running, clock, loop.Post)
+	go func() {
+		for current := c; ; {
+			select {
+			case <-running.Done():
+				return
+			case <-reload:
+				current = renew(current, load, watcher, say)
+			}
+		}
+	}()
 	if link != nil {
 		go link.Run(loop.Post)
 	}
@@ -116,6 +129,26 @@
 	return nil
 }
 
+// renew loads the configuration and moves to its discovery; all else counts from the next start. It guards
+// against a faulty file: the old configuration stands as a whole.
+func renew(old *config.Config, load func() (*config.Config, error), watcher *discovery.Watcher, say func(string)) *config.Config {
+	c, err := load()
+	if err != nil {
+		say("reload: " + err.Error() + ": the old configuration stands")
+		return old
+	}
+	if keys := old.Fixed(c); len(keys) > 0 {
+		say("reload: changed, but fixed until the next start: " + strings.Join(keys, ", "))
+	}
+	if c.Discovery != old.Discovery {
+		watcher.Move(c.Discovery)
+	}
+	say("reloaded: discovery at " + c.Discovery)
+	renewed := *old
+	renewed.Discovery = c.Discovery
+	return &renewed
+}
+
 // finish hands clients over after SIGTERM and waits for the answers that are owed.
 func finish(c *config.Config, loop *broker.Loop, fronts []drainer) {
 	time.Sleep(handover)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	"junctionwharf/broker"
@@ -110,6 +111,23 @@
 	return c, nil
 }
 
+// Fixed names the keys in which other differs and which count only from a start on. The seed and the known list
+// always are those of the start.
+func (c *Config) Fixed(other *Config) []string {
+	var keys []string
+	for _, k := range []struct {
+		key      string
+		old, new any
+	}{{"name", c.Name, other.Name}, {"listen", c.Listen, other.Listen}, {"limits", c.Limits, other.Limits},
+		{"peer_listen", c.PeerListen, other.PeerListen}, {"peers", c.Peers, other.Peers}, {"peers_all", c.PeersAll, other.PeersAll},
+		{"settings", c.Settings, other.Settings}, {"site", c.Site, other.Site}} {
+		if !reflect.DeepEqual(k.old, k.new) {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
 func or(value, fallback string) string {
 	if value == "" {
 		return fallback
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -81,14 +81,18 @@
 	hold      = 5 * time.Second // how long a call may wait for news
 	slack     = time.Second     // past that a call counts as lost
 	callAgain = 50 * time.Millisecond
-	maxList   = 4 << 20 // bytes of an answer
+	behind    = 10 * time.Second // for so long a list older than the one held is not believed
+	maxList   = 4 << 20          // bytes of an answer
 )
 
 // Watcher follows discovery.
 type Watcher struct {
-	base   string
-	client *http.Client
-	log    func(string)
+	address string
+	moves   chan string // the latest address to move to
+	client  *http.Client
+	log     func(string)
+	held    uint64    // version of the list posted last
+	heldAt  time.Time // when it was last confirmed
 }
 
 // NewWatcher returns a watcher of the service at address. log gets a line when the service falls
@@ -96,17 +100,59 @@
 func NewWatcher(address string, log func(string)) *Watcher {
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: slack}).DialContext,
 		MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true}
-	return &Watcher{base: "http://" + address + "/registry/instances", client: &http.Client{Transport: transport}, log: log}
+	return &Watcher{address: address, moves: make(chan string, 1), client: &http.Client{Transport: transport}, log: log}
 }
 
-// Run posts each list until ctx ends. After a failed call it asks for the whole list anew.
+// Move has the watch go on at another address, at once. It is for one caller at a time.
+func (w *Watcher) Move(address string) {
+	select {
+	case <-w.moves:
+	default:
+	}
+	w.moves <- address
+}
+
+// Run posts each list until ctx ends. After a failed call or a move it asks for the whole list anew.
 func (w *Watcher) Run(ctx context.Context, clock *broker.Clock, post func(broker.Event)) {
-	seq, whole, silent := uint64(0), true, false
 	for ctx.Err() == nil {
+		leg, leave := context.WithCancel(ctx)
+		left := make(chan struct{})
+		go func() {
+			defer close(left)
+			w.watch(leg, clock, post)
+		}()
+		select {
+		case <-ctx.Done():
+		case w.address = <-w.moves:
+		}
+		leave()
+		<-left
+		w.client.CloseIdleConnections()
+	}
+}
+
+// order guards against a service that is behind the one asked before: its list would bring back nodes that are
+// known to drain. A list that stays older for long is of a new count and taken.
+func (w *Watcher) order(list *List) error {
+	now := time.Now()
+	if list.Whole && list.Seq < w.held && now.Sub(w.heldAt) < behind {
+		return fmt.Errorf("list %d is older than %d, which is held", list.Seq, w.held)
+	}
+	w.held, w.heldAt = list.Seq, now
+	return nil
+}
+
+// watch follows one address until ctx ends.
+func (w *Watcher) watch(ctx context.Context, clock *broker.Clock, post func(broker.Event)) {
+	seq, whole, silent := uint64(0), true, false
+	for {
 		list, err := w.call(ctx, seq, whole)
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil {
+			err = w.order(list)
+		}
 		if err != nil {
 			if !silent {
 				w.log("discovery: silent: " + err.Error())
@@ -131,9 +177,9 @@
 }
 
 func (w *Watcher) call(ctx context.Context, seq uint64, whole bool) (*List, error) {
-	url, wait := w.base, slack
+	url, wait := "http://"+w.address+"/registry/instances", slack
 	if !whole {
-		url = fmt.Sprintf("%s?index=%d&wait=%d", w.base, seq, hold.Milliseconds())
+		url = fmt.Sprintf("%s?index=%d&wait=%d", url, seq, hold.Milliseconds())
 		wait += hold
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
