Serve the clients of a planned restart until just before SIGKILL

At fault: finish in serve.go ended idle connections 0.45 s after SIGTERM, although clients go on with those that stay open. Now connections end 0.65 s before SIGKILL may come at the earliest, and what is owed 0.25 s before it is answered: refused if it never was sent, else stopped.

--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -50,6 +50,8 @@
 		From int
 		Data []byte
 	}
+	// Ending tells that the process ends: what is owed is to be answered now.
+	Ending struct{}
 )
 
 // Node is an entry of the list with the address at which this broker reaches it.
@@ -66,6 +68,7 @@
 func (Probed) event()  {}
 func (Listed) event()  {}
 func (Heard) event()   {}
+func (Ending) event()  {}
 
 // Effect is something that the reducer wants done.
 type Effect interface{ effect() }
@@ -228,6 +231,22 @@
 		s.list(e)
 	case Heard:
 		s.tell(logic.PeerMessage{From: e.From, Data: e.Data})
+	case Ending:
+		s.endAll()
+	}
+}
+
+// endAll guards what is still owed when the process ends: attempts stop, and what was never sent is refused.
+func (s *State) endAll() {
+	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
+		r := s.entries[id]
+		if r.attempts == 0 && !r.answered {
+			s.answer(id, r, Final{Verdict: Refused})
+			s.tell(logic.ClientGone{ID: id})
+			s.forget(id, r)
+			continue
+		}
+		s.ring(alarm{kind: overdue, id: id})
 	}
 }
 
--- a/broker/reducer_test.go
+++ b/broker/reducer_test.go
@@ -213,6 +213,24 @@
 	t.Error("no peer was told")
 }
 
+// At the end of the process all that is owed is answered: a write that may have run has failed, and what was
+// never sent may come again.
+func TestEnding(t *testing.T) {
+	r := newRig(t)
+	r.turn(Arrived{1, request("write", 0)}, Arrived{2, request("read", 0)}, Arrived{3, request("read", 7)})
+	r.turn(Ending{})
+	if len(r.stops) != 2 {
+		t.Fatalf("%d attempts stopped", len(r.stops))
+	}
+	r.turn(Stopped{1, 0, WrittenWhole}, Stopped{2, 0, WrittenWhole})
+	r.final(1, Failed)
+	r.final(2, Refused)
+	r.final(3, Refused)
+	if r.pass(Second); len(r.state.entries) > 0 || len(r.starts) != 2 {
+		t.Errorf("%d held, %d sent", len(r.state.entries), len(r.starts))
+	}
+}
+
 func TestClockAt(t *testing.T) {
 	c := NewClock()
 	if c.At(0) != 0 || c.At(1) != 0 {
--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -32,10 +32,16 @@
 	nodePart     = 4   // a quarter of the sockets goes to nodes
 	nodeSockets  = 256 // and no more than this
 
-	// handover is how long after SIGTERM clients are still taken; new ones come for 0.4 s at most.
-	handover  = 450 * time.Millisecond
-	crossing  = 150 * time.Millisecond // for requests that crossed the end of their connection
-	lastCheck = 20 * time.Millisecond
+	// After SIGTERM clients go on with the connections they have, and have nowhere else to go; new ones come for
+	// 0.4 s at most. SIGKILL follows once the longest deadline (or longestWait) and killAfter have passed.
+	handover    = 450 * time.Millisecond
+	longestWait = 3 * time.Second
+	killAfter   = 700 * time.Millisecond
+	wrapUp      = 650 * time.Millisecond // before SIGKILL: connections end
+	crossing    = 150 * time.Millisecond // for requests that crossed the end of their connection
+	lastAnswers = 250 * time.Millisecond // before SIGKILL: what is still owed is answered
+	reserve     = 100 * time.Millisecond // before SIGKILL: the program ends at the latest
+	lastCheck   = 20 * time.Millisecond
 )
 
 // serve runs the broker until ctx ends, and then until what it took is answered. On reload it loads the
@@ -124,7 +130,7 @@
 	case <-ctx.Done():
 	}
 	say("stopping: SIGTERM")
-	finish(c, loop, fronts)
+	finish(timesOf(c.Settings.Logic.Classes), loop, fronts)
 	say("stopped")
 	return nil
 }
@@ -149,23 +155,37 @@
 	return &renewed
 }
 
+// timetable is what happens when after SIGTERM.
+type timetable struct{ drain, shut, answer, end time.Duration }
+
+// timesOf guards the clients of a planned restart: each is served for as long as its answer can still come.
+func timesOf(classes []logic.Class) timetable {
+	kill := time.Duration(0)
+	for _, class := range classes {
+		kill = max(kill, class.Deadline)
+	}
+	kill = min(kill, longestWait) + killAfter
+	t := timetable{drain: max(handover, kill-wrapUp), answer: kill - lastAnswers, end: kill - reserve}
+	t.shut = t.drain + crossing
+	return t
+}
+
 // finish hands clients over after SIGTERM and waits for the answers that are owed.
-func finish(c *config.Config, loop *broker.Loop, fronts []drainer) {
-	time.Sleep(handover)
+func finish(t timetable, loop *broker.Loop, fronts []drainer) {
+	began := time.Now()
+	time.Sleep(t.drain)
 	for _, front := range fronts {
 		front.Drain()
 	}
-	time.Sleep(crossing)
+	time.Sleep(t.shut - time.Since(began))
 	for _, front := range fronts {
 		front.Close()
 	}
-	last := time.Duration(0)
-	for _, class := range c.Settings.Logic.Classes {
-		last = max(last, class.Deadline)
-	}
-	end := time.Now().Add(last + c.Settings.Logic.Rules.AnswerSlack)
-	for time.Now().Before(end) && (loop.Open() > 0 || clients(fronts) > 0) {
-		time.Sleep(lastCheck)
+	for told := false; time.Since(began) < t.end && (loop.Open() > 0 || clients(fronts) > 0); time.Sleep(lastCheck) {
+		if !told && time.Since(began) >= t.answer {
+			told = true
+			loop.Post(broker.Ending{})
+		}
 	}
 }
 
--- a/cmd/junctionwharf/serve_test.go
+++ b/cmd/junctionwharf/serve_test.go
@@ -19,6 +19,7 @@
 
 	"junctionwharf/internal/config"
 	"junctionwharf/internal/discovery"
+	"junctionwharf/logic"
 )
 
 const settingsText = `{"bounds":{"maxAttempts":3},"nInstances":1,"ordinal":0,"specifics":{"usualUnits":2,"maxUnits":8},
@@ -264,6 +265,19 @@
 	}
 }
 
+// Clients of a planned restart are served for as long as answers can still come before SIGKILL.
+func TestTimetable(t *testing.T) {
+	for longest, want := range map[time.Duration]timetable{
+		2500 * time.Millisecond: {2550 * time.Millisecond, 2700 * time.Millisecond, 2950 * time.Millisecond, 3100 * time.Millisecond},
+		9 * time.Second:         {3050 * time.Millisecond, 3200 * time.Millisecond, 3450 * time.Millisecond, 3600 * time.Millisecond},
+		100 * time.Millisecond:  {450 * time.Millisecond, 600 * time.Millisecond, 550 * time.Millisecond, 700 * time.Millisecond},
+	} {
+		if got := timesOf([]logic.Class{{Deadline: time.Millisecond}, {Deadline: longest}}); got != want {
+			t.Errorf("%v: %v, want %v", longest, got, want)
+		}
+	}
+}
+
 // The file in deploy fits settings like the platform's.
 func TestSiteFile(t *testing.T) {
 	text := strings.NewReplacer(`"name":"read"`, `"name":"lesson-read"`, `"name":"plan"`, `"name":"padrao"`, `"importance":1}]`,
