Turn bad clients away at the front, let node connections settle, forget lost nodes

At fault: parse took any class, plan and figure; nothing bounded silence or half a command; State.nodes, shards and leaving kept every name; Pool.take handed out a connection at once after an answer; readReply dropped a good value with a spoilt load report.

--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -266,6 +266,9 @@
 		}
 		s.shards[n.Node] = n.Shard
 		s.leave(n.Node, n.State != logic.Ready)
+		if n.State == logic.Gone {
+			s.lose(n.Node)
+		}
 		n.UpSince = n.Born.Duration()
 		infos = append(infos, n.NodeInfo)
 	}
@@ -273,6 +276,7 @@
 		for name := range s.shards {
 			if !slices.ContainsFunc(e.Nodes, func(n Node) bool { return n.Node == name }) {
 				s.leave(name, true)
+				s.lose(name)
 			}
 		}
 	}
@@ -285,10 +289,20 @@
 func (s *State) leave(node string, leaving bool) {
 	if leaving && !s.leaving[node] {
 		s.halt(node)
+		s.do(CloseIdle{Address: s.nodes[node]})
 	}
 	s.leaving[node] = leaving
 }
 
+// lose forgets a node that is gone: each that replaces one comes under a new name, and the process may run for
+// months.
+func (s *State) lose(node string) {
+	s.do(CloseIdle{Address: s.nodes[node]})
+	delete(s.nodes, node)
+	delete(s.shards, node)
+	delete(s.leaving, node)
+}
+
 func (s *State) halt(node string) {
 	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
 		if r := s.entries[id]; r.out && r.node == node && !r.stopped {
--- a/broker/reducer_test.go
+++ b/broker/reducer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -196,6 +197,28 @@
 	}
 }
 
+// Nodes that are gone are forgotten: each that replaces one has a new name.
+func TestManyNodes(t *testing.T) {
+	r := newRig(t)
+	for i := range 200 {
+		old, young := node(fmt.Sprint("o", i), 0, logic.Gone), node(fmt.Sprint("o", i+1), 0, logic.Ready)
+		r.turn(Listed{Kind: logic.ListChanges, Version: uint64(i + 2), Nodes: []Node{old, young}})
+	}
+	r.turn(Listed{Kind: logic.ListFull, Version: 300, Nodes: []Node{node("n2", 1, logic.Ready)}})
+	if len(r.state.nodes) != 1 || len(r.state.shards) != 1 || len(r.state.leaving) != 1 {
+		t.Errorf("kept %d, %d, %d", len(r.state.nodes), len(r.state.shards), len(r.state.leaving))
+	}
+	closed := 0
+	for _, e := range r.effects {
+		if e, ok := e.(CloseIdle); ok && e.Address == "192.0.2.1:o50" {
+			closed++
+		}
+	}
+	if closed == 0 {
+		t.Error("idle connections to a node that is gone stay open")
+	}
+}
+
 // Demand for a shared volume is told to its keeper; of four volumes this broker does not keep all.
 func TestPeers(t *testing.T) {
 	r := newRig(t)
--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -27,11 +27,13 @@
 const (
 	memoryPart   = 0.6 // of the memory limit for Go's heap: the rest is for stacks, sockets and the runtime
 	clientMemory = 0.2 // of the limit for requests and answers that wait
-	gcPercent    = 400 // the live heap is small, so collections may be rare
+	gcPercent    = 100 // the live heap is small: more would let it grow through the first hours of a small machine
 	spareSockets = 48  // for all that is neither a client nor a node
 	nodePart     = 4   // a quarter of the sockets goes to nodes
 	nodeSockets  = 256 // and no more than this
 
+	settle       = 5 * time.Millisecond
+
 	// After SIGTERM clients go on with the connections they have, and have nowhere else to go; new ones come for
 	// 0.4 s at most. SIGKILL follows once the longest deadline (or longestWait) and killAfter have passed.
 	handover    = 450 * time.Millisecond
@@ -60,7 +62,7 @@
 	clock := broker.NewClock()
 	forNodes := min(nodeSockets, c.Limits.Sockets/nodePart)
 	nodes := pool.New(pool.Options{ConnectTimeout: c.Settings.ConnectTimeout.Duration(),
-		Idle: c.Settings.ConnIdle.Duration(), Sockets: forNodes, Log: say})
+		Idle: c.Settings.ConnIdle.Duration(), Settle: settle, Sockets: forNodes, Log: say})
 	outside := broker.Outside{Log: say}
 	var link *peer.Link
 	if c.PeerListen != "" && c.Settings.Logic.Bounds.Peers {
@@ -79,7 +81,7 @@
 	if files.Listen != "" {
 		forFiles = files.Connections + forNodes
 	}
-	front := resp.NewFront(loop, c.Limits.Sockets-spareSockets-forNodes-forFiles,
+	front := resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), c.Limits.Sockets-spareSockets-forNodes-forFiles,
 		int(clientMemory*c.Limits.MemoryMB*(1<<20)), say)
 	fronts := []drainer{front}
 	ln, err := net.Listen("tcp", c.Listen)
@@ -109,7 +111,7 @@
 	served := make(chan error, 2)
 	if files.Listen != "" {
 		filePool := pool.New(pool.Options{ConnectTimeout: c.Settings.ConnectTimeout.Duration(),
-			Idle: c.Settings.ConnIdle.Duration(), Sockets: forNodes, Greet: sftp.Greet, Log: say})
+			Idle: c.Settings.ConnIdle.Duration(), Settle: settle, Sockets: forNodes, Greet: sftp.Greet, Log: say})
 		fileFront := sftp.NewFront(loop, sftp.NewNodes(filePool, files.NodePort), files.Plan(), files.Connections, say)
 		fileLn, err := net.Listen("tcp", files.Listen)
 		if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -196,6 +196,9 @@
 	if s.ConnectTimeout < 0 {
 		return fmt.Errorf("bounds.connectTimeout: %d is below 0", s.ConnectTimeout)
 	}
+	if s.Shards < 0 {
+		return fmt.Errorf("specifics.nShards: %d is below 0", s.Shards)
+	}
 	if s.ConnIdle == 0 {
 		s.ConnIdle = defaultConnIdle
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -14,6 +14,7 @@
 // Settings is the object that an instance gets in the simulator's first message.
 type Settings struct {
 	Logic          logic.Settings
+	Shards         int           // they run from 0 to this less 1; 0 for unknown
 	ConnIdle       broker.Micros // idle connections to nodes end after this
 	ConnectTimeout broker.Micros
 }
@@ -70,6 +71,7 @@
 		Specifics struct {
 			IdleWorth, MaxUnits, UsualUnits, WithinShare, YoungLimit float64
 			UsePeriod                                                micros
+			NShards                                                  int
 		}
 		Zone string
 	}
@@ -106,6 +108,6 @@
 		s.Plans = append(s.Plans, logic.Plan{Name: p.Name, Rate: p.Nominal, Reserve: p.FloorRate,
 			Limit: p.CeilingRate, LimitBurst: p.CapDepth, LimitSlack: p.Tolerance, Weight: p.Parts, Price: p.Price})
 	}
-	return &Settings{Logic: s, ConnIdle: broker.MicrosOf(b.ConnIdle.span()),
+	return &Settings{Logic: s, Shards: x.NShards, ConnIdle: broker.MicrosOf(b.ConnIdle.span()),
 		ConnectTimeout: broker.MicrosOf(b.ConnectTimeout.span())}, nil
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -13,12 +13,20 @@
 type Guest interface {
 	Wake()                              // has it look whether it should go on
 	Idle() (since time.Time, idle bool) // whether no answer is owed
+	Asked() bool                        // whether a request came that could be read
 	End()                               // closes the connection
 }
 
+// What a client has time for. A bad one gets its error, or its end, within three seconds.
+const (
+	FirstTime   = 2500 * time.Millisecond // from connecting to the end of the first command
+	CommandTime = 2500 * time.Millisecond // from a command's first byte to its last
+)
+
 const (
 	acceptPause = 10 * time.Millisecond
 	roomPause   = 50 * time.Millisecond
+	timeToAsk   = 200 * time.Millisecond
 )
 
 // Hall is the set of a front's connections.
@@ -100,15 +108,19 @@
 	}
 }
 
-// endIdlest ends the connection that has been idle for longest.
+// endIdlest ends the connection that has been idle for longest, first of those that have not asked for anything:
+// it guards the usual clients against a flood of silent ones. A new connection gets its time to ask.
 func (h *Hall) endIdlest() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var idlest Guest
 	var least time.Time
+	mute, now := false, time.Now()
 	for g := range h.guests {
-		if since, idle := g.Idle(); idle && (idlest == nil || since.Before(least)) {
-			idlest, least = g, since
+		since, idle := g.Idle()
+		silent := idle && !g.Asked() && now.Sub(since) > timeToAsk
+		if idle && (idlest == nil || silent && !mute || silent == mute && since.Before(least)) {
+			idlest, least, mute = g, since, silent
 		}
 	}
 	if idlest != nil {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -10,11 +10,12 @@
 type guest struct {
 	woken, ended int
 	since        time.Time
-	busy         bool
+	busy, mute   bool
 }
 
 func (g *guest) Wake()                   { g.woken++ }
 func (g *guest) Idle() (time.Time, bool) { return g.since, !g.busy }
+func (g *guest) Asked() bool             { return !g.mute }
 func (g *guest) End()                    { g.ended++ }
 
 // A full hall ends what has been idle for longest, never what waits for an answer.
@@ -30,6 +31,23 @@
 	}
 }
 
+// A flood of silent connections gives way before a client that has asked; a new one may still be about to ask.
+func TestEndSilentFirst(t *testing.T) {
+	h := NewHall(3, func(line string) { t.Log(line) })
+	now := time.Now()
+	usual, silent := &guest{since: now.Add(-time.Hour)}, &guest{since: now.Add(-time.Second), mute: true}
+	older, fresh := &guest{since: now.Add(-2 * time.Second), mute: true}, &guest{since: now, mute: true}
+	for _, g := range []*guest{usual, silent, older, fresh} {
+		h.Enter(g)
+	}
+	for _, next := range []*guest{older, silent, usual} {
+		if h.endIdlest(); next.ended != 1 {
+			t.Fatalf("usual %d, silent %d, older %d, fresh %d", usual.ended, silent.ended, older.ended, fresh.ended)
+		}
+		delete(h.guests, next)
+	}
+}
+
 func TestStages(t *testing.T) {
 	h := NewHall(2, func(line string) { t.Log(line) })
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +20,7 @@
 type Options struct {
 	ConnectTimeout time.Duration
 	Idle           time.Duration                       // the node closes a connection that stood idle for so long
+	Settle         time.Duration                       // how long a connection must have been silent before it is used again
 	Sockets        int                                 // connections at the most, idle ones included
 	Greet          func(net.Conn, *bufio.Reader) error // opens a session on a new connection, nil for none
 	Log            func(string)
@@ -113,7 +115,7 @@
 }
 
 // tidyTime is how long a node may take over what follows an answer.
-const tidyTime = 250 * time.Millisecond
+const tidyTime = 100 * time.Millisecond
 
 // Tidy runs what follows the answer. If that fails, the answer stands and the connection is not used again.
 func (s *Session) Tidy(rest func() error) {
@@ -306,16 +308,19 @@
 	return l
 }
 
+// take takes the connection used last of those that have settled. It guards against what follows an answer, be it
+// noise, a second copy or the end: it must not become the next request's answer.
 func (p *Pool) take(address string) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	links := p.idle[address]
-	if len(links) == 0 {
-		return nil
+	links, settled := p.idle[address], time.Now().Add(-p.opt.Settle)
+	for i := len(links) - 1; i >= 0; i-- {
+		if l := links[i]; !l.used.After(settled) {
+			p.idle[address] = slices.Delete(links, i, i+1)
+			return l
+		}
 	}
-	l := links[len(links)-1]
-	p.idle[address] = links[:len(links)-1]
-	return l
+	return nil
 }
 
 func (p *Pool) put(address string, l *link) {
@@ -347,15 +352,20 @@
 	}
 }
 
-// Retire closes connections that are too old to be used again.
+// Retire closes connections that are too old to be used again, or that their node has closed, and forgets
+// addresses without connections: nodes are replaced by new ones at new addresses.
 func (p *Pool) Retire(now time.Time) {
 	most := time.Duration(retireAt * float64(p.opt.Idle))
 	var old []*link
 	p.mu.Lock()
 	for address, links := range p.idle {
-		for len(links) > 0 && now.Sub(links[0].used) >= most {
-			old, links = append(old, links[0]), links[1:]
-		}
+		links = slices.DeleteFunc(links, func(l *link) bool {
+			useless := now.Sub(l.used) >= most || !alive(l.Conn)
+			if useless {
+				old = append(old, l)
+			}
+			return useless
+		})
 		if p.idle[address] = links; len(links) == 0 {
 			delete(p.idle, address)
 		}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -94,6 +94,56 @@
 	}
 }
 
+// What a node sends behind an answer must not become the next request's: a connection has to be silent for a while
+// before it is used again, and one that was not is never used.
+func TestSettle(t *testing.T) {
+	opt := options()
+	opt.Settle = time.Hour
+	node, p := newPeer(t), New(opt)
+	var conns []net.Conn
+	for range 2 { // the second exchange does not wait: it opens a connection of its own
+		_, results := start(p, node.address, echo)
+		conns = append(conns, node.next())
+		node.serve(conns[len(conns)-1])
+		<-results
+	}
+	io.WriteString(conns[1], "answer\n") // a second copy
+	for alive(p.idle[node.address][1].Conn) {
+		time.Sleep(time.Millisecond) // it is on its way through the kernel
+	}
+	p.opt.Settle = 0
+	_, results := start(p, node.address, echo)
+	node.serve(conns[0])
+	if r := <-results; r.Err != nil || len(p.idle[node.address]) != 1 {
+		t.Errorf("%+v, %d idle", r, len(p.idle[node.address]))
+	}
+}
+
+// Nodes are replaced by new ones at new addresses: nothing is kept for those that are gone.
+func TestManyNodes(t *testing.T) {
+	p := New(options())
+	for range 50 {
+		node := newPeer(t)
+		_, results := start(p, node.address, echo)
+		conn := node.next()
+		node.serve(conn)
+		<-results
+		conn.Close()
+		for !p.empty(node.address) {
+			p.Retire(time.Now())
+		}
+	}
+	if len(p.idle) != 0 || len(p.slots) != 0 {
+		t.Errorf("%d addresses, %d connections kept", len(p.idle), len(p.slots))
+	}
+}
+
+func (p *Pool) empty(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[address]) == 0
+}
+
 // A connection that the node has closed must not be used: for a write the reset would be final.
 func TestClosedIdleIsNotUsed(t *testing.T) {
 	node, p := newPeer(t), New(options())
--- a/internal/resp/command.go
+++ b/internal/resp/command.go
@@ -11,11 +11,13 @@
 	"time"
 
 	"junctionwharf/broker"
+	"junctionwharf/logic"
 )
 
 const (
 	maxValue = 64 << 10 // bytes of a value
 	maxArgs  = 8        // parts of a command
+	maxID    = 128      // bytes of a request's id
 	keyWidth = 16       // hex digits of a piece or a volume
 )
 
@@ -31,18 +33,55 @@
 
 var errForm = errors.New("malformed command")
 
+// Terms is what a request may ask for. It guards the core against figures that nobody could serve.
+type Terms struct {
+	Classes, Plans map[string]bool
+	MaxUnits       float64
+	Shards         int // 0 for unknown
+	Hosts          int
+	MaxWait        time.Duration
+}
+
+// NewTerms takes the terms from the settings.
+func NewTerms(set logic.Settings, shards int) Terms {
+	t := Terms{Classes: map[string]bool{}, Plans: map[string]bool{}, MaxUnits: set.MaxUnits, Shards: shards, Hosts: set.Hosts, MaxWait: time.Minute}
+	for _, c := range set.Classes {
+		t.Classes[c.Name] = true
+		t.MaxWait = max(t.MaxWait, c.Deadline)
+	}
+	for _, p := range set.Plans {
+		t.Plans[p.Name] = true
+	}
+	return t
+}
+
+// check names the figure of a request that is out of range.
+func (t *Terms) check(r *broker.Request) error {
+	for _, c := range []struct {
+		sound bool
+		name  string
+	}{{t.Classes[r.Class], "c"}, {t.Plans[r.Plan], "t"}, {hexWord([]byte(r.Volume)), "volume"},
+		{r.Wait > 0 && r.Wait <= broker.MicrosOf(t.MaxWait), "d"}, {r.Units > 0 && r.Units <= t.MaxUnits, "units"},
+		{r.Shard >= -1 && (t.Shards <= 0 || r.Shard < t.Shards), "shard"}, {r.Hosts >= 1 && r.Hosts <= t.Hosts, "hosts"}} {
+		if !c.sound {
+			return fmt.Errorf("%w: %s is missing, unknown or out of range", errForm, c.name)
+		}
+	}
+	return nil
+}
+
 // parse reads a command in place. The strings of the request are copies.
 func parse(raw []byte, args [][]byte) (*broker.Request, error) {
 	write := len(args) == 5 && bytes.EqualFold(args[0], []byte("BLK.WRITE"))
 	if !write && !(len(args) == 4 && bytes.EqualFold(args[0], []byte("BLK.READ"))) {
 		return nil, fmt.Errorf("%w: neither BLK.READ nor BLK.WRITE with its parts", errForm)
 	}
-	if !hexWord(args[1]) || len(args[2]) == 0 {
+	if !hexWord(args[1]) || len(args[2]) == 0 || len(args[2]) > maxID {
 		return nil, fmt.Errorf("%w: piece or id", errForm)
 	}
 	m := message{command{raw: raw, list: args[3]}}
 	r := &broker.Request{Key: string(args[1]), Write: write, Shard: -1, Hosts: 1}
-	var millis int64 = -1
+	var millis int64
 	for rest := args[3]; len(rest) > 0; {
 		var pair []byte
 		pair, rest, _ = bytes.Cut(rest, []byte{','})
@@ -51,6 +90,9 @@
 			return nil, fmt.Errorf("%w: %.20q is no name=value", errForm, pair)
 		}
 		var err error
+		if m.wait != nil && string(name) == "d" {
+			return nil, fmt.Errorf("%w: d stands twice", errForm)
+		}
 		switch string(name) {
 		case "c":
 			r.Class = string(value)
@@ -74,8 +116,8 @@
 			return nil, fmt.Errorf("%w: %.20q", errForm, pair)
 		}
 	}
-	if millis < 0 || r.Class == "" || !(r.Units >= 0 && r.Units < 1e6) {
-		return nil, fmt.Errorf("%w: c, d or units missing or out of range", errForm)
+	if m.wait == nil {
+		return nil, fmt.Errorf("%w: d is missing", errForm)
 	}
 	r.Wait = broker.MicrosOf(time.Duration(millis) * time.Millisecond)
 	r.Message = &m
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,20 +19,62 @@
 const (
 	maxPipeline = 64              // requests of one connection that wait for answers; beyond it nothing is read
 	writeTime   = 5 * time.Second // a client that reads nothing for so long is given up
+	lingerTime  = time.Second / 2 // between an error that ends a connection and its end, which slows down who repeats it
+	logEvery    = 10 * time.Second
 )
 
 // Front serves the platform's clients.
 type Front struct {
 	*front.Hall
 	loop   *broker.Loop
+	terms  Terms
 	log    func(string)
 	budget *front.Budget
+
+	mu      sync.Mutex
+	open    map[string]struct{} // ids of requests that wait for their answer
+	faults  int                 // commands turned away since the last line about them
+	faultAt time.Time           // of that line
 }
 
 // NewFront returns a front that holds most connections, and bytes of requests and answers, at the most.
-func NewFront(loop *broker.Loop, most, bytes int, log func(string)) *Front {
+func NewFront(loop *broker.Loop, terms Terms, most, bytes int, log func(string)) *Front {
 	say := func(text string) { log("clients: " + text) }
-	return &Front{Hall: front.NewHall(most, say), loop: loop, log: say, budget: front.NewBudget(bytes)}
+	return &Front{Hall: front.NewHall(most, say), loop: loop, terms: terms, log: say, budget: front.NewBudget(bytes),
+		open: map[string]struct{}{}}
+}
+
+// enter notes the id of a request. It guards the one final answer, and the rule on second attempts at nodes,
+// against an id that is open already.
+func (f *Front) enter(id string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, open := f.open[id]; open {
+		return fmt.Errorf("%w: a request with this id is open", errForm)
+	}
+	f.open[id] = struct{}{}
+	return nil
+}
+
+func (f *Front) leave(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.open, id)
+}
+
+// fault logs what was turned away, now and then.
+func (f *Front) fault(err error) {
+	f.mu.Lock()
+	f.faults++
+	count, now := f.faults, time.Now()
+	due := now.Sub(f.faultAt) >= logEvery
+	if due {
+		f.faults, f.faultAt = 0, now
+	}
+	f.mu.Unlock()
+	if due {
+		f.log(fmt.Sprintf("turned away %d commands, the last: %v", count, err))
+	}
 }
 
 // Serve serves ln until Close.
@@ -59,6 +102,7 @@
 // nothing more before a request is answered.
 func (f *Front) handle(conn redcon.Conn, _ redcon.Command) {
 	c := &client{front: f, in: conn.Detach(), conn: conn.NetConn(), wake: make(chan struct{}, 1), used: time.Now()}
+	c.guard, _ = c.conn.(*guard)
 	c.room = sync.NewCond(&c.mu)
 	c.fresh = f.Enter(c)
 	go c.read()
@@ -70,12 +114,14 @@
 	front *Front
 	in    redcon.DetachedConn
 	conn  net.Conn
+	guard *guard
 	wake  chan struct{}
 
 	mu    sync.Mutex
 	slots []*slot
 	room  *sync.Cond
 	used  time.Time
+	asked bool // a request came
 	fresh bool // it came while others leave and has had no request
 	ended bool // nothing more is read; what is owed is still written unless gone
 	gone  bool
@@ -85,6 +131,7 @@
 
 type slot struct {
 	id    uint64 // of the request in the core, 0 for none
+	name  string // its client's id for it
 	ready bool
 	last  bool // the connection ends after it
 	size  int  // of the budget
@@ -106,8 +153,18 @@
 	return c.used, len(c.slots) == 0
 }
 
+// Asked implements front.Guest.
+func (c *client) Asked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asked && !c.ended
+}
+
 // End implements front.Guest.
-func (c *client) End() { c.conn.Close() }
+func (c *client) End() {
+	c.conn.Close()
+	c.Wake()
+}
 
 // stopPanic guards the process against a fault met by one connection.
 func (c *client) stopPanic() {
@@ -122,20 +179,32 @@
 	defer c.stopPanic()
 	for {
 		cmd, err := c.in.ReadCommand()
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.owed() {
+			continue // it says nothing because it waits
+		}
 		if err != nil {
-			if errors.Is(err, errProtocol) {
-				c.refuse(errProtocol)
+			if errors.Is(err, errProtocol) || errors.Is(err, errSlow) {
+				c.refuse(err)
 			}
 			return
 		}
 		if !c.take(cmd) {
 			return
 		}
+		if c.guard != nil {
+			c.guard.whole()
+		}
 	}
 }
 
+func (c *client) owed() bool {
+	_, idle := c.Idle()
+	return !idle
+}
+
 // refuse answers malformed input and ends the connection behind the answer.
 func (c *client) refuse(err error) {
+	c.front.fault(err)
 	c.mu.Lock()
 	c.ended = true
 	c.mu.Unlock()
@@ -148,16 +217,25 @@
 		return c.push(&slot{ready: true, text: net.Buffers{[]byte("+PONG\r\n")}})
 	}
 	req, err := parse(cmd.Raw, cmd.Args)
+	if err == nil {
+		err = c.front.terms.check(req)
+	}
 	if err != nil {
 		c.refuse(err)
 		return false
 	}
-	s := &slot{size: len(cmd.Raw)}
+	s := &slot{size: len(cmd.Raw), name: string(cmd.Args[2])}
+	if err := c.front.enter(s.name); err != nil {
+		c.refuse(err)
+		return false
+	}
 	c.front.budget.Take(s.size)
 	if !c.push(s) {
+		c.front.leave(s.name)
 		return false
 	}
 	id := c.front.loop.Submit(req, func(final broker.Final) {
+		c.front.leave(s.name)
 		text := answer(final)
 		value, _ := final.Value.([]byte)
 		c.mu.Lock()
@@ -186,7 +264,7 @@
 	} else {
 		c.slots = append(c.slots, s)
 	}
-	c.used, c.fresh = time.Now(), false
+	c.used, c.fresh, c.asked = time.Now(), false, true
 	c.mu.Unlock()
 	if s.ready {
 		c.Wake()
@@ -201,18 +279,19 @@
 	if gone {
 		c.gone = true
 	}
-	var left []uint64
+	var left []*slot
 	for _, s := range c.slots {
 		if gone && !s.ready && s.id > 0 {
-			left = append(left, s.id)
+			left = append(left, s)
 		}
 	}
 	c.mu.Unlock()
 	if gone {
 		c.conn.Close()
 	}
-	for _, id := range left {
-		c.front.loop.Leave(id)
+	for _, s := range left {
+		c.front.loop.Leave(s.id)
+		c.front.leave(s.name)
 	}
 	c.Wake()
 }
@@ -239,12 +318,26 @@
 				return
 			}
 		}
-		if last || c.dismissed() {
+		if last {
+			c.linger()
+			return
+		}
+		if c.dismissed() {
 			return
 		}
 	}
 }
 
+// linger lets a client read why its connection ends, unless the room is wanted.
+func (c *client) linger() {
+	timer := time.NewTimer(lingerTime)
+	defer timer.Stop()
+	select {
+	case <-c.wake:
+	case <-timer.C:
+	}
+}
+
 // ready takes the answers that are next in order.
 func (c *client) ready() (out net.Buffers, size int, last, gone bool) {
 	c.mu.Lock()
--- a/internal/resp/guard.go
+++ b/internal/resp/guard.go
@@ -3,19 +3,31 @@
 import (
 	"errors"
 	"net"
+	"os"
+	"time"
+
+	"junctionwharf/internal/front"
 )
 
+// idleTime is how long a client may go without a command while it waits for no answer.
+const idleTime = 10 * time.Second
+
 // attach is the first command of each connection: the guard makes it, no client sends it. On it the
 // handler detaches, so that all that a client sends is read where a panic ends its connection only.
 const attach = "*1\r\n$6\r\nATTACH\r\n"
 
-var errProtocol = errors.New("Protocol error: want arrays of bulk strings")
+var (
+	errProtocol = errors.New("Protocol error: want arrays of bulk strings")
+	errSlow     = errors.New("Protocol error: a command took too long")
+)
 
 // guard checks what a client sends before redcon's reader sees it. It guards against lengths that
 // would have the reader allocate, count or index without bound.
 type guard struct {
 	net.Conn
 	attached bool
+	due      time.Time // when the command that is under way must be whole
+	asked    bool      // a command came whole
 	state    guardState
 	figure   int // the length being read, -1 before its first digit
 	args     int // bulk strings still to come
@@ -42,7 +54,11 @@
 	if g.err != nil {
 		return 0, g.err
 	}
+	g.Conn.SetReadDeadline(g.limit(time.Now()))
 	n, err := g.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && g.state != atCommand {
+		err = errSlow
+	}
 	if sound := g.check(p[:n]); sound < n {
 		g.err = errProtocol
 		if sound == 0 {
@@ -53,6 +69,24 @@
 	return n, err
 }
 
+// limit tells until when the next bytes must come. It guards room and memory against clients that say nothing
+// or half a command; those that pause between commands may stay for longer.
+func (g *guard) limit(now time.Time) time.Time {
+	switch {
+	case g.state == atCommand && g.asked:
+		g.due = time.Time{}
+		return now.Add(idleTime)
+	case g.due.IsZero() && g.asked:
+		g.due = now.Add(front.CommandTime)
+	case g.due.IsZero():
+		g.due = now.Add(front.FirstTime)
+	}
+	return g.due
+}
+
+// whole notes that a command came whole.
+func (g *guard) whole() { g.asked, g.due = true, time.Time{} }
+
 // check tells how many bytes are sound.
 func (g *guard) check(p []byte) int {
 	for i := 0; i < len(p); i++ {
--- a/internal/resp/nodes.go
+++ b/internal/resp/nodes.go
@@ -28,7 +28,11 @@
 		if err := s.Send(command, pool.Size(command)); err != nil {
 			return broker.Result{}, err
 		}
-		return readReply(s.In)
+		result, parts, err := readReply(s.In)
+		if err == nil && parts > 0 {
+			s.Tidy(func() error { return readRest(s.In, parts, &result) })
+		}
+		return result, err
 	}, 0, done)
 }
 
@@ -47,7 +51,8 @@
 // readProbe reads a load report, which comes as a bulk string.
 func readProbe(r *bufio.Reader) (broker.Result, error) {
 	if next, err := r.Peek(1); err != nil || next[0] != '$' {
-		return readReply(r)
+		result, _, err := readReply(r)
+		return result, err
 	}
 	result := broker.Result{Load: logic.NoLoad}
 	text, err := readBulk(r)
--- a/internal/resp/reply.go
+++ b/internal/resp/reply.go
@@ -59,12 +59,13 @@
 	return text[:n:n], nil
 }
 
-// readReply reads a node's answer to a command. An error means that the connection is of no more use.
-func readReply(r *bufio.Reader) (broker.Result, error) {
-	result := broker.Result{Load: logic.NoLoad}
+// readReply reads a node's answer to a command up to its value, and tells how many parts stand behind that. An
+// error means that the connection is of no more use.
+func readReply(r *bufio.Reader) (result broker.Result, parts int, err error) {
+	result = broker.Result{Load: logic.NoLoad}
 	line, err := readLine(r)
 	if err != nil {
-		return result, err
+		return result, 0, err
 	}
 	switch line[0] {
 	case '-':
@@ -76,29 +77,38 @@
 		for _, word := range words {
 			readFigures(word, &result)
 		}
-		return result, nil
+		return result, 0, nil
 	case '+': // the answer to a probe
-		return result, nil
+		return result, 0, nil
 	case '*':
 	default:
-		return result, fmt.Errorf("%w: %.20q is no array", errReply, line)
+		return result, 0, fmt.Errorf("%w: %.20q is no array", errReply, line)
 	}
 	n, err := strconv.Atoi(string(line[1:]))
 	if err != nil || n < 1 || n > maxElements {
-		return result, fmt.Errorf("%w: %.20q is no array of 1 to %d", errReply, line, maxElements)
+		return result, 0, fmt.Errorf("%w: %.20q is no array of 1 to %d", errReply, line, maxElements)
 	}
-	for i := range n {
+	value, err := readBulk(r)
+	if err != nil {
+		return result, 0, err
+	}
+	if result.Value = value; value == nil {
+		result.Reply = broker.Errored // a null value serves nothing
+	}
+	return result, n - 1, nil
+}
+
+// readRest reads so many parts behind the value: the figures on use and the load report. They may be spoilt where
+// the value is good, so an error spoils the connection only.
+func readRest(r *bufio.Reader, parts int, result *broker.Result) error {
+	for range parts {
 		part, err := readBulk(r)
 		if err != nil {
-			return result, err
-		}
-		if i > 0 {
-			readFigures(part, &result)
-		} else if result.Value = part; part == nil {
-			result.Reply = broker.Errored // a null value serves nothing
+			return err
 		}
+		readFigures(part, result)
 	}
-	return result, nil
+	return nil
 }
 
 // readFigures reads the figures on use and the load report: names and values such as used=37,cost=4.
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -16,6 +16,7 @@
 	"github.com/tidwall/redcon"
 
 	"junctionwharf/broker"
+	"junctionwharf/logic"
 )
 
 func bulk(words ...string) string {
@@ -43,6 +44,8 @@
 
 func (c *cuts) Read(p []byte) (int, error) { return c.in.Read(p[:1+c.rng.IntN(min(len(p), 40))]) }
 
+func (c *cuts) SetReadDeadline(time.Time) error { return nil }
+
 // commands reads all of a client's text through the guard and redcon's reader.
 func commands(text []byte, seed uint64) ([]redcon.Command, error) {
 	rng := rand.New(rand.NewPCG(seed, 1))
@@ -144,7 +147,8 @@
 	}
 	for _, words := range [][]string{{"GET", "a"}, {"BLK.READ", "7f3a9c21e0b4d655", "id", "c=read"},
 		{"BLK.READ", "xyz", "id", listText}, {"BLK.READ", "7f3a9c21e0b4d655", "id", listText, "body"},
-		{"BLK.READ", "7f3a9c21e0b4d655", "id", "c=read,d=5,units=NaN"}, {"BLK.READ", "7f3a9c21e0b4d655", "id", "c=read,d=-1"},
+		{"BLK.READ", "7f3a9c21e0b4d655", "", listText}, {"BLK.READ", "7f3a9c21e0b4d655", "id", "c=read,d=5,d=6"},
+		{"BLK.READ", "7f3a9c21e0b4d655", "id", "c=read,d=soon"}, {"BLK.READ", "7f3a9c21e0b4d655", "id", "c=read,units=1"},
 		{"BLK.READ", "7f3a9c21e0b4d655", "id", "c=read,d=5,shard"}} {
 		all, _ := commands([]byte(bulk(words...)), 1)
 		if _, err := parse(all[0].Raw, all[0].Args); !errors.Is(err, errForm) {
@@ -153,6 +157,30 @@
 	}
 }
 
+var testTerms = NewTerms(logic.Settings{Hosts: 3, MaxUnits: 8, Classes: []logic.Class{{Name: "read"}}, Plans: []logic.Plan{{Name: "gold"}}}, 6)
+
+// What no settings allow is turned away before the core hears of it.
+func TestTerms(t *testing.T) {
+	check := func(list string) error {
+		all, _ := commands([]byte(bulk("BLK.READ", "7f3a9c21e0b4d655", "id", list)), 1)
+		r, err := parse(all[0].Raw, all[0].Args)
+		if err == nil {
+			err = testTerms.check(r)
+		}
+		return err
+	}
+	if err := check(listText); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new string }{{"c=read", "c=reads"}, {"t=gold", "t=lead"}, {"c=read,", ""}, {"d=480", "d=0"},
+		{"d=480", "d=-1"}, {"d=480", "d=60001"}, {"units=2", "units=9"}, {"units=2", "units=0"}, {"units=2", "units=NaN"},
+		{"shard=5", "shard=6"}, {"shard=5", "shard=-2"}, {"hosts=3", "hosts=4"}, {"hosts=3", "hosts=0"}, {"volume=00000003b4d60021", "volume=x"}} {
+		if err := check(strings.Replace(listText, c.old, c.new, 1)); !errors.Is(err, errForm) {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+}
+
 var replies = []struct {
 	text  string
 	reply broker.Reply
@@ -176,9 +204,17 @@
 	{"-" + strings.Repeat("x", 5000) + "\r\n", 0, "", 0, 0, 0, false},
 }
 
+func wholeReply(in *bufio.Reader) (broker.Result, error) {
+	r, parts, err := readReply(in)
+	if err == nil {
+		err = readRest(in, parts, &r)
+	}
+	return r, err
+}
+
 func TestReplies(t *testing.T) {
 	for _, c := range replies {
-		r, err := readReply(bufio.NewReader(iotest.OneByteReader(strings.NewReader(c.text))))
+		r, err := wholeReply(bufio.NewReader(iotest.OneByteReader(strings.NewReader(c.text))))
 		if (err == nil) != c.sound {
 			t.Errorf("%.40q: %v", c.text, err)
 		}
@@ -195,7 +231,7 @@
 		f.Add([]byte(c.text))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		r, err := readReply(bufio.NewReader(bytes.NewReader(text)))
+		r, err := wholeReply(bufio.NewReader(bytes.NewReader(text)))
 		if value, _ := r.Value.([]byte); err == nil && len(value) > maxValue {
 			t.Errorf("a value of %d bytes", len(value))
 		}
@@ -217,7 +253,7 @@
 
 // A client that sends nonsense gets an error behind its other answers, and its connection ends.
 func TestMalformedEndsConnection(t *testing.T) {
-	front := NewFront(nil, 4, 1<<20, func(line string) { t.Log(line) })
+	front := NewFront(nil, Terms{}, 4, 1<<20, func(line string) { t.Log(line) })
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -238,9 +274,91 @@
 	}
 }
 
+// answered sends text to a front and returns what it answers until it ends the connection.
+func answered(t *testing.T, address, text string) (string, time.Duration) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	began := time.Now()
+	conn.SetDeadline(began.Add(10 * time.Second))
+	io.WriteString(conn, text)
+	got, err := io.ReadAll(conn)
+	if err != nil {
+		t.Errorf("%.40q: %v", text, err)
+	}
+	return string(got), time.Since(began)
+}
+
+// Silence and half a command end within three seconds of connecting, the latter in an error; a client that waits
+// for its answer may be silent for longer than that.
+func TestSlowClients(t *testing.T) {
+	_, address := newServer(t)
+	for text, want := range map[string]string{"": "", "*4\r\n$8\r\nBLK": "-ERR Protocol error", pingText + "*4\r\n": "+PONG\r\n-ERR Protocol error"} {
+		t.Run(fmt.Sprintf("%q", text), func(t *testing.T) {
+			t.Parallel()
+			got, took := answered(t, address, text)
+			if !strings.HasPrefix(got, want) || (got == "") != (want == "") || took > 3200*time.Millisecond {
+				t.Errorf("%q after %v", got, took)
+			}
+		})
+	}
+}
+
+// The id of an open request may not be used again, by any client; once it is answered nothing is kept of it.
+func TestOpenID(t *testing.T) {
+	f, address := newServer(t)
+	first, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	io.WriteString(first, readText)
+	for end := time.Now().Add(5 * time.Second); f.loop.Open() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if got, _ := answered(t, address, readText); !strings.HasPrefix(got, "-ERR ") {
+		t.Errorf("%q", got)
+	}
+	if f.loop.Open() != 1 {
+		t.Errorf("%d requests open", f.loop.Open())
+	}
+	first.Close()
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		kept := len(f.open)
+		f.mu.Unlock()
+		if kept == 0 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d ids kept", kept)
+		}
+	}
+}
+
+// newServer serves a front whose loop is never turned, so that requests wait.
+func newServer(t *testing.T) (*Front, string) {
+	state, err := broker.NewState(logic.Settings{Hosts: 1, Classes: []logic.Class{{Name: "read", Aim: time.Second}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Log: func(string) {}})
+	f := NewFront(loop, testTerms, 8, 1<<20, func(line string) { t.Log(line) })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go f.Serve(ln)
+	return f, ln.Addr().String()
+}
+
 // A full front closes a connection without requests to let the next client in.
 func TestFullFrontMakesRoom(t *testing.T) {
-	front := NewFront(nil, 2, 1<<20, func(line string) { t.Log(line) })
+	front := NewFront(nil, Terms{}, 2, 1<<20, func(line string) { t.Log(line) })
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -264,8 +382,9 @@
 // asked is a guest that keeps the hall's lock while it is asked.
 type asked struct{ began, end chan struct{} }
 
-func (a *asked) Wake() {}
-func (a *asked) End()  {}
+func (a *asked) Wake()       {}
+func (a *asked) End()        {}
+func (a *asked) Asked() bool { return false }
 func (a *asked) Idle() (time.Time, bool) {
 	a.began <- struct{}{}
 	<-a.end
@@ -274,7 +393,7 @@
 
 // A connection must not hold its own lock while it waits for the hall's: the hall may be asking it.
 func TestDismissedHoldsNoLock(t *testing.T) {
-	f := NewFront(nil, 0, 1, func(string) {})
+	f := NewFront(nil, Terms{}, 0, 1, func(string) {})
 	a := &asked{make(chan struct{}), make(chan struct{})}
 	f.Enter(a)
 	go f.Accept(nil) // no room: it asks, and never comes to accept
--- a/internal/sftp/front.go
+++ b/internal/sftp/front.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"path"
 	"sync"
 	"time"
@@ -17,7 +18,6 @@
 const (
 	maxOps     = 16 // commands of one connection that wait for answers; beyond it nothing is read
 	maxHandles = 256
-	greetTime  = 10 * time.Second
 	writeTime  = 5 * time.Second
 )
 
@@ -71,6 +71,7 @@
 	handles map[string]*handle
 	opened  uint64 // names handles
 	used    time.Time
+	asked   bool // a command came
 	fresh   bool // it came while others leave and has had no command
 	out     net.Buffers
 	last    bool // the connection ends behind what is in out
@@ -111,6 +112,13 @@
 	return s.used, len(s.ops) == 0
 }
 
+// Asked implements front.Guest.
+func (s *session) Asked() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
 // End implements front.Guest.
 func (s *session) End() { s.conn.Close() }
 
@@ -126,15 +134,14 @@
 	defer s.end()
 	defer s.stopPanic()
 	in := bufio.NewReader(s.conn)
-	s.conn.SetReadDeadline(time.Now().Add(greetTime))
+	s.conn.SetReadDeadline(time.Now().Add(front.FirstTime))
 	p, err := readPacket(in)
 	if err != nil || p.kind != typeInit {
 		return
 	}
-	s.conn.SetReadDeadline(time.Time{})
 	s.send(message(typeVersion, protocolVersion))
 	for {
-		p, err := readPacket(in)
+		p, err := s.next(in)
 		if err == nil {
 			err = s.take(p)
 		}
@@ -150,6 +157,20 @@
 	}
 }
 
+// next reads a packet. It guards against half a packet; between packets a client may take its time.
+func (s *session) next(in *bufio.Reader) (packet, error) {
+	s.conn.SetReadDeadline(time.Time{})
+	if _, err := in.Peek(1); err != nil {
+		return packet{}, err
+	}
+	s.conn.SetReadDeadline(time.Now().Add(front.CommandTime))
+	p, err := readPacket(in)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = fmt.Errorf("%w: it took too long", errPacket)
+	}
+	return p, err
+}
+
 // end follows the last read: what is still owed no longer has a client.
 func (s *session) end() {
 	s.mu.Lock()
@@ -368,7 +389,12 @@
 	if s.gone {
 		return net.ErrClosed
 	}
-	s.used, s.fresh = time.Now(), false
+	for _, other := range s.ops { // two answers could not be told apart
+		if other.id == id {
+			return fmt.Errorf("%w: a command with id %d is open", errPacket, id)
+		}
+	}
+	s.used, s.fresh, s.asked = time.Now(), false, true
 	s.ops = append(s.ops, op)
 	if s.free(op) {
 		s.start(op)
