Rest a node only after two failed attempts on end

Ruled out by probes: spoilt answers are told at once and no reader stalls; tokens and cold guards were free. At fault: Gateway.learn treated one Broken or Failure among good answers like a full queue.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -389,6 +389,7 @@
 	heard    Time    // last answer of any kind
 	restTill Time    // nothing is sent before: it turned attempts away
 	rest     time.Duration
+	faults   int  // attempts that failed since its last answer that served
 	bornAt   Time // earliest start that fits what is known, for the cold guard
 	young    bool
 	savings  float64 // units that may be sent to it while it is young
@@ -761,7 +762,7 @@
 		}
 		n.answers++
 		n.waited += e.Took.Seconds()
-		n.rest, n.futile = 0, false
+		n.rest, n.futile, n.faults = 0, false, 0
 		for _, other := range n.flight {
 			if other.sentAt < r.sentAt {
 				other.passed++
@@ -771,6 +772,10 @@
 			n.took = e.Took.Seconds()
 		}
 	case Overloaded, Unreachable, Failure, Broken:
+		// One spoilt or lost answer among good ones shows nothing of the node's room; two on end may.
+		if n.faults++; n.faults < 2 && (e.Outcome == Failure || e.Outcome == Broken) {
+			return
+		}
 		n.bound = max(min(1, n.bound), n.bound*boundCut)
 		n.rest = min(max(2*n.rest, g.tick), g.aim)
 		n.restTill = g.now + n.rest
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -558,3 +558,28 @@
 		t.Errorf("%d of 16 requests go to an idle node", count)
 	}
 }
+
+// A spoilt answer now and then says nothing of a node's room: its next request leaves at once. After two on end
+// the node rests, and an answer that serves clears the count.
+func TestOneSpoiltAnswerDoesNotRestANode(t *testing.T) {
+	for _, outcome := range []logic.Outcome{logic.Broken, logic.Failure} {
+		d := drive(t, plain(), oneNode)
+		fail := func(id uint64, attempt int) []uint64 {
+			d.take()
+			d.end(id, attempt, outcome, 20*ms)
+			return sent(d.take())
+		}
+		first := d.request("high", "v", 1)
+		if got := fail(first, 0); len(got) != 1 {
+			t.Fatalf("outcome %d: sent %v after one", outcome, got)
+		}
+		d.end(first, 1, logic.Success, 20*ms)
+		second := d.request("high", "v", 1)
+		if got := fail(second, 0); len(got) != 1 {
+			t.Errorf("outcome %d: sent %v after one behind an answer that served", outcome, got)
+		}
+		if got := fail(second, 1); len(got) != 0 {
+			t.Errorf("outcome %d: sent %v after two on end", outcome, got)
+		}
+	}
+}
