--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -32,7 +32,7 @@
 	nodePart     = 4   // a quarter of the sockets goes to nodes
 	nodeSockets  = 256 // and no more than this
 
-	settle       = 5 * time.Millisecond
+	settle = 5 * time.Millisecond
 
 	// After SIGTERM clients go on with the connections they have, and have nowhere else to go; new ones come for
 	// 0.4 s at most. SIGKILL follows once the longest deadline (or longestWait) and killAfter have passed.
