Hold bad clients and spoilt answers to the same rules on both wires

The loopback suite plays spoilt answers, second copies and bad clients over both fronts; a RESP value names the request it was made for, so that an answer to another request is seen.

--- a/internal/loopback/resp_test.go
+++ b/internal/loopback/resp_test.go
@@ -44,6 +44,14 @@
 			in.ReadCommand() // until the broker closes
 			v.end()
 			return
+		case spoil:
+			if len(cmd.Args) == 5 {
+				v.apply()
+			}
+			io.WriteString(conn, "*3\r\n$-7\r\n")
+			in.ReadCommand() // until the broker closes
+			v.end()
+			return
 		case cutMid: // this wire's node knows a request only once it is whole
 			v.end()
 			conn.(*net.TCPConn).SetLinger(0)
@@ -57,7 +65,12 @@
 				v.apply()
 			}
 			v.end()
-			fmt.Fprintf(conn, "*3\r\n$2\r\nok\r\n$-1\r\n$10\r\ninflight=1\r\n")
+			id := string(cmd.Args[2])
+			text := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$10\r\ninflight=1\r\n", len(id), id)
+			if do == repeat {
+				text += text
+			}
+			io.WriteString(conn, text)
 		}
 	}
 }
@@ -71,14 +84,26 @@
 	return &respClient{conn: conn, in: bufio.NewReader(conn)}
 }
 
+// nuisances are what bad clients send.
+func (respProtocol) nuisances() map[string]string {
+	list := "c=read,t=plan,d=900,volume=00000003b4d60021,units=1,shard=0,hosts=1"
+	command := func(list string) string {
+		return fmt.Sprintf("*4\r\n$8\r\nBLK.READ\r\n$16\r\n7f3a9c21e0b4d655\r\n$4\r\nhang\r\n$%d\r\n%s\r\n", len(list), list)
+	}
+	return map[string]string{"silence": "", "noise": "\x00\xffnoise", "half": "*4\r\n$8\r\nBLK.", "huge": "*4\r\n$60000000\r\n",
+		"twice": command(list) + command(list), "unknown": strings.Repeat(command(strings.Replace(list, "c=read", "c=reads", 1)), 300)}
+}
+
 type respClient struct {
 	conn net.Conn
 	in   *bufio.Reader
+	owed []string
 }
 
 func (c *respClient) prepare(*testing.T, ...string) {}
 
 func (c *respClient) send(id string, k kind) {
+	c.owed = append(c.owed, id)
 	word, class, body := "BLK.READ", "read", ""
 	args := 4
 	switch k {
@@ -95,11 +120,17 @@
 func (c *respClient) receive() (verdict, error) {
 	c.conn.SetReadDeadline(time.Now().Add(patience))
 	line, err := c.in.ReadString('\n')
-	switch {
-	case err != nil:
+	if err != nil {
 		return "", err
+	}
+	id := c.owed[0]
+	c.owed = c.owed[1:]
+	switch {
 	case line[0] == '$':
-		_, err = io.ReadFull(c.in, make([]byte, len("ok\r\n")))
+		value, err := c.in.ReadString('\n')
+		if err == nil && value != id+"\r\n" {
+			err = fmt.Errorf("%s was served with %q", id, value)
+		}
 		return served, err
 	case strings.HasPrefix(line, "-BUSY"):
 		return refused, nil
--- a/internal/loopback/sftp_test.go
+++ b/internal/loopback/sftp_test.go
@@ -143,6 +143,15 @@
 	return true, true
 }
 
+// spoil answers with a length that nobody may believe and waits until the broker closes.
+func (s *sftpNode) spoil() bool {
+	s.conn.Write([]byte("\xff\xff\xff\xf0noise"))
+	s.files.mu.Unlock()
+	io.Copy(io.Discard, s.in)
+	s.files.mu.Lock()
+	return false
+}
+
 func (s *sftpNode) take(kind byte, id uint32, u *unpacker) bool {
 	s.files.mu.Lock()
 	defer s.files.mu.Unlock()
@@ -175,11 +184,17 @@
 		return reply(byte(102), id, "h")
 	case 4: // CLOSE
 		s.end()
+		if s.do == repeat {
+			s.conn.Write(append(status(id, 0, ""), status(id, 0, "")...))
+			return true
+		}
 		return state(0)
 	case 5: // READ
 		at, n := u.u64(), uint64(u.u32())
 		if s.do == cutAfter {
 			return false
+		} else if s.do == spoil {
+			return s.spoil()
 		}
 		data := f.data[s.path]
 		if at >= uint64(len(data)) {
@@ -197,6 +212,8 @@
 		s.v.apply()
 		if s.do == cutAfter {
 			return false
+		} else if s.do == spoil {
+			return s.spoil()
 		}
 		return state(0)
 	case 12: // READDIR
@@ -256,6 +273,14 @@
 	return c
 }
 
+// nuisances are what bad clients send.
+func (sftpProtocol) nuisances() map[string]string {
+	hello := string(pack(byte(1), uint32(3)))
+	stat := string(pack(byte(17), uint32(7), "/d/hang"))
+	return map[string]string{"silence": "", "noise": "\xff\xff\xff\xf0noise", "half": hello + stat[:9], "huge": hello + "\x03\x93\x87\x00\x06",
+		"twice": hello + stat + stat, "unknown": hello + strings.Repeat("\x00\x00\x00\x05\x06\x00\x00\x00\x01", 300)}
+}
+
 type sftpClient struct {
 	conn    net.Conn
 	in      *bufio.Reader
--- a/internal/loopback/suite_test.go
+++ b/internal/loopback/suite_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -70,6 +73,7 @@
 	front(*broker.Loop, broker.Transport, func(string)) front
 	node(net.Conn, string, *world)
 	client(*testing.T, string) client
+	nuisances() map[string]string // texts that are no command, by what is wrong with them
 }
 
 // bench is a broker between a stand-in client and two stand-in nodes of one shard.
@@ -213,6 +217,62 @@
 		b.world.play(first(cutMid))
 		b.run(write, "w") // served or failed: the wires differ in what the broker can know
 	}},
+	{"a write whose answer is spoilt is never sent again", func(b *bench) {
+		b.client.prepare(b.T, "w")
+		b.world.play(first(spoil))
+		b.want(b.run(write, "w"), failed)
+		if n := b.world.count("w"); n != 1 {
+			b.Errorf("sent %d times", n)
+		}
+	}},
+	{"a read whose answer is spoilt is sent again", func(b *bench) {
+		b.client.prepare(b.T, "r")
+		b.world.play(first(spoil))
+		b.want(b.run(read, "r"), served)
+	}},
+	{"a second copy of an answer answers no other request", func(b *bench) {
+		ids := []string{"w1", "w2", "w3"}
+		b.client.prepare(b.T, ids...)
+		b.world.play(first(repeat))
+		for _, id := range ids {
+			b.want(b.run(write, id), served)
+		}
+	}},
+	{"bad clients end in time and cost the others nothing", func(b *bench) {
+		b.client.prepare(b.T, "r1", "r2")
+		b.world.play(func(_, id string, _ int) behaviour {
+			if id == "hang" {
+				return hang
+			}
+			return serve
+		})
+		ended := make(chan string)
+		texts := b.nuisances()
+		for what, text := range texts {
+			conn, err := net.Dial("tcp", b.address)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Cleanup(func() { conn.Close() })
+			conn.SetDeadline(time.Now().Add(3*time.Second + slack))
+			go func() {
+				io.WriteString(conn, text)
+				if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+					ended <- what
+					return
+				}
+				ended <- ""
+			}()
+		}
+		b.want(b.run(read, "r1"), served)
+		for range texts {
+			if what := <-ended; what != "" {
+				b.Errorf("%s: the connection is open after 3 s", what)
+			}
+		}
+		b.want(b.run(read, "r2"), served)
+		eventually(b.T, "nothing of them is left", func() bool { return b.loop.Open() == 0 && b.front.Clients() == 1 })
+	}},
 	{"a read that lost its answer is sent again", func(b *bench) {
 		b.client.prepare(b.T, "r")
 		b.world.play(first(cutAfter))
--- a/internal/loopback/world_test.go
+++ b/internal/loopback/world_test.go
@@ -15,6 +15,8 @@
 	turnAway
 	hang     // takes the request whole and says nothing
 	cutMid   // ends the connection before the request is whole
+	spoil    // runs the request, answers what cannot be read and keeps the connection
+	repeat   // answers and sends a second copy right behind
 	cutAfter // runs the request and ends the connection without an answer
 	drip     // answers piece by piece without end, where the protocol has such answers; else like hang
 )
