Take values of up to 1 MiB from nodes

Ruled out: bound, rest, silence and jams, which only followed (probe of each request given up). A probe of the answers showed values of 143 to 258 KB, which are good. At fault: readBulk held answers to the 64 KiB of a request's value. A length beyond 1 MiB is still spoilt; large answers that are being read share a budget of a tenth of the memory limit.

--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -27,6 +27,7 @@
 const (
 	memoryPart   = 0.6 // of the memory limit for Go's heap: the rest is for stacks, sockets and the runtime
 	clientMemory = 0.2 // of the limit for requests and answers that wait
+	answerMemory = 0.1 // of the limit for large answers that are being read
 	gcPercent    = 100 // the live heap is small: more would let it grow through the first hours of a small machine
 	spareSockets = 48  // for all that is neither a client nor a node
 	nodePart     = 4   // a quarter of the sockets goes to nodes
@@ -72,7 +73,7 @@
 		defer link.Close()
 		outside.Tell = link.Tell
 	}
-	loop := broker.NewLoop(state, clock, resp.NewNodes(nodes), outside)
+	loop := broker.NewLoop(state, clock, resp.NewNodes(nodes, int(answerMemory*c.Limits.MemoryMB*(1<<20))), outside)
 	if c.Known != nil {
 		loop.Post(c.Known.Event(logic.ListCached, clock))
 	}
--- a/internal/resp/command.go
+++ b/internal/resp/command.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	maxValue = 64 << 10 // bytes of a value
+	maxValue = 64 << 10 // bytes of a request's value
 	maxArgs  = 8        // parts of a command
 	maxID    = 128      // bytes of a request's id
 	keyWidth = 16       // hex digits of a piece or a volume
--- a/internal/resp/nodes.go
+++ b/internal/resp/nodes.go
@@ -7,15 +7,20 @@
 	"time"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/front"
 	"junctionwharf/internal/pool"
 	"junctionwharf/logic"
 )
 
 // Nodes carries attempts to storage nodes, each alone on its connection.
-type Nodes struct{ pool *pool.Pool }
+type Nodes struct {
+	pool   *pool.Pool
+	budget *front.Budget
+}
 
-// NewNodes returns a transport over connections from p.
-func NewNodes(p *pool.Pool) *Nodes { return &Nodes{pool: p} }
+// NewNodes returns a transport over connections from p. Large answers that are being read hold so many bytes at
+// the most.
+func NewNodes(p *pool.Pool, bytes int) *Nodes { return &Nodes{pool: p, budget: front.NewBudget(bytes)} }
 
 // Start implements broker.Transport.
 func (n *Nodes) Start(a broker.Attempt, done func(broker.Result)) broker.Handle {
@@ -28,7 +33,7 @@
 		if err := s.Send(command, pool.Size(command)); err != nil {
 			return broker.Result{}, err
 		}
-		result, parts, err := readReply(s.In)
+		result, parts, err := readReply(s.In, n.budget)
 		if err == nil && parts > 0 {
 			s.Tidy(func() error { return readRest(s.In, parts, &result) })
 		}
@@ -51,11 +56,11 @@
 // readProbe reads a load report, which comes as a bulk string.
 func readProbe(r *bufio.Reader) (broker.Result, error) {
 	if next, err := r.Peek(1); err != nil || next[0] != '$' {
-		result, _, err := readReply(r)
+		result, _, err := readReply(r, nil)
 		return result, err
 	}
 	result := broker.Result{Load: logic.NoLoad}
-	text, err := readBulk(r)
+	text, err := readBulk(r, maxLine, nil)
 	readFigures(text, &result)
 	return result, err
 }
--- a/internal/resp/reply.go
+++ b/internal/resp/reply.go
@@ -11,12 +11,14 @@
 	"time"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/front"
 	"junctionwharf/logic"
 )
 
 const (
 	maxLine     = 512 // bytes of a line of a reply
 	maxElements = 8
+	maxAnswer   = 1 << 20 // bytes of a value: nodes give more than a request may hold
 )
 
 var errReply = errors.New("malformed reply")
@@ -36,19 +38,24 @@
 	return line[:len(line)-2], nil
 }
 
-// readBulk reads a bulk string: nil if it is null.
-func readBulk(r *bufio.Reader) ([]byte, error) {
+// readBulk reads a bulk string of most bytes at the most: nil if it is null. One larger than a request's value
+// waits for room of the budget.
+func readBulk(r *bufio.Reader, most int, budget *front.Budget) ([]byte, error) {
 	line, err := readLine(r)
 	if err != nil {
 		return nil, err
 	}
 	n, err := strconv.Atoi(string(line[1:]))
-	if line[0] != '$' || err != nil || n < -1 || n > maxValue {
+	if line[0] != '$' || err != nil || n < -1 || n > most {
 		return nil, fmt.Errorf("%w: %.20q is no bulk string", errReply, line)
 	}
 	if n == -1 {
 		return nil, nil
 	}
+	if n > maxValue {
+		budget.Take(n)
+		defer budget.Give(n)
+	}
 	text := make([]byte, n+2)
 	if _, err := io.ReadFull(r, text); err != nil {
 		return nil, err
@@ -61,7 +68,7 @@
 
 // readReply reads a node's answer to a command up to its value, and tells how many parts stand behind that. An
 // error means that the connection is of no more use.
-func readReply(r *bufio.Reader) (result broker.Result, parts int, err error) {
+func readReply(r *bufio.Reader, budget *front.Budget) (result broker.Result, parts int, err error) {
 	result = broker.Result{Load: logic.NoLoad}
 	line, err := readLine(r)
 	if err != nil {
@@ -88,7 +95,7 @@
 	if err != nil || n < 1 || n > maxElements {
 		return result, 0, fmt.Errorf("%w: %.20q is no array of 1 to %d", errReply, line, maxElements)
 	}
-	value, err := readBulk(r)
+	value, err := readBulk(r, maxAnswer, budget)
 	if err != nil {
 		return result, 0, err
 	}
@@ -102,7 +109,7 @@
 // the value is good, so an error spoils the connection only.
 func readRest(r *bufio.Reader, parts int, result *broker.Result) error {
 	for range parts {
-		part, err := readBulk(r)
+		part, err := readBulk(r, maxLine, nil)
 		if err != nil {
 			return err
 		}
