End idle clients beyond a sixth of the sockets, before they use up their own

Probes of the front: 8,800 connections asked once and stayed, 2,200 never asked; the hall held 240 and ended 7,200 for room. Ruled out: the module, the nodes, slow accepting (181 us to the first attempt) and the restarts, which came later. Clients hold a third of the descriptors for requests and had none left, since at fault Hall.Accept ended an idle connection only when the hall itself was full.

--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -31,6 +31,7 @@
 	gcPercent    = 100 // the live heap is small: more would let it grow through the first hours of a small machine
 	spareSockets = 48  // for all that is neither a client nor a node
 	nodePart     = 4   // a quarter of the sockets goes to nodes
+	easyPart     = 6   // beyond a sixth of the sockets idle clients end: they may hold a third, used or not
 	nodeSockets  = 256 // and no more than this
 
 	settle = 5 * time.Millisecond
@@ -82,7 +83,7 @@
 	if files.Listen != "" {
 		forFiles = files.Connections + forNodes
 	}
-	front := resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), c.Limits.Sockets-spareSockets-forNodes-forFiles,
+	front := resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), c.Limits.Sockets-spareSockets-forNodes-forFiles, c.Limits.Sockets/easyPart,
 		int(clientMemory*c.Limits.MemoryMB*(1<<20)), say)
 	fronts := []drainer{front}
 	ln, err := net.Listen("tcp", c.Listen)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -33,6 +33,7 @@
 type Hall struct {
 	log    func(string)
 	room   chan struct{} // one for each connection
+	easy   int           // connections up to which idle ones may stay
 	mu     sync.Mutex
 	guests map[Guest]struct{}
 	ln     net.Listener
@@ -47,9 +48,11 @@
 	closed         // no new ones come
 )
 
-// NewHall returns a hall for so many guests. log gets a line when the system refuses a connection.
-func NewHall(most int, log func(string)) *Hall {
-	return &Hall{log: log, room: make(chan struct{}, most), guests: map[Guest]struct{}{}}
+// NewHall returns a hall for so many guests. Beyond easy of them, each new one has the idlest end: clients may have
+// room for fewer connections than the hall and keep those they do not use. log gets a line when the system refuses
+// a connection.
+func NewHall(most, easy int, log func(string)) *Hall {
+	return &Hall{log: log, easy: easy, room: make(chan struct{}, most), guests: map[Guest]struct{}{}}
 }
 
 // Accept accepts a connection when there is room for it. It guards against a full socket table: until there is
@@ -83,6 +86,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.guests[g] = struct{}{}
+	if len(h.guests) > h.easy {
+		h.endIdlest(timeToAsk)
+	}
 	return h.stage != open
 }
 
@@ -99,7 +105,9 @@
 // makeRoom takes a place as soon as there is one.
 func (h *Hall) makeRoom() {
 	for {
-		h.endIdlest()
+		h.mu.Lock()
+		h.endIdlest(0)
+		h.mu.Unlock()
 		select {
 		case h.room <- struct{}{}:
 			return
@@ -108,19 +116,21 @@
 	}
 }
 
-// endIdlest ends the connection that has been idle for longest, first of those that have not asked for anything:
-// it guards the usual clients against a flood of silent ones. A new connection gets its time to ask.
-func (h *Hall) endIdlest() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+// endIdlest ends the connection that has been idle for longest, and for so long at least, first of those that have
+// not asked for anything: it guards the usual clients against a flood of silent ones. A new connection gets its time
+// to ask. The caller holds h.mu.
+func (h *Hall) endIdlest(least time.Duration) {
 	var idlest Guest
-	var least time.Time
+	var oldest time.Time
 	mute, now := false, time.Now()
 	for g := range h.guests {
 		since, idle := g.Idle()
-		silent := idle && !g.Asked() && now.Sub(since) > timeToAsk
-		if idle && (idlest == nil || silent && !mute || silent == mute && since.Before(least)) {
-			idlest, least, mute = g, since, silent
+		if !idle || now.Sub(since) < least {
+			continue
+		}
+		silent := !g.Asked() && now.Sub(since) > timeToAsk
+		if idlest == nil || silent && !mute || silent == mute && since.Before(oldest) {
+			idlest, oldest, mute = g, since, silent
 		}
 	}
 	if idlest != nil {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -20,12 +20,12 @@
 
 // A full hall ends what has been idle for longest, never what waits for an answer.
 func TestEndIdlest(t *testing.T) {
-	h := NewHall(3, func(line string) { t.Log(line) })
+	h := NewHall(3, 3, func(line string) { t.Log(line) })
 	busy, old, young := &guest{busy: true}, &guest{since: time.Unix(1, 0)}, &guest{since: time.Unix(2, 0)}
 	for _, g := range []*guest{busy, old, young} {
 		h.Enter(g)
 	}
-	h.endIdlest()
+	h.endIdlest(0)
 	if busy.ended+young.ended != 0 || old.ended != 1 {
 		t.Errorf("ended: busy %d, old %d, young %d", busy.ended, old.ended, young.ended)
 	}
@@ -33,7 +33,7 @@
 
 // A flood of silent connections gives way before a client that has asked; a new one may still be about to ask.
 func TestEndSilentFirst(t *testing.T) {
-	h := NewHall(3, func(line string) { t.Log(line) })
+	h := NewHall(4, 4, func(line string) { t.Log(line) })
 	now := time.Now()
 	usual, silent := &guest{since: now.Add(-time.Hour)}, &guest{since: now.Add(-time.Second), mute: true}
 	older, fresh := &guest{since: now.Add(-2 * time.Second), mute: true}, &guest{since: now, mute: true}
@@ -41,15 +41,36 @@
 		h.Enter(g)
 	}
 	for _, next := range []*guest{older, silent, usual} {
-		if h.endIdlest(); next.ended != 1 {
+		if h.endIdlest(0); next.ended != 1 {
 			t.Fatalf("usual %d, silent %d, older %d, fresh %d", usual.ended, silent.ended, older.ended, fresh.ended)
 		}
 		delete(h.guests, next)
 	}
 }
 
+// Clients that ask once and keep their connection must not use up the few that they have: beyond the easy number
+// the idlest ends, long before the hall is full. One that has just come, or waits for an answer, stays.
+func TestBeyondEasy(t *testing.T) {
+	h := NewHall(100, 2, func(line string) { t.Log(line) })
+	now := time.Now()
+	busy, idle := &guest{since: now.Add(-time.Hour), busy: true}, &guest{since: now.Add(-time.Second)}
+	h.Enter(busy)
+	h.Enter(idle)
+	if idle.ended != 0 {
+		t.Fatal("ended too early")
+	}
+	fresh := &guest{since: time.Now()}
+	if h.Enter(fresh); idle.ended != 1 {
+		t.Error("the idle one stays")
+	}
+	delete(h.guests, idle)
+	if h.Enter(&guest{since: time.Now()}); busy.ended+fresh.ended != 0 {
+		t.Errorf("ended: busy %d, fresh %d", busy.ended, fresh.ended)
+	}
+}
+
 func TestStages(t *testing.T) {
-	h := NewHall(2, func(line string) { t.Log(line) })
+	h := NewHall(2, 2, func(line string) { t.Log(line) })
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/loopback/resp_test.go
+++ b/internal/loopback/resp_test.go
@@ -25,7 +25,7 @@
 }
 
 func (respProtocol) front(loop *broker.Loop, _ broker.Transport, log func(string)) front {
-	return resp.NewFront(loop, resp.NewTerms(settings(), 0), 64, 1<<20, log)
+	return resp.NewFront(loop, resp.NewTerms(settings(), 0), 64, 64, 1<<20, log)
 }
 
 // node is a stand-in that speaks RESP2.
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -37,10 +37,11 @@
 	faultAt time.Time           // of that line
 }
 
-// NewFront returns a front that holds most connections, and bytes of requests and answers, at the most.
-func NewFront(loop *broker.Loop, terms Terms, most, bytes int, log func(string)) *Front {
+// NewFront returns a front that holds most connections, and bytes of requests and answers, at the most. Beyond easy
+// connections idle ones end.
+func NewFront(loop *broker.Loop, terms Terms, most, easy, bytes int, log func(string)) *Front {
 	say := func(text string) { log("clients: " + text) }
-	return &Front{Hall: front.NewHall(most, say), loop: loop, terms: terms, log: say, budget: front.NewBudget(bytes),
+	return &Front{Hall: front.NewHall(most, easy, say), loop: loop, terms: terms, log: say, budget: front.NewBudget(bytes),
 		open: map[string]struct{}{}}
 }
 
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -258,7 +258,7 @@
 
 // A client that sends nonsense gets an error behind its other answers, and its connection ends.
 func TestMalformedEndsConnection(t *testing.T) {
-	f := NewFront(nil, Terms{}, 4, 1<<20, func(line string) { t.Log(line) })
+	f := NewFront(nil, Terms{}, 4, 4, 1<<20, func(line string) { t.Log(line) })
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -351,7 +351,7 @@
 		t.Fatal(err)
 	}
 	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Log: func(string) {}})
-	f := NewFront(loop, testTerms, 8, 1<<20, func(line string) { t.Log(line) })
+	f := NewFront(loop, testTerms, 8, 8, 1<<20, func(line string) { t.Log(line) })
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -363,7 +363,7 @@
 
 // A full front closes a connection without requests to let the next client in.
 func TestFullFrontMakesRoom(t *testing.T) {
-	f := NewFront(nil, Terms{}, 2, 1<<20, func(line string) { t.Log(line) })
+	f := NewFront(nil, Terms{}, 2, 2, 1<<20, func(line string) { t.Log(line) })
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -398,7 +398,7 @@
 
 // A connection must not hold its own lock while it waits for the hall's: the hall may be asking it.
 func TestDismissedHoldsNoLock(t *testing.T) {
-	f := NewFront(nil, Terms{}, 0, 1, func(string) {})
+	f := NewFront(nil, Terms{}, 0, 1, 1, func(string) {})
 	a := &asked{make(chan struct{}), make(chan struct{})}
 	f.Enter(a)
 	go f.Accept(nil) // no room: it asks, and never comes to accept
--- a/internal/sftp/front.go
+++ b/internal/sftp/front.go
@@ -33,7 +33,7 @@
 // NewFront returns a front that holds most connections at the most. The plan has been checked.
 func NewFront(loop *broker.Loop, via broker.Transport, plan *Plan, most int, log func(string)) *Front {
 	say := func(text string) { log("files: " + text) }
-	return &Front{Hall: front.NewHall(most, say), loop: loop, via: via, plan: plan, log: say}
+	return &Front{Hall: front.NewHall(most, most, say), loop: loop, via: via, plan: plan, log: say}
 }
 
 // Serve serves ln until Close.
