--- a/internal/resp/command.go
+++ b/internal/resp/command.go
@@ -36,8 +36,8 @@
 // Terms is what a request may ask for. It guards the core against figures that nobody could serve.
 type Terms struct {
 	Classes, Plans map[string]bool
-	MaxUnits       float64
-	Shards         int // 0 for unknown
+	MaxUnits       float64 // 0 for unknown
+	Shards         int     // 0 for unknown
 	Hosts          int
 	MaxWait        time.Duration
 }
@@ -61,7 +61,7 @@
 		sound bool
 		name  string
 	}{{t.Classes[r.Class], "c"}, {t.Plans[r.Plan], "t"}, {hexWord([]byte(r.Volume)), "volume"},
-		{r.Wait > 0 && r.Wait <= broker.MicrosOf(t.MaxWait), "d"}, {r.Units > 0 && r.Units <= t.MaxUnits, "units"},
+		{r.Wait > 0 && r.Wait <= broker.MicrosOf(t.MaxWait), "d"}, {r.Units > 0 && (t.MaxUnits <= 0 || r.Units <= t.MaxUnits), "units"},
 		{r.Shard >= -1 && (t.Shards <= 0 || r.Shard < t.Shards), "shard"}, {r.Hosts >= 1 && r.Hosts <= t.Hosts, "hosts"}} {
 		if !c.sound {
 			return fmt.Errorf("%w: %s is missing, unknown or out of range", errForm, c.name)
