Take no status line for a node's answer, and move the watch without a race

Ruled out: what follows an answer, which the probe showed in the same segment and which closes the connection. Also Watcher.Run wrote the address while the watch it was about to end could read it.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -121,12 +121,14 @@
 			defer close(left)
 			w.watch(leg, clock, post)
 		}()
+		next := w.address
 		select {
 		case <-ctx.Done():
-		case w.address = <-w.moves:
+		case next = <-w.moves:
 		}
 		leave()
 		<-left
+		w.address = next
 		w.client.CloseIdleConnections()
 	}
 }
--- a/internal/resp/reply.go
+++ b/internal/resp/reply.go
@@ -85,8 +85,6 @@
 			readFigures(word, &result)
 		}
 		return result, 0, nil
-	case '+': // the answer to a probe
-		return result, 0, nil
 	case '*':
 	default:
 		return result, 0, fmt.Errorf("%w: %.20q is no array", errReply, line)
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -198,6 +198,7 @@
 	{"-BUSY used=9 busy_reqs=3\r\n", broker.TurnedAway, "", 10, 0, 3, true},
 	{"-ERR failed used=1,cost=2 inflight=5\r\n", broker.Errored, "", 2, 2, 5, true},
 	{"-SYNTAX\r\n", broker.Errored, "", 0, 0, -1, true},
+	{"+noise that happens to begin like a status\r\n", 0, "", 0, 0, 0, false}, // served a client once, with nothing
 	{"*99\r\n", 0, "", 0, 0, 0, false},
 	{"$2\r\nhi\r\n", 0, "", 0, 0, 0, false},
 	{"*1\r\n$258436\r\n" + strings.Repeat("x", 258436) + "\r\n", broker.Done, strings.Repeat("x", 258436), 0, 0, -1, true},
