Answer operators at a console of its own, from one registry of figures

At fault: nothing listened (cmd/junctionwharf/serve.go), and Counters in broker/loop.go knew no classes and counted attempts when they were asked for, not when they were written whole.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -105,6 +105,7 @@
 	Address string
 	Request *Request
 	Wait    Micros // how long the broker waits for the answer
+	Written func() // the transport calls it once the attempt is written whole; it does not block
 }
 
 // Transport carries attempts over a wire. Its methods do not block, and done may be called from any
--- /dev/null
+++ b/broker/figures.go
@@ -0,0 +1,93 @@
+package broker
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"junctionwharf/logic"
+)
+
+// Figure is one of a broker's figures at one moment. A counter only grows.
+type Figure struct {
+	Name    string
+	Value   uint64
+	Counter bool
+}
+
+// Figures is the one registry of what a broker counts. It is read at any time, without the loop: whoever asks for
+// figures must get them above all when the loop is busy.
+type Figures struct {
+	open, listed, down atomic.Int64
+
+	taken, left, attempts, stopped, probes, told, heard atomic.Uint64
+
+	reloads, faultyReloads atomic.Uint64
+
+	mu      sync.Mutex
+	classes []*classFigures // in the order in which they were first seen
+}
+
+// classFigures counts how requests of one class ended.
+type classFigures struct {
+	name                    string
+	served, refused, failed atomic.Uint64
+}
+
+// list has classes counted from now on. Those that vanished from the settings stay: a counter does not go back.
+func (f *Figures) list(classes []logic.Class) {
+	for _, c := range classes {
+		f.class(c.Name)
+	}
+}
+
+func (f *Figures) class(name string) *classFigures {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := slices.IndexFunc(f.classes, func(c *classFigures) bool { return c.name == name })
+	if at < 0 {
+		at = len(f.classes)
+		f.classes = append(f.classes, &classFigures{name: name})
+	}
+	return f.classes[at]
+}
+
+// ended counts a final answer.
+func (f *Figures) ended(class string, verdict Verdict) {
+	c := f.class(class)
+	[...]*atomic.Uint64{Served: &c.served, Refused: &c.refused, Failed: &c.failed}[verdict].Add(1)
+}
+
+// Reloaded counts a configuration that was taken while the broker ran, or turned down.
+func (f *Figures) Reloaded(taken bool) {
+	if taken {
+		f.reloads.Add(1)
+	} else {
+		f.faultyReloads.Add(1)
+	}
+}
+
+// Read returns all figures, each class with every way to end, at 0 too.
+func (f *Figures) Read() []Figure {
+	var all []Figure
+	f.mu.Lock()
+	for _, c := range f.classes {
+		all = append(all, Figure{"success." + c.name, c.served.Load(), true}, Figure{"busy." + c.name, c.refused.Load(), true},
+			Figure{"failure." + c.name, c.failed.Load(), true})
+	}
+	f.mu.Unlock()
+	for _, c := range []struct {
+		name  string
+		count *atomic.Uint64
+	}{{"backend_calls", &f.attempts}, {"reconfig_ok", &f.reloads}, {"reconfig_failed", &f.faultyReloads}, {"taken", &f.taken},
+		{"left", &f.left}, {"stopped", &f.stopped}, {"probes", &f.probes}, {"peer_sent", &f.told}, {"peer_heard", &f.heard}} {
+		all = append(all, Figure{c.name, c.count.Load(), true})
+	}
+	for _, g := range []struct {
+		name  string
+		gauge *atomic.Int64
+	}{{"inflight", &f.open}, {"hosts_listed", &f.listed}, {"hosts_down", &f.down}} {
+		all = append(all, Figure{g.name, uint64(max(0, g.gauge.Load())), false})
+	}
+	return all
+}
--- a/broker/loop.go
+++ b/broker/loop.go
@@ -35,49 +35,51 @@
 	Log  func(text string)
 }
 
-// Counters counts what a Loop did. Its fields may be read at any time.
-type Counters struct {
-	Taken, Served, Refused, Failed, Left, Attempts, Stopped, Probes, Told, Heard atomic.Uint64
-}
-
 type attemptKey struct {
 	id     uint64
 	number int
 }
 
+// client is who waits for a request's answer.
+type client struct {
+	class string
+	reply func(Final)
+}
+
 // Loop runs a State: it gathers events, reads the clock once a turn and carries out the effects.
 type Loop struct {
-	Counters Counters
+	Figures Figures
 
 	state     *State
 	clock     *Clock
 	transport Transport
 	outside   Outside
 	ids       atomic.Uint64
-	open      atomic.Int64
-	clients   map[uint64]func(Final) // of the loop's own goroutine, as is handles
+	clients   map[uint64]client // of the loop's own goroutine, as is handles
 	handles   map[attemptKey]Handle
 
 	mu     sync.Mutex
 	inbox  []Event
-	added  map[uint64]func(Final) // reply functions of the requests in inbox
+	added  map[uint64]client // of the requests in inbox
 	notify chan struct{}
 }
 
 // NewLoop returns a loop over a new state. Requests that name no transport go through transport.
 func NewLoop(state *State, clock *Clock, transport Transport, outside Outside) *Loop {
-	return &Loop{state: state, clock: clock, transport: transport, outside: outside,
-		clients: map[uint64]func(Final){}, handles: map[attemptKey]Handle{}, added: map[uint64]func(Final){},
+	l := &Loop{state: state, clock: clock, transport: transport, outside: outside,
+		clients: map[uint64]client{}, handles: map[attemptKey]Handle{}, added: map[uint64]client{},
 		notify: make(chan struct{}, 1)}
+	l.Figures.list(state.gateway.Classes())
+	return l
 }
 
 // Submit takes a request and returns its id. reply is called once with the final answer, unless Leave
 // comes before; it must not block.
 func (l *Loop) Submit(req *Request, reply func(Final)) uint64 {
 	id := l.ids.Add(1)
-	l.open.Add(1)
+	l.Figures.open.Add(1)
 	l.mu.Lock()
-	l.added[id] = reply
+	l.added[id] = client{req.Class, reply}
 	l.inbox = append(l.inbox, Arrived{ID: id, Request: req})
 	l.mu.Unlock()
 	l.wake()
@@ -88,7 +90,7 @@
 func (l *Loop) Leave(id uint64) { l.Post(Left{ID: id}) }
 
 // Open tells how many requests wait for their final answer.
-func (l *Loop) Open() int { return int(l.open.Load()) }
+func (l *Loop) Open() int { return int(l.Figures.open.Load()) }
 
 // Post hands an event to the loop.
 func (l *Loop) Post(e Event) {
@@ -110,8 +112,8 @@
 	defer l.mu.Unlock()
 	events := l.inbox
 	l.inbox = nil
-	for id, reply := range l.added {
-		l.clients[id] = reply
+	for id, c := range l.added {
+		l.clients[id] = c
 	}
 	clear(l.added)
 	return events
@@ -156,6 +158,9 @@
 			l.count(e)
 		}
 		effects := l.state.Reduce(now, events)
+		listed, down := l.state.gateway.Nodes()
+		l.Figures.listed.Store(int64(listed))
+		l.Figures.down.Store(int64(down))
 		events = nil
 		for _, effect := range effects {
 			if e := l.run(effect, now); e != nil {
@@ -169,34 +174,34 @@
 func (l *Loop) count(event Event) {
 	switch e := event.(type) {
 	case Arrived:
-		l.Counters.Taken.Add(1)
+		l.Figures.taken.Add(1)
 	case Left:
 		if _, waits := l.clients[e.ID]; waits {
-			l.Counters.Left.Add(1)
+			l.Figures.left.Add(1)
 			l.forget(e.ID)
 		}
 	case Ended:
 		delete(l.handles, attemptKey{e.ID, e.Attempt})
 	case Heard:
-		l.Counters.Heard.Add(1)
+		l.Figures.heard.Add(1)
 	}
 }
 
 func (l *Loop) forget(id uint64) {
 	delete(l.clients, id)
-	l.open.Add(-1)
+	l.Figures.open.Add(-1)
 }
 
 // run carries out one effect; that of a Stop is an event.
 func (l *Loop) run(effect Effect, now Micros) Event {
 	switch e := effect.(type) {
 	case Start:
-		l.Counters.Attempts.Add(1)
+		e.Attempt.Written = func() { l.Figures.attempts.Add(1) }
 		l.handles[attemptKey{e.ID, e.Number}] = l.via(e.Attempt.Request).Start(e.Attempt, func(r Result) {
 			l.Post(Ended{ID: e.ID, Attempt: e.Number, Result: r})
 		})
 	case Stop:
-		l.Counters.Stopped.Add(1)
+		l.Figures.stopped.Add(1)
 		progress := WrittenWhole
 		if h := l.handles[attemptKey{e.ID, e.Number}]; h != nil {
 			progress = h.Stop()
@@ -211,11 +216,11 @@
 		l.answer(e)
 	case Tell:
 		if l.outside.Tell != nil {
-			l.Counters.Told.Add(1)
+			l.Figures.told.Add(1)
 			l.outside.Tell(e.Peer, e.Data)
 		}
 	case Probe:
-		l.Counters.Probes.Add(1)
+		l.Figures.probes.Add(1)
 		l.transport.Probe(e.Address, func(r Result) {
 			l.Post(Probed{Node: e.Node, Took: l.clock.Now() - now, Result: r})
 		})
@@ -235,18 +240,11 @@
 }
 
 func (l *Loop) answer(e Answer) {
-	reply, waits := l.clients[e.ID]
+	c, waits := l.clients[e.ID]
 	if !waits {
 		return
 	}
 	l.forget(e.ID)
-	switch e.Final.Verdict {
-	case Served:
-		l.Counters.Served.Add(1)
-	case Refused:
-		l.Counters.Refused.Add(1)
-	case Failed:
-		l.Counters.Failed.Add(1)
-	}
-	reply(e.Final)
+	l.Figures.ended(c.class, e.Final.Verdict)
+	c.reply(e.Final)
 }
--- a/broker/loop_test.go
+++ b/broker/loop_test.go
@@ -57,6 +57,7 @@
 type local struct{}
 
 func (local) Start(a Attempt, done func(Result)) Handle {
+	a.Written()
 	go done(Result{Value: fmt.Sprintf("%v from %s", a.Request.Message, a.Node), Load: logic.NoLoad})
 	return out{}
 }
@@ -82,3 +83,42 @@
 	fmt.Println((<-final).Value)
 	// Output: lesson 7 from n1
 }
+
+// Every class is listed with every way to end, at 0 too, and an attempt counts once it is written whole.
+func TestFigures(t *testing.T) {
+	state, err := NewState(testSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	loop := NewLoop(state, NewClock(), local{}, Outside{Log: func(string) {}})
+	read := func() map[string]uint64 {
+		all := map[string]uint64{}
+		for _, f := range loop.Figures.Read() {
+			all[f.Name] = f.Value
+		}
+		return all
+	}
+	for _, name := range []string{"success.read", "busy.read", "failure.read", "success.write", "busy.write", "failure.write",
+		"backend_calls", "inflight", "hosts_listed", "hosts_down", "reconfig_ok", "reconfig_failed"} {
+		if value, listed := read()[name]; !listed || value != 0 {
+			t.Errorf("%s: %d, %v", name, value, listed)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go loop.Run(ctx)
+	loop.Post(Listed{Kind: logic.ListFull, Nodes: []Node{node("n1", 0, logic.Ready), node("n2", 1, logic.Draining)}})
+	finals := make(chan Final, 1)
+	loop.Submit(request("read", 0), func(f Final) { finals <- f })
+	<-finals
+	loop.Submit(request("other", 0), func(f Final) { finals <- f })
+	<-finals
+	loop.Figures.Reloaded(true)
+	loop.Figures.Reloaded(false)
+	for name, want := range map[string]uint64{"success.read": 1, "failure.other": 1, "backend_calls": 1, "inflight": 0, "hosts_listed": 2,
+		"hosts_down": 1, "reconfig_ok": 1, "reconfig_failed": 1} {
+		if got := read()[name]; got != want {
+			t.Errorf("%s: %d, want %d", name, got, want)
+		}
+	}
+}
--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log"
 	"math"
@@ -15,6 +16,7 @@
 
 	"junctionwharf/broker"
 	"junctionwharf/internal/config"
+	"junctionwharf/internal/console"
 	"junctionwharf/internal/discovery"
 	"junctionwharf/internal/metrics"
 	"junctionwharf/internal/peer"
@@ -94,6 +96,21 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	go loop.Run(running)
+	var taking atomic.Bool
+	if c.Console != "" {
+		door, err := console.Open(c.Console, console.Calls{Check: func() error {
+			if !taking.Load() {
+				return errors.New("no clients are taken")
+			}
+			return nil
+		}, Vars: func() []byte { return metrics.Statsd(loop.Figures.Read()) }}, say)
+		if err != nil {
+			return err
+		}
+		defer door.Close()
+		go door.Serve()
+		say("serving: operators on " + c.Console)
+	}
 	watcher := discovery.NewWatcher(c.Discovery, say)
 	go watcher.Run(running, clock, loop.Post)
 	go func() {
@@ -102,7 +119,7 @@
 			case <-running.Done():
 				return
 			case <-reload:
-				current = renew(current, load, watcher, say)
+				current = renew(current, load, watcher, &loop.Figures, say)
 			}
 		}
 	}()
@@ -126,6 +143,7 @@
 	}
 	push(running, c, loop, fronts, say)
 	go func() { served <- front.Serve(ln) }()
+	taking.Store(true)
 	say("serving: clients on " + c.Listen)
 
 	select {
@@ -141,8 +159,9 @@
 
 // renew loads the configuration and moves to its discovery; all else counts from the next start. It guards
 // against a faulty file: the old configuration stands as a whole.
-func renew(old *config.Config, load func() (*config.Config, error), watcher *discovery.Watcher, say func(string)) *config.Config {
+func renew(old *config.Config, load func() (*config.Config, error), watcher *discovery.Watcher, figures *broker.Figures, say func(string)) *config.Config {
 	c, err := load()
+	figures.Reloaded(err == nil)
 	if err != nil {
 		say("reload: " + err.Error() + ": the old configuration stands")
 		return old
@@ -225,16 +244,7 @@
 }
 
 func samples(loop *broker.Loop, fronts []drainer) []metrics.Sample {
-	n := &loop.Counters
-	all := []metrics.Sample{{Name: "open", Value: uint64(loop.Open())}, {Name: "clients", Value: uint64(clients(fronts))}}
-	for _, s := range []struct {
-		name  string
-		value *atomic.Uint64
-	}{{"taken", &n.Taken}, {"served", &n.Served}, {"refused", &n.Refused}, {"failed", &n.Failed}, {"left", &n.Left},
-		{"attempts", &n.Attempts}, {"stopped", &n.Stopped}, {"probes", &n.Probes}, {"peer_sent", &n.Told}, {"peer_heard", &n.Heard}} {
-		all = append(all, metrics.Sample{Name: s.name, Value: s.value.Load(), Counter: true})
-	}
-	return all
+	return append(loop.Figures.Read(), metrics.Sample{Name: "clients", Value: uint64(clients(fronts))})
 }
 
 func retire(ctx context.Context, nodes *pool.Pool) {
--- a/cmd/junctionwharf/serve_test.go
+++ b/cmd/junctionwharf/serve_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"junctionwharf/broker"
 	"junctionwharf/internal/config"
 	"junctionwharf/internal/discovery"
 	"junctionwharf/logic"
@@ -128,7 +129,7 @@
 	if _, err := io.ReadFull(fileConn, version); err != nil || string(version) != "\x00\x00\x00\x05\x02\x00\x00\x00\x03" {
 		t.Errorf("%q, %v", version, err)
 	}
-	if text := <-figures; !strings.Contains(text, "wharf.n1.open 1 ") || !strings.Contains(text, "wharf.n1.attempts 1 ") {
+	if text := <-figures; !strings.Contains(text, "wharf.n1.inflight 1 ") || !strings.Contains(text, "wharf.n1.backend_calls 1 ") {
 		t.Error(text)
 	}
 	stop()
@@ -252,13 +253,14 @@
 	}
 	var lines []string
 	say := func(line string) { lines = append(lines, line) }
+	var figures broker.Figures
 	watcher := discovery.NewWatcher(c.Discovery, say)
-	if renew(c, load(`"discovery":"127.0.0.1:2"`, `"discovery":"there"`), watcher, say) != c || len(lines) != 1 ||
+	if renew(c, load(`"discovery":"127.0.0.1:2"`, `"discovery":"there"`), watcher, &figures, say) != c || len(lines) != 1 ||
 		lines[0] != `reload: discovery: "there" is no address:port: the old configuration stands` {
 		t.Errorf("%q", lines)
 	}
 	lines = nil
-	renewed := renew(c, load(`"127.0.0.1:1","discovery":"127.0.0.1:2"`, `"127.0.0.1:3","discovery":"127.0.0.1:4"`), watcher, say)
+	renewed := renew(c, load(`"127.0.0.1:1","discovery":"127.0.0.1:2"`, `"127.0.0.1:3","discovery":"127.0.0.1:4"`), watcher, &figures, say)
 	if renewed.Discovery != "127.0.0.1:4" || renewed.Listen != c.Listen || len(lines) != 2 ||
 		lines[0] != "reload: changed, but fixed until the next start: listen" {
 		t.Errorf("%+v, %q", renewed, lines)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,6 +37,7 @@
 	Name       string
 	Listen     string
 	Discovery  string
+	Console    string // the operators' door; empty: off
 	Seed       uint64
 	Limits     Limits
 	PeerListen string
@@ -70,6 +71,7 @@
 		Name       string          `json:"name"`
 		Listen     string          `json:"listen"`
 		Discovery  string          `json:"discovery"`
+		Console    string          `json:"console"`
 		Seed       string          `json:"seed"`
 		Limits     Limits          `json:"limits"`
 		PeerListen string          `json:"peer_listen"`
@@ -83,6 +85,7 @@
 	}
 	c := &Config{Name: or(raw.Name, getenv("BALANCER_NAME")), Listen: or(raw.Listen, getenv("BALANCER_LISTEN")),
 		Discovery: or(raw.Discovery, getenv("BALANCER_DISCOVERY")), Limits: raw.Limits,
+		Console:    or(raw.Console, getenv("BALANCER_CONSOLE")),
 		PeerListen: raw.PeerListen, Peers: raw.Peers, PeersAll: raw.PeersAll}
 	if err := c.addresses(); err != nil {
 		return nil, err
@@ -119,6 +122,7 @@
 		key      string
 		old, new any
 	}{{"name", c.Name, other.Name}, {"listen", c.Listen, other.Listen}, {"limits", c.Limits, other.Limits},
+		{"console", c.Console, other.Console},
 		{"peer_listen", c.PeerListen, other.PeerListen}, {"peers", c.Peers, other.Peers}, {"peers_all", c.PeersAll, other.PeersAll},
 		{"settings", c.Settings, other.Settings}, {"site", c.Site, other.Site}} {
 		if !reflect.DeepEqual(k.old, k.new) {
@@ -139,7 +143,7 @@
 	for _, a := range []struct {
 		key, value string
 		needed     bool
-	}{{"listen", c.Listen, true}, {"discovery", c.Discovery, true}, {"peer_listen", c.PeerListen, false},
+	}{{"listen", c.Listen, true}, {"discovery", c.Discovery, true}, {"console", c.Console, false}, {"peer_listen", c.PeerListen, false},
 		{"peers_all", c.PeersAll, false}} {
 		if err := checkAddress(a.value, a.needed); err != nil {
 			return fmt.Errorf("%s: %w", a.key, err)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,5 +1,5 @@
-// Package metrics pushes counters to Graphite, in its plaintext protocol, and to collectd, in its network
-// protocol.
+// Package metrics words the broker's figures: as StatsD lines for the operators' door, in Graphite's plaintext protocol
+// and in collectd's network protocol, and pushes the latter two.
 package metrics
 
 import (
@@ -10,17 +10,28 @@
 	"math"
 	"net"
 	"time"
+
+	"junctionwharf/broker"
 )
 
-// Sample is one figure. A counter only grows.
-type Sample struct {
-	Name    string
-	Value   uint64
-	Counter bool
-}
+// Sample is one figure.
+type Sample = broker.Figure
 
-// Source gives the figures of now.
-type Source func() []Sample
+// statsdPrefix stands before each name that the operators' door shows.
+const statsdPrefix = "edge_balancer"
+
+// Statsd words figures as StatsD lines.
+func Statsd(samples []Sample) []byte {
+	var text []byte
+	for _, s := range samples {
+		kind := "g"
+		if s.Counter {
+			kind = "c"
+		}
+		text = fmt.Appendf(text, "%s.%s:%d|%s\n", statsdPrefix, s.Name, s.Value, kind)
+	}
+	return text
+}
 
 // Graphite is a Carbon receiver.
 type Graphite struct {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -31,7 +31,7 @@
 		got <- string(text)
 	}()
 	g := Graphite{Address: ln.Addr().String(), Prefix: "wharf.n1"}
-	if err := g.Push(context.Background(), now, []Sample{{"taken", 7, true}, {"open", 2, false}}); err != nil {
+	if err := g.Push(context.Background(), now, []Sample{{Name: "taken", Value: 7, Counter: true}, {Name: "open", Value: 2, Counter: false}}); err != nil {
 		t.Fatal(err)
 	}
 	if text := <-got; text != "wharf.n1.taken 7 1700000000\nwharf.n1.open 2 1700000000\n" {
@@ -43,6 +43,14 @@
 	}
 }
 
+// The operators' tools read StatsD lines.
+func TestStatsd(t *testing.T) {
+	got := string(Statsd([]Sample{{Name: "success.lesson-read", Value: 812, Counter: true}, {Name: "inflight", Value: 14, Counter: false}}))
+	if got != "edge_balancer.success.lesson-read:812|c\nedge_balancer.inflight:14|g\n" {
+		t.Errorf("%q", got)
+	}
+}
+
 // decode reads a datagram as the protocol's specification has it.
 func decode(t *testing.T, b []byte) (host string, at, interval uint64, values map[string]float64) {
 	t.Helper()
@@ -95,7 +103,7 @@
 	defer conn.Close()
 	var samples []Sample
 	for i := range 60 {
-		samples = append(samples, Sample{fmt.Sprintf("figure_%d", i), uint64(i * 1000), i%2 == 0})
+		samples = append(samples, Sample{Name: fmt.Sprintf("figure_%d", i), Value: uint64(i * 1000), Counter: i%2 == 0})
 	}
 	c := Collectd{Address: conn.LocalAddr().String(), Host: "n1"}
 	if err := c.Push(context.Background(), now, 10*time.Second, samples); err != nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -54,10 +54,11 @@
 	return &Pool{opt: opt, slots: make(chan struct{}, opt.Sockets), idle: map[string][]*link{}}
 }
 
-// Start begins an exchange and returns at once. A time of most above 0 bounds it.
-func (p *Pool) Start(address string, x Exchange, most time.Duration, done func(broker.Result)) broker.Handle {
+// Start begins an exchange and returns at once. A time of most above 0 bounds it. written is called once the exchange
+// is written whole, unless it is nil.
+func (p *Pool) Start(address string, x Exchange, most time.Duration, written func(), done func(broker.Result)) broker.Handle {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Session{began: time.Now(), done: done, cancel: cancel}
+	s := &Session{began: time.Now(), written: written, done: done, cancel: cancel}
 	go p.run(ctx, s, address, x, most)
 	return s
 }
@@ -66,9 +67,10 @@
 type Session struct {
 	In *bufio.Reader // what the node sends
 
-	began  time.Time
-	done   func(broker.Result)
-	cancel context.CancelFunc
+	began   time.Time
+	written func()
+	done    func(broker.Result)
+	cancel  context.CancelFunc
 
 	writing sync.Mutex // held during a write
 	mu      sync.Mutex
@@ -107,6 +109,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if deciding > 0 && n >= int64(deciding) {
+		if s.at != broker.WrittenWhole && s.written != nil {
+			s.written()
+		}
 		s.at = broker.WrittenWhole
 	} else if n > 0 {
 		s.at = max(s.at, broker.PartlyWritten)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -61,7 +61,7 @@
 
 func start(p *Pool, address string, x Exchange) (broker.Handle, chan broker.Result) {
 	results := make(chan broker.Result, 2)
-	return p.Start(address, x, 0, func(r broker.Result) { results <- r }), results
+	return p.Start(address, x, 0, nil, func(r broker.Result) { results <- r }), results
 }
 
 func options() Options {
--- a/internal/resp/nodes.go
+++ b/internal/resp/nodes.go
@@ -38,7 +38,7 @@
 			s.Tidy(func() error { return readRest(s.In, parts, &result) })
 		}
 		return result, err
-	}, 0, done)
+	}, 0, a.Written, done)
 }
 
 // Probe implements broker.Transport.
@@ -48,7 +48,7 @@
 			return broker.Result{}, err
 		}
 		return readProbe(s.In)
-	}, probeTime, done)
+	}, probeTime, nil, done)
 }
 
 const probeTime = time.Second
--- a/internal/sftp/nodes.go
+++ b/internal/sftp/nodes.go
@@ -58,14 +58,14 @@
 	}
 	return n.pool.Start(n.address(a.Address), func(s *pool.Session) (broker.Result, error) {
 		return (&exchange{Session: s}).run(op)
-	}, 0, done)
+	}, 0, a.Written, done)
 }
 
 // Probe implements broker.Transport: a STAT of the root.
 func (n *Nodes) Probe(address string, done func(broker.Result)) {
 	n.pool.Start(n.address(address), func(s *pool.Session) (broker.Result, error) {
 		return (&exchange{Session: s}).run(&operation{command: Stat, path: "/"})
-	}, time.Second, done)
+	}, time.Second, nil, done)
 }
 
 // CloseIdle implements broker.Transport.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -118,6 +118,22 @@
 	return g, nil
 }
 
+// Classes are the classes of requests that it knows.
+func (g *Gateway) Classes() []Class { return g.set.Classes }
+
+// Nodes counts the nodes in the list, and those of them that are avoided now: they drain, are silent or rest.
+func (g *Gateway) Nodes() (listed, avoided int) {
+	for _, n := range g.nodeList {
+		if n.state != Gone {
+			listed++
+			if n.state != Ready || n.silent(g) || g.now < n.restTill {
+				avoided++
+			}
+		}
+	}
+	return listed, avoided
+}
+
 // ---- events
 
 // Step takes the events of one point of the clock and returns what is to be done.
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -128,6 +128,9 @@
 		if !run.begin() {
 			return
 		}
+		if a.Written != nil {
+			a.Written()
+		}
 		result := t.run(context.WithValue(ctx, attemptKey{}, run), run)
 		if run.finish() {
 			done(result)
