Follow new settings at SIGHUP in module, fronts, pools and timers; turn faulty files down

Files that lacked a key or had a faulty deadline were taken for sound and moved discovery to a dead address.

At fault: renew in cmd/junctionwharf/serve.go moved discovery only; ParseSettings read a lacking key as 0; endTick in logic/logic.go read the deadline of a class by name, nil once the class vanished (a panic, shown by TestRetune). Ruled out: the limits (7 of 64 MB, 97 of 384 descriptors) and late figures.

--- a/broker/loop.go
+++ b/broker/loop.go
@@ -182,6 +182,8 @@
 		}
 	case Ended:
 		delete(l.handles, attemptKey{e.ID, e.Attempt})
+	case Retuned:
+		l.Figures.list(e.Settings.Classes)
 	case Heard:
 		l.Figures.heard.Add(1)
 	}
--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -50,6 +50,8 @@
 		From int
 		Data []byte
 	}
+	// Retuned brings new settings, which were checked. Requests under way keep their class.
+	Retuned struct{ Settings logic.Settings }
 	// Ending tells that the process ends: what is owed is to be answered now.
 	Ending struct{}
 )
@@ -68,6 +70,7 @@
 func (Probed) event()  {}
 func (Listed) event()  {}
 func (Heard) event()   {}
+func (Retuned) event() {}
 func (Ending) event()  {}
 
 // Effect is something that the reducer wants done.
@@ -231,6 +234,8 @@
 		s.list(e)
 	case Heard:
 		s.tell(logic.PeerMessage{From: e.From, Data: e.Data})
+	case Retuned:
+		s.tell(logic.Retuned{Settings: e.Settings})
 	case Ending:
 		s.endAll()
 	}
--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -88,6 +88,8 @@
 	front := resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), c.Limits.Sockets-spareSockets-forNodes-forFiles, c.Limits.Sockets/easyPart,
 		int(clientMemory*c.Limits.MemoryMB*(1<<20)), say)
 	fronts := []drainer{front}
+	parts := &service{loop: loop, pools: []*pool.Pool{nodes}, front: front, say: say}
+	parts.classes.Store(&c.Settings.Logic.Classes)
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -112,17 +114,8 @@
 		say("serving: operators on " + c.Console)
 	}
 	watcher := discovery.NewWatcher(c.Discovery, say)
+	parts.watcher = watcher
 	go watcher.Run(running, clock, loop.Post)
-	go func() {
-		for current := c; ; {
-			select {
-			case <-running.Done():
-				return
-			case <-reload:
-				current = renew(current, load, watcher, &loop.Figures, say)
-			}
-		}
-	}()
 	if link != nil {
 		go link.Run(loop.Post)
 	}
@@ -139,10 +132,21 @@
 		go retire(running, filePool)
 		go func() { served <- fileFront.Serve(fileLn) }()
 		fronts = append(fronts, fileFront)
+		parts.files, parts.pools = fileFront, append(parts.pools, filePool)
 		say("serving: file commands on " + files.Listen)
 	}
 	push(running, c, loop, fronts, say)
 	go func() { served <- front.Serve(ln) }()
+	go func() {
+		for current := c; ; {
+			select {
+			case <-running.Done():
+				return
+			case <-reload:
+				current = parts.renew(current, load)
+			}
+		}
+	}()
 	taking.Store(true)
 	say("serving: clients on " + c.Listen)
 
@@ -152,32 +156,63 @@
 	case <-ctx.Done():
 	}
 	say("stopping: SIGTERM")
-	finish(timesOf(c.Settings.Logic.Classes), loop, fronts)
+	finish(timesOf(*parts.classes.Load()), loop, fronts)
 	say("stopped")
 	return nil
 }
 
-// renew loads the configuration and moves to its discovery; all else counts from the next start. It guards
-// against a faulty file: the old configuration stands as a whole.
-func renew(old *config.Config, load func() (*config.Config, error), watcher *discovery.Watcher, figures *broker.Figures, say func(string)) *config.Config {
+// service is the parts of a running broker that follow new settings.
+type service struct {
+	loop    *broker.Loop
+	watcher *discovery.Watcher
+	pools   []*pool.Pool
+	front   *resp.Front
+	files   *sftp.Front // nil if off
+	say     func(string)
+
+	classes atomic.Pointer[[]logic.Class] // as they are now
+}
+
+// renew loads the configuration and goes over to its discovery and settings; all else counts from the next start. It
+// guards against a faulty file: the old configuration stands as a whole.
+func (s *service) renew(old *config.Config, load func() (*config.Config, error)) *config.Config {
 	c, err := load()
-	figures.Reloaded(err == nil)
+	if err == nil {
+		err = old.Lacks(c)
+	}
+	s.loop.Figures.Reloaded(err == nil)
 	if err != nil {
-		say("reload: " + err.Error() + ": the old configuration stands")
+		s.say("reload: " + err.Error() + ": the old configuration stands")
 		return old
 	}
 	if keys := old.Fixed(c); len(keys) > 0 {
-		say("reload: changed, but fixed until the next start: " + strings.Join(keys, ", "))
+		s.say("reload: changed, but fixed until the next start: " + strings.Join(keys, ", "))
 	}
 	if c.Discovery != old.Discovery {
-		watcher.Move(c.Discovery)
+		s.watcher.Move(c.Discovery)
 	}
-	say("reloaded: discovery at " + c.Discovery)
+	s.follow(c)
+	s.say("reloaded: discovery at " + c.Discovery)
 	renewed := *old
-	renewed.Discovery = c.Discovery
+	renewed.Renew(c)
 	return &renewed
 }
 
+// follow goes over to the settings of a configuration. The core comes first: what a front then takes by the new
+// terms, the core knows.
+func (s *service) follow(c *config.Config) {
+	set := c.Settings
+	s.loop.Post(broker.Retuned{Settings: set.Logic})
+	s.front.Retune(resp.NewTerms(set.Logic, set.Shards))
+	if s.files != nil && c.Site.SFTP.Listen != "" {
+		s.files.Retune(c.Site.SFTP.Plan())
+	}
+	for _, p := range s.pools {
+		p.Retune(set.ConnectTimeout.Duration(), set.ConnIdle.Duration())
+	}
+	s.classes.Store(&set.Logic.Classes)
+}
+
 // timetable is what happens when after SIGTERM.
 type timetable struct{ drain, shut, answer, end time.Duration }
 
--- a/cmd/junctionwharf/serve_test.go
+++ b/cmd/junctionwharf/serve_test.go
@@ -20,6 +20,7 @@
 	"junctionwharf/broker"
 	"junctionwharf/internal/config"
 	"junctionwharf/internal/discovery"
+	"junctionwharf/internal/resp"
 	"junctionwharf/logic"
 )
 
@@ -253,18 +254,42 @@
 	}
 	var lines []string
 	say := func(line string) { lines = append(lines, line) }
-	var figures broker.Figures
-	watcher := discovery.NewWatcher(c.Discovery, say)
-	if renew(c, load(`"discovery":"127.0.0.1:2"`, `"discovery":"there"`), watcher, &figures, say) != c || len(lines) != 1 ||
-		lines[0] != `reload: discovery: "there" is no address:port: the old configuration stands` {
-		t.Errorf("%q", lines)
+	state, err := broker.NewState(c.Settings.Logic, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Log: say})
+	parts := &service{loop: loop, watcher: discovery.NewWatcher(c.Discovery, say), say: say,
+		front: resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, 0), 1, 1, 1, say)}
+	for _, fault := range []struct{ old, new, line string }{
+		{`"discovery":"127.0.0.1:2"`, `"discovery":"there"`, `discovery: "there" is no address:port`},
+		{`"name":"n1",`, ``, "name: missing"},
+		{`"floorRate":100,`, ``, "settings.servicelevels.floorrate: missing"},
+		{`"importance":1`, `"importance":null`, "settings.classes.importance: missing"},
+		{`"deadline":6000000`, `"deadline":0`, "settings.classes[0].deadline: it is not above 0"},
+		{`"deadline":6000000`, `"deadline":"6"`, "settings.classes.deadline: a string is no value for it"},
+		{`"maxAttempts":3`, `"maxAttempts":0`, "settings.bounds.maxAttempts: 0 is not above 0"},
+		{text, ``, "unexpected end of JSON input"},
+		{text, text[:len(text)-1], "unexpected end of JSON input"},
+	} {
+		lines = nil
+		if parts.renew(c, load(fault.old, fault.new)) != c || len(lines) != 1 || lines[0] != "reload: "+fault.line+": the old configuration stands" {
+			t.Errorf("%s: %q", fault.new, lines)
+		}
 	}
 	lines = nil
-	renewed := renew(c, load(`"127.0.0.1:1","discovery":"127.0.0.1:2"`, `"127.0.0.1:3","discovery":"127.0.0.1:4"`), watcher, &figures, say)
+	renewed := parts.renew(c, load(`"127.0.0.1:1","discovery":"127.0.0.1:2"`, `"127.0.0.1:3","discovery":"127.0.0.1:4"`))
 	if renewed.Discovery != "127.0.0.1:4" || renewed.Listen != c.Listen || len(lines) != 2 ||
 		lines[0] != "reload: changed, but fixed until the next start: listen" {
 		t.Errorf("%+v, %q", renewed, lines)
 	}
+	counts := map[string]uint64{}
+	for _, f := range loop.Figures.Read() {
+		counts[f.Name] = f.Value
+	}
+	if counts["reconfig_ok"] != 1 || counts["reconfig_failed"] != 9 {
+		t.Errorf("%v", counts)
+	}
 }
 
 // Clients of a planned restart are served for as long as answers can still come before SIGKILL.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,6 +46,8 @@
 	Known      *discovery.List // nil if none is held
 	Settings   *Settings
 	Site       Site // all off unless a file says otherwise
+
+	keys keys // that the file holds
 }
 
 // Load reads the file that BALANCER_CONFIG names. The other variables stand in for keys it lacks.
@@ -102,6 +104,7 @@
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
+	c.keys = keysOf(text)
 	if len(raw.Settings) == 0 {
 		return nil, errors.New("settings: missing")
 	}
@@ -124,7 +127,9 @@
 	}{{"name", c.Name, other.Name}, {"listen", c.Listen, other.Listen}, {"limits", c.Limits, other.Limits},
 		{"console", c.Console, other.Console},
 		{"peer_listen", c.PeerListen, other.PeerListen}, {"peers", c.Peers, other.Peers}, {"peers_all", c.PeersAll, other.PeersAll},
-		{"settings", c.Settings, other.Settings}, {"site", c.Site, other.Site}} {
+		{"settings.nInstances", c.Settings.Logic.Hosts, other.Settings.Logic.Hosts},
+		{"settings.ordinal", c.Settings.Logic.Ordinal, other.Settings.Logic.Ordinal},
+		{"site", c.Site.ends(), other.Site.ends()}} {
 		if !reflect.DeepEqual(k.old, k.new) {
 			keys = append(keys, k.key)
 		}
@@ -132,6 +137,12 @@
 	return keys
 }
 
+// Renew takes over what counts while the broker runs.
+func (c *Config) Renew(other *Config) {
+	c.Discovery, c.Settings, c.keys = other.Discovery, other.Settings, other.keys
+	c.Site.SFTP.plan = other.Site.SFTP.plan
+}
+
 func or(value, fallback string) string {
 	if value == "" {
 		return fallback
@@ -212,11 +223,24 @@
 	if len(s.Logic.Classes) == 0 {
 		return errors.New("classes: none")
 	}
+	names := map[string]bool{}
+	for i, class := range s.Logic.Classes {
+		if class.Name == "" || names[class.Name] {
+			return fmt.Errorf("classes[%d].name: %q is missing or stands twice", i, class.Name)
+		}
+		names[class.Name] = true
+		if class.Deadline <= 0 {
+			return fmt.Errorf("classes[%d].deadline: it is not above 0", i)
+		}
+	}
+	if s.Logic.Bounds.MaxAttempts < 1 {
+		return fmt.Errorf("bounds.maxAttempts: %d is not above 0", s.Logic.Bounds.MaxAttempts)
+	}
 	if s.Logic.Hosts < 1 {
 		return fmt.Errorf("nInstances: %d is below 1", s.Logic.Hosts)
 	}
 	if s.Logic.Ordinal < 0 || s.Logic.Ordinal >= s.Logic.Hosts {
 		return fmt.Errorf("ordinal: %d is not below nInstances (%d)", s.Logic.Ordinal, s.Logic.Hosts)
 	}
-	return nil
+	return s.Logic.Check()
 }
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -25,6 +25,11 @@
 	Collectd Receiver `toml:"collectd"`
 }
 
+// ends is all of a site but the mapping of file commands, which may change while the broker runs.
+func (s Site) ends() any {
+	return []any{s.SFTP.Listen, s.SFTP.NodePort, s.SFTP.Connections, s.Graphite, s.Collectd}
+}
+
 // Receiver is where figures are pushed to.
 type Receiver struct {
 	Address   string `toml:"address"` // empty: off
--- a/internal/loopback/resp_test.go
+++ b/internal/loopback/resp_test.go
@@ -14,6 +14,7 @@
 	"junctionwharf/broker"
 	"junctionwharf/internal/pool"
 	"junctionwharf/internal/resp"
+	"junctionwharf/logic"
 )
 
 type respProtocol struct{}
@@ -28,6 +29,11 @@
 	return resp.NewFront(loop, resp.NewTerms(settings(), 0), 64, 64, 1<<20, log)
 }
 
+func (respProtocol) retune(f front, c client, set logic.Settings, class string) {
+	f.(*resp.Front).Retune(resp.NewTerms(set, 0))
+	c.(*respClient).reads = class
+}
+
 // node is a stand-in that speaks RESP2.
 func (respProtocol) node(conn net.Conn, name string, w *world) {
 	defer conn.Close()
@@ -83,7 +89,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { conn.Close() })
-	return &respClient{conn: conn, in: bufio.NewReader(conn)}
+	return &respClient{conn: conn, in: bufio.NewReader(conn), reads: "read"}
 }
 
 // nuisances are what bad clients send.
@@ -100,13 +106,15 @@
 	conn net.Conn
 	in   *bufio.Reader
 	owed []string
+
+	reads string // class of reads
 }
 
 func (c *respClient) prepare(*testing.T, ...string) {}
 
 func (c *respClient) send(id string, k kind) {
 	c.owed = append(c.owed, id)
-	word, class, body := "BLK.READ", "read", ""
+	word, class, body := "BLK.READ", c.reads, ""
 	args := 4
 	switch k {
 	case write:
--- a/internal/loopback/sftp_test.go
+++ b/internal/loopback/sftp_test.go
@@ -16,6 +16,7 @@
 	"junctionwharf/broker"
 	"junctionwharf/internal/pool"
 	"junctionwharf/internal/sftp"
+	"junctionwharf/logic"
 )
 
 type sftpProtocol struct{ files *files }
@@ -28,17 +29,26 @@
 }
 
 func (sftpProtocol) front(loop *broker.Loop, via broker.Transport, log func(string)) front {
+	return sftp.NewFront(loop, via, plan(settings(), "read"), 64, log)
+}
+
+func (sftpProtocol) retune(f front, _ client, set logic.Settings, class string) {
+	f.(*sftp.Front).Retune(plan(set, class))
+}
+
+// plan maps what reads to a class.
+func plan(set logic.Settings, class string) *sftp.Plan {
 	terms := map[sftp.Command]sftp.Terms{}
 	for _, c := range sftp.Commands {
-		terms[c] = sftp.Terms{Class: "read"}
+		terms[c] = sftp.Terms{Class: class}
 	}
 	terms[sftp.OpenWrite], terms[sftp.Write] = sftp.Terms{Class: "write"}, sftp.Terms{Class: "write"}
 	terms[sftp.Remove], terms[sftp.List] = sftp.Terms{Class: "write"}, sftp.Terms{Class: "list"}
 	plan := &sftp.Plan{UnitBytes: 2, Commands: terms, Volumes: []sftp.Volume{{Prefix: "/d", Volume: "v", Plan: "plan"}}}
-	if err := plan.Check(settings()); err != nil {
+	if err := plan.Check(set); err != nil {
 		panic(err)
 	}
-	return sftp.NewFront(loop, via, plan, 64, log)
+	return plan
 }
 
 // files is what all stand-in nodes of the shard hold.
--- a/internal/loopback/suite_test.go
+++ b/internal/loopback/suite_test.go
@@ -71,6 +71,7 @@
 	name() string
 	transport(pool.Options) broker.Transport
 	front(*broker.Loop, broker.Transport, func(string)) front
+	retune(f front, c client, set logic.Settings, class string) // has both follow settings; reads are of that class
 	node(net.Conn, string, *world)
 	client(*testing.T, string) client
 	nuisances() map[string]string // texts that are no command, by what is wrong with them
@@ -286,6 +287,34 @@
 			b.Error("a silent node served")
 		}
 	}},
+	{"new settings hold for what comes, and requests under way keep their class", func(b *bench) {
+		b.client.prepare(b.T, "r", "r1", "r2")
+		release := make(chan struct{})
+		b.world.play(func(_, id string, _ int) behaviour {
+			if id == "r" {
+				<-release
+			}
+			return serve
+		})
+		b.client.send("r", read)
+		eventually(b.T, "the request is taken", func() bool { return b.loop.Open() == 1 })
+		set := settings()
+		set.Classes[0].Name = "newer"
+		b.loop.Post(broker.Retuned{Settings: set})
+		b.retune(b.front, b.client, set, "newer")
+		close(release)
+		v, err := b.client.receive()
+		b.world.check(b.T, []final{{id: "r", verdict: v, err: err, wait: waits[read]}})
+		b.want([]final{{id: "r", verdict: v}}, served)
+		b.want(b.run(read, "r1"), served)
+		counts := map[string]uint64{}
+		for _, f := range b.loop.Figures.Read() {
+			counts[f.Name] = f.Value
+		}
+		if counts["success.newer"] != 1 || counts["success.read"] == 0 {
+			b.Errorf("counted %v", counts)
+		}
+	}},
 	{"a node that refuses connections has run nothing", func(b *bench) {
 		ids := []string{"w1", "w2", "w3"}
 		b.client.prepare(b.T, ids...)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -36,11 +36,13 @@
 
 // Pool keeps connections by address.
 type Pool struct {
-	opt    Options
-	slots  chan struct{} // one for each connection
-	mu     sync.Mutex
-	idle   map[string][]*link // the latest used last
-	closed bool
+	opt     Options
+	slots   chan struct{} // one for each connection
+	mu      sync.Mutex
+	connect time.Duration      // the options' times as they are now
+	most    time.Duration      // so long idle, a connection is not used again
+	idle    map[string][]*link // the latest used last
+	closed  bool
 }
 
 type link struct {
@@ -51,7 +53,22 @@
 
 // New returns an empty pool.
 func New(opt Options) *Pool {
-	return &Pool{opt: opt, slots: make(chan struct{}, opt.Sockets), idle: map[string][]*link{}}
+	p := &Pool{opt: opt, slots: make(chan struct{}, opt.Sockets), idle: map[string][]*link{}}
+	p.Retune(opt.ConnectTimeout, opt.Idle)
+	return p
+}
+
+// Retune changes the times within which connections come up and may stand idle.
+func (p *Pool) Retune(connect, idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.connect, p.most = connect, time.Duration(retireAt*float64(idle))
+}
+
+func (p *Pool) times() (connect, most time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.connect, p.most
 }
 
 // Start begins an exchange and returns at once. A time of most above 0 bounds it. written is called once the exchange
@@ -243,17 +260,18 @@
 }
 
 func (p *Pool) get(ctx context.Context, address string) (*link, error) {
+	connect, most := p.times()
 	for {
 		l := p.take(address)
 		if l == nil {
 			break
 		}
-		if time.Since(l.used) < time.Duration(retireAt*float64(p.opt.Idle)) && alive(l.Conn) {
+		if time.Since(l.used) < most && alive(l.Conn) {
 			return l, nil
 		}
 		p.drop(l)
 	}
-	ctx, cancel := context.WithTimeout(ctx, p.opt.ConnectTimeout)
+	ctx, cancel := context.WithTimeout(ctx, connect)
 	defer cancel()
 	if err := p.slot(ctx); err != nil {
 		return nil, err
@@ -360,7 +378,7 @@
 // Retire closes connections that are too old to be used again, or that their node has closed, and forgets
 // addresses without connections: nodes are replaced by new ones at new addresses.
 func (p *Pool) Retire(now time.Time) {
-	most := time.Duration(retireAt * float64(p.opt.Idle))
+	_, most := p.times()
 	var old []*link
 	p.mu.Lock()
 	for address, links := range p.idle {
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -27,7 +28,7 @@
 type Front struct {
 	*front.Hall
 	loop   *broker.Loop
-	terms  Terms
+	terms  atomic.Pointer[Terms]
 	log    func(string)
 	budget *front.Budget
 
@@ -41,10 +42,15 @@
 // connections idle ones end.
 func NewFront(loop *broker.Loop, terms Terms, most, easy, bytes int, log func(string)) *Front {
 	say := func(text string) { log("clients: " + text) }
-	return &Front{Hall: front.NewHall(most, easy, say), loop: loop, terms: terms, log: say, budget: front.NewBudget(bytes),
+	f := &Front{Hall: front.NewHall(most, easy, say), loop: loop, log: say, budget: front.NewBudget(bytes),
 		open: map[string]struct{}{}}
+	f.Retune(terms)
+	return f
 }
 
+// Retune changes what requests may ask for from now on.
+func (f *Front) Retune(terms Terms) { f.terms.Store(&terms) }
+
 // enter notes the id of a request. It guards the one final answer, and the rule on second attempts at nodes,
 // against an id that is open already.
 func (f *Front) enter(id string) error {
@@ -219,7 +225,7 @@
 	}
 	req, err := parse(cmd.Raw, cmd.Args)
 	if err == nil {
-		err = c.front.terms.check(req)
+		err = c.front.terms.Load().check(req)
 	}
 	if err != nil {
 		c.refuse(err)
--- a/internal/sftp/front.go
+++ b/internal/sftp/front.go
@@ -9,6 +9,7 @@
 	"os"
 	"path"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"junctionwharf/broker"
@@ -26,16 +27,21 @@
 	*front.Hall
 	loop *broker.Loop
 	via  broker.Transport
-	plan *Plan
+	plan atomic.Pointer[Plan]
 	log  func(string)
 }
 
 // NewFront returns a front that holds most connections at the most. The plan has been checked.
 func NewFront(loop *broker.Loop, via broker.Transport, plan *Plan, most int, log func(string)) *Front {
 	say := func(text string) { log("files: " + text) }
-	return &Front{Hall: front.NewHall(most, most, say), loop: loop, via: via, plan: plan, log: say}
+	f := &Front{Hall: front.NewHall(most, most, say), loop: loop, via: via, log: say}
+	f.Retune(plan)
+	return f
 }
 
+// Retune changes how commands are mapped from now on. The plan has been checked.
+func (f *Front) Retune(plan *Plan) { f.plan.Store(plan) }
+
 // Serve serves ln until Close.
 func (f *Front) Serve(ln net.Listener) error {
 	for {
@@ -250,7 +256,7 @@
 		if f.err != nil {
 			return f.err
 		}
-		if s.front.plan.volume(name) == nil {
+		if s.front.plan.Load().volume(name) == nil {
 			return s.status(p.id, statusNoSuchFile, "no volume holds this path")
 		}
 		s.mu.Lock()
@@ -374,7 +380,7 @@
 // submit takes a command. Its deadline runs from here, also while it waits for an earlier command on the
 // same file.
 func (s *session) submit(id uint32, o *operation, served func(answer) net.Buffers) error {
-	req := s.front.plan.request(o)
+	req := s.front.plan.Load().request(o)
 	if req == nil {
 		return s.status(id, statusNoSuchFile, "no volume holds this path")
 	}
--- a/internal/sftp/sftp_test.go
+++ b/internal/sftp/sftp_test.go
@@ -207,7 +207,7 @@
 // passes first it is refused, never sent.
 func TestOrderOnOneFile(t *testing.T) {
 	front, s, _ := testFront(t)
-	front.plan.Commands[Write] = Terms{Class: "write", WaitMS: 60_000}
+	front.plan.Load().Commands[Write] = Terms{Class: "write", WaitMS: 60_000}
 	submit := func(id uint32) *pending {
 		if err := s.submit(id, &operation{command: Write, path: "/d/f", data: []byte("x")}, pass(id)); err != nil {
 			t.Fatal(err)
--- a/logic/api.go
+++ b/logic/api.go
@@ -9,7 +9,7 @@
 // Time is a point on the caller's clock, counted from any fixed start.
 type Time = time.Duration
 
-// Settings is what a Gateway is told once, when it starts. The zero value of a field means that
+// Settings is what a Gateway is told when it starts, and again by Retuned. The zero value of a field means that
 // the deployment has no such thing (no limit, no reports, no peers).
 type Settings struct {
 	Hosts       int    // gateways in the tier, this one included
@@ -28,8 +28,8 @@
 	SpareWorth  float64       // part of the worth earned beyond reserve and share
 }
 
-// check names settings that make no sense.
-func (set Settings) check() error {
+// Check names settings that make no sense.
+func (set Settings) Check() error {
 	if set.Hosts < 1 || set.Ordinal < 0 || set.Ordinal >= set.Hosts || len(set.Classes) == 0 {
 		return fmt.Errorf("host %d of %d with %d classes", set.Ordinal, set.Hosts, len(set.Classes))
 	}
@@ -196,6 +196,10 @@
 func (AttemptEnded) event()  {}
 func (AnswerStarted) event() {}
 func (NodeList) event()      {}
+func (Retuned) event()       {}
+
+// Retuned brings new settings, which passed Check. Hosts and Ordinal count only when a Gateway starts.
+type Retuned struct{ Settings Settings }
 
 // ListKind says how a NodeList is to be read.
 type ListKind int
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,7 +64,7 @@
 	turns         map[string]*turn
 	byID          map[uint32]*volume
 	kept          map[uint32][]news // what peers told of the volumes this host keeps
-	unserved      map[try]Time      // when a client first asked for what it was not served
+	unserved      map[try]patience  // since when clients wait for what they were not served
 	taken, extras []Time            // requests taken and further attempts made in the budget's span
 	logged        map[string]int    // tick of the last log line of a kind
 
@@ -99,23 +99,33 @@
 
 // New starts a gateway that knows nothing but its settings.
 func New(set Settings, seed uint64) (*Gateway, error) {
-	if err := set.check(); err != nil {
+	if err := set.Check(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, uint64(set.Ordinal))),
-		classes: map[string]*Class{}, plans: map[string]*Plan{}, requests: map[uint64]*request{},
+	g := &Gateway{rng: rand.New(rand.NewPCG(seed, uint64(set.Ordinal))), requests: map[uint64]*request{},
 		volumes: map[string]*volume{}, nodes: map[string]*node{}, shards: map[int]*shard{},
 		turns: map[string]*turn{}, byID: map[uint32]*volume{}, kept: map[uint32][]news{},
-		unserved: map[try]Time{}, logged: map[string]int{}}
+		unserved: map[try]patience{}, logged: map[string]int{}}
+	g.follow(set)
+	return g, nil
+}
+
+// follow takes settings, at the start or later. Requests that are under way keep their class.
+func (g *Gateway) follow(set Settings) {
+	g.set, g.classes, g.plans = set, map[string]*Class{}, map[string]*Plan{}
 	for _, c := range set.Classes {
 		g.classes[c.Name] = &c
 	}
 	for _, p := range set.Plans {
 		g.plans[p.Name] = &p
 	}
+	for _, v := range g.inOrder {
+		if p := g.plans[v.plan.Name]; p != nil {
+			v.plan, v.hosts = p, 0 // its bucket is sized anew with its next request
+		}
+	}
 	g.aim = slices.MinFunc(set.Classes, func(a, b Class) int { return int(a.Aim - b.Aim) }).Aim
 	g.tick = time.Duration(float64(g.aim) / ticksPerAim)
-	return g, nil
 }
 
 // Classes are the classes of requests that it knows.
@@ -173,6 +183,9 @@
 		g.hear(e)
 	case NodeList:
 		g.takeList(e)
+	case Retuned:
+		e.Settings.Hosts, e.Settings.Ordinal = g.set.Hosts, g.set.Ordinal // peers know this host by them
+		g.follow(e.Settings)
 	}
 }
 
@@ -216,13 +229,16 @@
 	units              float64
 }
 
+// patience is since when a client waits, and until when it may.
+type patience struct{ from, till Time }
+
 // firstAsked tells since when a client waits: the aim runs from its first try. A request like one that
 // was not served, within the patience left of that, is its next try; any other with little time left
 // comes from an impatient client. It errs where other clients ask for the same at once.
 func (g *Gateway) firstAsked(e Request, class *Class) Time {
-	from, known := g.unserved[try{e.Class, e.Volume, e.Key, e.Units}]
-	if known && g.now+e.Remaining <= from+class.Deadline {
-		return from
+	p, known := g.unserved[try{e.Class, e.Volume, e.Key, e.Units}]
+	if known && g.now+e.Remaining <= p.till {
+		return p.from
 	} else if e.Retry {
 		return min(g.now, g.now+e.Remaining-class.Deadline)
 	}
@@ -331,7 +347,7 @@
 	g.trimBudget()
 	g.forget()
 	maps.DeleteFunc(g.turns, func(_ string, t *turn) bool { return len(t.waiting) == 0 && g.now >= t.restTo })
-	maps.DeleteFunc(g.unserved, func(t try, at Time) bool { return g.now > at+g.classes[t.class].Deadline })
+	maps.DeleteFunc(g.unserved, func(_ try, p patience) bool { return g.now > p.till })
 	g.act(SetTimer{Token: timerTick, After: g.tick})
 }
 
@@ -840,7 +856,7 @@
 
 func (g *Gateway) leaveUnserved(r *request) {
 	if !r.over {
-		g.unserved[try{r.Class, r.Volume, r.Key, r.Units}] = r.from
+		g.unserved[try{r.Class, r.Volume, r.Key, r.Units}] = patience{r.from, r.from + r.class.Deadline}
 	}
 	g.finish(r)
 }
--- /dev/null
+++ b/logic/retune_test.go
@@ -0,0 +1,60 @@
+package logic
+
+import (
+	"testing"
+	"time"
+)
+
+// New settings change what comes; requests under way keep their class, and what clients of a vanished class were not
+// served must not fault later ticks.
+func TestRetune(t *testing.T) {
+	class := func(name string, effect Effect) Class {
+		return Class{Name: name, Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: effect}
+	}
+	set := Settings{Hosts: 2, Ordinal: 1, MeanUnits: 2, MaxUnits: 8, Bounds: Bounds{MaxAttempts: 3},
+		Classes: []Class{class("old", Safe), class("gone", Safe)},
+		Plans:   []Plan{{Name: "plan", Rate: 50, Reserve: 50, Weight: 1, Price: 1}}}
+	g, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := Time(time.Hour)
+	ask := func(id uint64, class string) Request {
+		return Request{ID: id, Class: class, Plan: "plan", Volume: "v", Units: 1, Hosts: 1, Remaining: time.Second}
+	}
+	count := func(actions []Action) (sends, fails int) {
+		for _, a := range actions {
+			switch a.(type) {
+			case Send:
+				sends++
+			case Fail:
+				fails++
+			}
+		}
+		return sends, fails
+	}
+	sends, _ := count(g.Step(now, []Event{NodeList{Kind: ListFull, Nodes: []NodeInfo{{Node: "n"}}}, ask(1, "gone"), ask(2, "gone")}))
+	if sends != 2 {
+		t.Fatalf("%d sends", sends)
+	}
+	next := set
+	next.Ordinal, next.Bounds.MaxAttempts = 0, 1
+	next.Classes = []Class{class("old", Unsafe), class("new", Unsafe)}
+	next.Plans = []Plan{{Name: "plan", Rate: 5, Reserve: 5, Weight: 1, Price: 1}}
+	now += time.Millisecond
+	sends, fails := count(g.Step(now, []Event{Retuned{next}, ask(3, "new"), ask(4, "gone"), ClientGone{ID: 1},
+		AttemptEnded{ID: 2, Node: "n", Outcome: Broken}}))
+	if sends != 1 || fails != 1 {
+		t.Errorf("%d sends, %d fails: want the new class sent, the vanished one failed and no attempt beyond one", sends, fails)
+	}
+	if g.set.Ordinal != 1 || g.requests[3].class.Effect != Unsafe || g.requests[1].class.Effect != Safe || g.volumes["v"].plan.Rate != 5 {
+		t.Error("the settings in force are not the new ones")
+	}
+	for range 400 {
+		now += g.tick
+		g.Step(now, []Event{Timer{Token: timerTick}})
+	}
+	if len(g.unserved) != 0 {
+		t.Errorf("%d waits kept", len(g.unserved))
+	}
+}
