Replace the process while it serves: shared port, a socket between the two, clients led over

At fault: net.Listen in cmd/junctionwharf/serve.go without SO_REUSEPORT, and in internal/peer. Also at fault: room for node connections that came free while idle ones stood did not wake who waited (slot in internal/pool).

--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -52,6 +52,8 @@
 	}
 	// Retuned brings new settings, which were checked. Requests under way keep their class.
 	Retuned struct{ Settings logic.Settings }
+	// Shared tells that so many processes are this broker together, as while one replaces another.
+	Shared struct{ Processes int }
 	// Ending tells that the process ends: what is owed is to be answered now.
 	Ending struct{}
 )
@@ -71,6 +73,7 @@
 func (Listed) event()  {}
 func (Heard) event()   {}
 func (Retuned) event() {}
+func (Shared) event()  {}
 func (Ending) event()  {}
 
 // Effect is something that the reducer wants done.
@@ -236,6 +239,8 @@
 		s.tell(logic.PeerMessage{From: e.From, Data: e.Data})
 	case Retuned:
 		s.tell(logic.Retuned{Settings: e.Settings})
+	case Shared:
+		s.tell(logic.Shared{Processes: e.Processes})
 	case Ending:
 		s.endAll()
 	}
--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -23,6 +23,7 @@
 	"junctionwharf/internal/pool"
 	"junctionwharf/internal/resp"
 	"junctionwharf/internal/sftp"
+	"junctionwharf/internal/succession"
 	"junctionwharf/logic"
 )
 
@@ -54,7 +55,6 @@
 // configuration again.
 func serve(ctx context.Context, c *config.Config, reload <-chan os.Signal, load func() (*config.Config, error)) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
-	debug.SetMemoryLimit(int64(memoryPart * c.Limits.MemoryMB * (1 << 20)))
 	debug.SetGCPercent(gcPercent)
 	logger := log.New(os.Stderr, c.Name+" ", log.LstdFlags|log.Lmicroseconds)
 	say := func(text string) { logger.Print(text) }
@@ -64,9 +64,10 @@
 		return err
 	}
 	clock := broker.NewClock()
-	forNodes := min(nodeSockets, c.Limits.Sockets/nodePart)
-	nodes := pool.New(pool.Options{ConnectTimeout: c.Settings.ConnectTimeout.Duration(),
-		Idle: c.Settings.ConnIdle.Duration(), Settle: settle, Sockets: forNodes, Log: say})
+	size := sizesOf(c, 1)
+	options := pool.Options{ConnectTimeout: c.Settings.ConnectTimeout.Duration(),
+		Idle: c.Settings.ConnIdle.Duration(), Settle: settle, Sockets: size.nodes, Log: say}
+	nodes := pool.New(options)
 	outside := broker.Outside{Log: say}
 	var link *peer.Link
 	if c.PeerListen != "" && c.Settings.Logic.Bounds.Peers {
@@ -76,36 +77,25 @@
 		defer link.Close()
 		outside.Tell = link.Tell
 	}
-	loop := broker.NewLoop(state, clock, resp.NewNodes(nodes, int(answerMemory*c.Limits.MemoryMB*(1<<20))), outside)
-	if c.Known != nil {
-		loop.Post(c.Known.Event(logic.ListCached, clock))
-	}
-	files := c.Site.SFTP
-	forFiles := 0
-	if files.Listen != "" {
-		forFiles = files.Connections + forNodes
-	}
-	front := resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), c.Limits.Sockets-spareSockets-forNodes-forFiles, c.Limits.Sockets/easyPart,
-		int(clientMemory*c.Limits.MemoryMB*(1<<20)), say)
-	fronts := []drainer{front}
-	parts := &service{loop: loop, pools: []*pool.Pool{nodes}, front: front, say: say}
-	parts.classes.Store(&c.Settings.Logic.Classes)
-	ln, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	respNodes := resp.NewNodes(nodes, size.answers)
+	loop := broker.NewLoop(state, clock, respNodes, outside)
+	s := &service{config: c, say: say, loop: loop, watcher: discovery.NewWatcher(c.Discovery, say), respNodes: respNodes, pools: []*pool.Pool{nodes},
+		front: resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), size.clients, size.easy, size.requests, say)}
+	s.fronts = []drainer{s.front}
+	s.classes.Store(&c.Settings.Logic.Classes)
+	s.resize(1)
+	if c.Site.SFTP.Listen != "" {
+		options.Greet = sftp.Greet
+		filePool := pool.New(options)
+		s.files = sftp.NewFront(loop, sftp.NewNodes(filePool, c.Site.SFTP.NodePort), c.Site.SFTP.Plan(), c.Site.SFTP.Connections, say)
+		s.fronts, s.pools = append(s.fronts, s.files), append(s.pools, filePool)
 	}
 
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	go loop.Run(running)
-	var taking atomic.Bool
 	if c.Console != "" {
-		door, err := console.Open(c.Console, console.Calls{Check: func() error {
-			if !taking.Load() {
-				return errors.New("no clients are taken")
-			}
-			return nil
-		}, Vars: func() []byte { return metrics.Statsd(loop.Figures.Read()) }}, say)
+		door, err := console.Open(c.Console, console.Calls{Check: s.check,
+			Vars: func() []byte { return metrics.Statsd(loop.Figures.Read()) }}, say)
 		if err != nil {
 			return err
 		}
@@ -113,41 +103,47 @@
 		go door.Serve()
 		say("serving: operators on " + c.Console)
 	}
-	watcher := discovery.NewWatcher(c.Discovery, say)
-	parts.watcher = watcher
-	go watcher.Run(running, clock, loop.Post)
+	s.join()
+	defer s.part()
+	if known := s.known(); known != nil {
+		loop.Post(known.Event(logic.ListCached, clock))
+	}
+	go loop.Run(running)
+	go s.watcher.Run(running, clock, loop.Post)
 	if link != nil {
-		go link.Run(loop.Post)
+		go link.Run(s.hear)
+	}
+	for _, p := range s.pools {
+		go retire(running, p)
 	}
-	go retire(running, nodes)
 	served := make(chan error, 2)
-	if files.Listen != "" {
-		filePool := pool.New(pool.Options{ConnectTimeout: c.Settings.ConnectTimeout.Duration(),
-			Idle: c.Settings.ConnIdle.Duration(), Settle: settle, Sockets: forNodes, Greet: sftp.Greet, Log: say})
-		fileFront := sftp.NewFront(loop, sftp.NewNodes(filePool, files.NodePort), files.Plan(), files.Connections, say)
-		fileLn, err := net.Listen("tcp", files.Listen)
+	ln, err := succession.Listen(c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s.listeners = append(s.listeners, ln)
+	if s.files != nil {
+		fileLn, err := succession.Listen(c.Site.SFTP.Listen)
 		if err != nil {
 			return fmt.Errorf("sftp.listen: %w", err)
 		}
-		go retire(running, filePool)
-		go func() { served <- fileFront.Serve(fileLn) }()
-		fronts = append(fronts, fileFront)
-		parts.files, parts.pools = fileFront, append(parts.pools, filePool)
-		say("serving: file commands on " + files.Listen)
+		s.listeners = append(s.listeners, fileLn)
+		go func() { served <- s.files.Serve(fileLn) }()
+		say("serving: file commands on " + c.Site.SFTP.Listen)
 	}
-	push(running, c, loop, fronts, say)
-	go func() { served <- front.Serve(ln) }()
+	push(running, c, loop, s.fronts, say)
+	go func() { served <- s.front.Serve(ln) }()
 	go func() {
 		for current := c; ; {
 			select {
 			case <-running.Done():
 				return
 			case <-reload:
-				current = parts.renew(current, load)
+				current = s.renew(current, load)
 			}
 		}
 	}()
-	taking.Store(true)
+	s.taking.Store(true)
 	say("serving: clients on " + c.Listen)
 
 	select {
@@ -155,21 +151,68 @@
 		return fmt.Errorf("clients: %w", err)
 	case <-ctx.Done():
 	}
-	say("stopping: SIGTERM")
-	finish(timesOf(*parts.classes.Load()), loop, fronts)
+	s.finish()
 	say("stopped")
 	return nil
 }
 
-// service is the parts of a running broker that follow new settings.
+// sizes is what a process may use.
+type sizes struct {
+	nodes, clients, easy    int // sockets
+	heap, requests, answers int // bytes
+}
+
+// sizesOf shares the limits out among so many processes of one broker.
+func sizesOf(c *config.Config, processes int) sizes {
+	sockets, memory := c.Limits.Sockets/processes, c.Limits.MemoryMB*(1<<20)/float64(processes)
+	s := sizes{nodes: min(nodeSockets, sockets/nodePart), easy: sockets / easyPart,
+		heap: int(memoryPart * memory), requests: int(clientMemory * memory), answers: int(answerMemory * memory)}
+	s.clients = sockets - spareSockets/processes - s.nodes
+	if files := c.Site.SFTP; files.Listen != "" {
+		s.clients -= files.Connections/processes + s.nodes
+	}
+	s.clients = max(1, s.clients)
+	return s
+}
+
+// resize has the parts keep to the limits as one of so many processes.
+func (s *service) resize(processes int) {
+	size := sizesOf(s.config, processes)
+	debug.SetMemoryLimit(int64(size.heap))
+	for _, p := range s.pools {
+		p.Resize(size.nodes)
+	}
+	s.front.Resize(size.clients, size.easy)
+	s.front.ResizeBudget(size.requests)
+	s.respNodes.Resize(size.answers)
+	if s.files != nil {
+		s.files.Resize(s.config.Site.SFTP.Connections/processes, s.config.Site.SFTP.Connections)
+	}
+}
+
+func (s *service) check() error {
+	if !s.taking.Load() {
+		return errors.New("no clients are taken")
+	}
+	return nil
+}
+
+// service is a running broker.
 type service struct {
-	loop    *broker.Loop
-	watcher *discovery.Watcher
-	pools   []*pool.Pool
-	front   *resp.Front
-	files   *sftp.Front // nil if off
-	say     func(string)
+	config    *config.Config // of the start
+	loop      *broker.Loop
+	watcher   *discovery.Watcher
+	respNodes *resp.Nodes
+	pools     []*pool.Pool
+	front     *resp.Front
+	files     *sftp.Front // nil if off
+	fronts    []drainer
+	listeners []net.Listener
+	say       func(string)
 
+	office  *succession.Office // nil if there can be no succession
+	handed  *discovery.List    // the list that the old process handed over
+	taking  atomic.Bool
 	classes atomic.Pointer[[]logic.Class] // as they are now
 }
 
@@ -228,28 +271,46 @@
 	return t
 }
 
-// finish hands clients over after SIGTERM and waits for the answers that are owed.
-func finish(t timetable, loop *broker.Loop, fronts []drainer) {
-	began := time.Now()
-	time.Sleep(t.drain)
-	for _, front := range fronts {
-		front.Drain()
+// finish hands clients over after SIGTERM and waits for the answers that are owed. With a successor there, clients have
+// somewhere to go at once: new connections are led to it, and the old ones end as soon as they wait for nothing.
+func (s *service) finish() {
+	t, began := timesOf(*s.classes.Load()), time.Now()
+	left := func() bool { return s.loop.Open() > 0 || clients(s.fronts) > 0 }
+	if s.office != nil && s.office.Succeeded() {
+		s.say("stopping: SIGTERM, a successor takes over")
+		s.leadAway()
+		s.drain()
+		for left() && time.Since(began) < t.shut {
+			time.Sleep(lastCheck)
+		}
+	} else {
+		s.say("stopping: SIGTERM")
+		time.Sleep(t.drain)
+		s.drain()
+		time.Sleep(t.shut - time.Since(began))
 	}
-	time.Sleep(t.shut - time.Since(began))
-	for _, front := range fronts {
+	s.taking.Store(false)
+	for _, front := range s.fronts {
 		front.Close()
 	}
-	for told := false; time.Since(began) < t.end && (loop.Open() > 0 || clients(fronts) > 0); time.Sleep(lastCheck) {
+	for told := false; left() && time.Since(began) < t.end; time.Sleep(lastCheck) {
 		if !told && time.Since(began) >= t.answer {
 			told = true
-			loop.Post(broker.Ending{})
+			s.loop.Post(broker.Ending{})
 		}
 	}
 }
 
+func (s *service) drain() {
+	for _, front := range s.fronts {
+		front.Drain()
+	}
+}
+
 // drainer is a front that can hand its clients over.
 type drainer interface {
 	Drain()
+	Shut()
 	Close()
 	Clients() int
 }
--- a/cmd/junctionwharf/serve_test.go
+++ b/cmd/junctionwharf/serve_test.go
@@ -61,6 +61,7 @@
 
 // TestServe starts the whole program, stops it with a request under way, and wants that request's answer.
 func TestServe(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
 	node, taken, release := listen(t), make(chan string, 1), make(chan struct{})
 	go func() {
 		conn, err := node.Accept()
@@ -149,6 +150,7 @@
 
 // SIGHUP must neither end the program nor a connection of either front: it moves discovery.
 func TestReload(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
 	var services [2]string
 	for i := range services {
 		node := listen(t)
@@ -240,6 +242,122 @@
 	}
 }
 
+// A second process takes over while the first still answers: no id is open at both, new connections reach the second,
+// and what the first had taken is answered.
+func TestReplace(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	node, held, release := listen(t), make(chan struct{}), make(chan struct{})
+	go func() {
+		for {
+			conn, err := node.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				for in := redcon.NewReader(conn); ; {
+					cmd, err := in.ReadCommand()
+					if err != nil {
+						return
+					}
+					if string(cmd.Args[2]) == "hold" {
+						close(held)
+						<-release
+					}
+					fmt.Fprintf(conn, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(cmd.Args[2]), cmd.Args[2])
+				}
+			}()
+		}
+	}()
+	list := fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"block":0,"health":"SERVING","share":1}]}`, node.Addr())
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("index") != "" {
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(w, list)
+	}))
+	defer service.CloseClientConnections()
+	address, files := free(t), free(t)
+	start := func() (door string, stop func(), ended chan error) {
+		door = free(t)
+		text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"console":%q,"settings":%s}`, address, service.Listener.Addr(), door, settingsText)
+		c, err := config.Parse([]byte(text), func(string) string { return "" })
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Site.SFTP.Listen, c.Site.SFTP.Connections = files, 4
+		ctx, stop := context.WithCancel(context.Background())
+		ended = make(chan error, 1)
+		go func() { ended <- serve(ctx, c, nil, nil) }()
+		return door, stop, ended
+	}
+	check := func(door string) string {
+		conn := dial(t, door)
+		io.WriteString(conn, "check\n")
+		got, _ := io.ReadAll(conn)
+		return string(got)
+	}
+	ask := func(conn net.Conn, id string) string {
+		list := "c=read,t=plan,d=6000,volume=00000003b4d60021,units=2,shard=0,hosts=1"
+		fmt.Fprintf(conn, "*4\r\n$8\r\nBLK.READ\r\n$16\r\n7f3a9c21e0b4d655\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", len(id), id, len(list), list)
+		in := bufio.NewReader(conn)
+		line, err := in.ReadString('\n')
+		if err == nil && line[0] == '$' {
+			line, err = in.ReadString('\n')
+		}
+		if err != nil {
+			t.Error(err)
+		}
+		return strings.TrimSpace(line)
+	}
+	door, stopOld, oldEnded := start()
+	for check(door) != "SUCCESS\n" {
+		time.Sleep(time.Millisecond)
+	}
+	holder := dial(t, address)
+	answer := make(chan string)
+	go func() { answer <- ask(holder, "hold") }()
+	<-held
+	door, stopNew, newEnded := start()
+	for check(door) != "SUCCESS\n" {
+		time.Sleep(time.Millisecond)
+	}
+	for i := range 8 { // they reach either process
+		if got := ask(dial(t, address), "hold"); !strings.HasPrefix(got, "-ERR") {
+			t.Errorf("an id that is open: %q", got)
+		}
+		if id := fmt.Sprint("r", i); ask(dial(t, address), id) != id {
+			t.Errorf("%s was not served", id)
+		}
+	}
+	stopOld()
+	for i := range 8 {
+		if id := fmt.Sprint("s", i); ask(dial(t, address), id) != id {
+			t.Errorf("%s was not served", id)
+		}
+	}
+	close(release)
+	if got := <-answer; got != "hold" {
+		t.Errorf("what the first had taken: %q", got)
+	}
+	if err := <-oldEnded; err != nil {
+		t.Error(err)
+	}
+	if got := ask(dial(t, address), "last"); got != "last" {
+		t.Errorf("after the first is gone: %q", got)
+	}
+	file := dial(t, files)
+	io.WriteString(file, "\x00\x00\x00\x05\x01\x00\x00\x00\x03")
+	if _, err := io.ReadFull(file, make([]byte, 9)); err != nil {
+		t.Errorf("the file front: %v", err)
+	}
+	stopNew()
+	if err := <-newEnded; err != nil {
+		t.Error(err)
+	}
+}
+
 // A faulty configuration changes nothing; one that is sound but for keys of the start says so.
 func TestRenew(t *testing.T) {
 	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":%s}`, settingsText)
--- /dev/null
+++ b/cmd/junctionwharf/succeed.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"os"
+	"time"
+
+	"junctionwharf/broker"
+	"junctionwharf/internal/discovery"
+	"junctionwharf/internal/succession"
+)
+
+// join meets the process that this one replaces, if there is one, and waits for a successor from then on. Without a
+// place to meet, the broker serves all the same: its clients count for more than a smooth replacing.
+func (s *service) join() {
+	path := succession.Path(os.TempDir(), s.config.Listen)
+	office, met, err := succession.Open(path, succession.Side{Meet: s.meet, Take: s.take, Part: s.parted})
+	if err != nil {
+		s.say("succession: off: " + err.Error())
+		return
+	}
+	s.office = office
+	s.front.Share(func(id string, opened bool) {
+		if opened {
+			office.Tell(succession.News{Opened: []string{id}})
+		} else {
+			office.Tell(succession.News{Ended: []string{id}})
+		}
+	})
+	if met {
+		s.say("succession: replacing the process that serves now")
+	}
+}
+
+func (s *service) part() {
+	if s.office != nil {
+		s.office.Close()
+	}
+}
+
+// meet shares the limits and the rules with the other process.
+func (s *service) meet() succession.News {
+	s.resize(2)
+	s.loop.Post(broker.Shared{Processes: 2})
+	return succession.News{List: s.watcher.Held(), Opened: s.front.Open()}
+}
+
+// take takes what the other process tells.
+func (s *service) take(news succession.News) {
+	if news.List != nil {
+		s.handed = news.List
+	}
+	s.front.Hear(news.Opened, news.Ended)
+	if news.Heard != nil {
+		s.loop.Post(broker.Heard{From: news.From, Data: news.Heard})
+	}
+}
+
+// parted follows the end of the other process: all is this one's again.
+func (s *service) parted() {
+	s.front.Part()
+	s.resize(1)
+	s.loop.Post(broker.Shared{Processes: 1})
+	s.say("succession: the other process is gone")
+}
+
+// known is the newest list that is held at the start.
+func (s *service) known() *discovery.List {
+	list := s.config.Known
+	if s.handed != nil && (list == nil || s.handed.Seq >= list.Seq) {
+		s.watcher.Start(s.handed)
+		list = s.handed
+	}
+	return list
+}
+
+// hear takes a peer's message. While two processes share the address each is sent to one of them.
+func (s *service) hear(e broker.Heard) {
+	s.loop.Post(e)
+	if s.office != nil {
+		s.office.Tell(succession.News{From: e.From, Heard: e.Data})
+	}
+}
+
+// leadTime is how long the successor's listener has had all new connections before the old one closes.
+const leadTime = 20 * time.Millisecond
+
+// leadAway has new connections go to the successor and takes those that wait in the listeners' queues.
+func (s *service) leadAway() {
+	for _, ln := range s.listeners {
+		if err := succession.LeadAway(ln); err != nil {
+			s.say("succession: " + err.Error())
+		}
+	}
+	time.Sleep(leadTime)
+	for _, front := range s.fronts {
+		front.Shut()
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"junctionwharf/broker"
@@ -93,6 +95,9 @@
 	log     func(string)
 	held    uint64    // version of the list posted last
 	heldAt  time.Time // when it was last confirmed
+
+	mu    sync.Mutex
+	whole List // what the lists so far come to
 }
 
 // NewWatcher returns a watcher of the service at address. log gets a line when the service falls
@@ -103,6 +108,40 @@
 	return &Watcher{address: address, moves: make(chan string, 1), client: &http.Client{Transport: transport}, log: log}
 }
 
+// Start has the watch go on from a list that was held before. It comes before Run.
+func (w *Watcher) Start(list *List) {
+	w.held, w.heldAt = list.Seq, time.Now()
+	w.add(list)
+}
+
+// Held returns the whole list as it is now, nil before there is one.
+func (w *Watcher) Held() *List {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.whole.Whole {
+		return nil
+	}
+	held := w.whole
+	held.Hosts = slices.Clone(held.Hosts)
+	return &held
+}
+
+// add brings the whole list up to date.
+func (w *Watcher) add(news *List) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if news.Whole {
+		w.whole.Hosts, w.whole.Whole = nil, true
+	}
+	w.whole.Seq = news.Seq
+	for _, h := range news.Hosts {
+		w.whole.Hosts = slices.DeleteFunc(w.whole.Hosts, func(old Host) bool { return old.Host == h.Host })
+		if h.State != logic.Gone {
+			w.whole.Hosts = append(w.whole.Hosts, h)
+		}
+	}
+}
+
 // Move has the watch go on at another address, at once. It is for one caller at a time.
 func (w *Watcher) Move(address string) {
 	select {
@@ -170,6 +209,7 @@
 			w.log("discovery: back")
 		}
 		silent, whole, seq = false, false, list.Seq
+		w.add(list)
 		if list.Whole {
 			post(list.Event(logic.ListFull, clock))
 		} else if len(list.Hosts) > 0 {
--- a/internal/front/budget.go
+++ b/internal/front/budget.go
@@ -34,6 +34,14 @@
 	b.held += n
 }
 
+// Resize changes the budget.
+func (b *Budget) Resize(most int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.most = most
+	b.free.Broadcast()
+}
+
 // Give gives n bytes back.
 func (b *Budget) Give(n int) {
 	b.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,10 +3,14 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"junctionwharf/internal/room"
 )
 
 // Guest is one connection of a front.
@@ -27,13 +31,14 @@
 	acceptPause = 10 * time.Millisecond
 	roomPause   = 50 * time.Millisecond
 	timeToAsk   = 200 * time.Millisecond
+	queueTime   = 50 * time.Millisecond // without a new connection, after which none is on its way
 )
 
 // Hall is the set of a front's connections.
 type Hall struct {
 	log    func(string)
-	room   chan struct{} // one for each connection
-	easy   int           // connections up to which idle ones may stay
+	room   *room.Room // a place for each connection
+	easy   int        // connections up to which idle ones may stay
 	mu     sync.Mutex
 	guests map[Guest]struct{}
 	ln     net.Listener
@@ -52,7 +57,7 @@
 // room for fewer connections than the hall and keep those they do not use. log gets a line when the system refuses
 // a connection.
 func NewHall(most, easy int, log func(string)) *Hall {
-	return &Hall{log: log, easy: easy, room: make(chan struct{}, most), guests: map[Guest]struct{}{}}
+	return &Hall{log: log, easy: easy, room: room.New(most), guests: map[Guest]struct{}{}}
 }
 
 // Accept accepts a connection when there is room for it. It guards against a full socket table: until there is
@@ -62,9 +67,7 @@
 	h.mu.Lock()
 	h.ln = ln
 	h.mu.Unlock()
-	select {
-	case h.room <- struct{}{}:
-	default:
+	if !h.room.TryTake() {
 		h.makeRoom()
 	}
 	for {
@@ -72,8 +75,12 @@
 		if err == nil {
 			return conn, nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) { // the queue is empty
+			ln.Close()
+			err = net.ErrClosed
+		}
 		if errors.Is(err, net.ErrClosed) {
-			<-h.room
+			h.room.Give()
 			return nil, err
 		}
 		h.log("accept: " + err.Error())
@@ -98,7 +105,7 @@
 	defer h.mu.Unlock()
 	if _, held := h.guests[g]; held {
 		delete(h.guests, g)
-		<-h.room
+		h.room.Give()
 	}
 }
 
@@ -108,10 +115,11 @@
 		h.mu.Lock()
 		h.endIdlest(0)
 		h.mu.Unlock()
-		select {
-		case h.room <- struct{}{}:
+		ctx, cancel := context.WithTimeout(context.Background(), roomPause)
+		err := h.room.Take(ctx)
+		cancel()
+		if err == nil {
 			return
-		case <-time.After(roomPause):
 		}
 	}
 }
@@ -119,7 +127,7 @@
 // endIdlest ends the connection that has been idle for longest, and for so long at least, first of those that have
 // not asked for anything: it guards the usual clients against a flood of silent ones. A new connection gets its time
 // to ask. The caller holds h.mu.
-func (h *Hall) endIdlest(least time.Duration) {
+func (h *Hall) endIdlest(least time.Duration) bool {
 	var idlest Guest
 	var oldest time.Time
 	mute, now := false, time.Now()
@@ -133,9 +141,11 @@
 			idlest, oldest, mute = g, since, silent
 		}
 	}
-	if idlest != nil {
-		idlest.End()
+	if idlest == nil {
+		return false
 	}
+	idlest.End()
+	return true
 }
 
 // Clients tells how many connections are open.
@@ -149,6 +159,26 @@
 // request crossed the end of its connection sends it once more on a new one.
 func (h *Hall) Drain() { h.proceed(draining) }
 
+// Shut takes no more connections but those that wait in the kernel's queue, which the end of the listener would reset.
+// Others must lead to another process by then. Without a deadline of its own a listener is closed at once.
+func (h *Hall) Shut() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if ln, ok := h.ln.(interface{ SetDeadline(time.Time) error }); ok {
+		ln.SetDeadline(time.Now().Add(queueTime))
+	} else if h.ln != nil {
+		h.ln.Close()
+	}
+}
+
+// Resize changes how many guests there may be, and how many before idle ones end. Those beyond leave as they end.
+func (h *Hall) Resize(most, easy int) {
+	h.room.Resize(most)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.easy = easy
+}
+
 // Close takes no more connections.
 func (h *Hall) Close() {
 	h.proceed(closed)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,6 +8,7 @@
 	"net/netip"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/succession"
 	"junctionwharf/logic"
 )
 
@@ -39,11 +40,8 @@
 		}
 		l.all = address
 	}
-	address, err := net.ResolveUDPAddr("udp", listen)
-	if err != nil {
-		return nil, fmt.Errorf("peer_listen: %w", err)
-	}
-	if l.conn, err = net.ListenUDP("udp", address); err != nil {
+	var err error
+	if l.conn, err = succession.ListenPacket(listen); err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
 	return l, nil
@@ -64,7 +62,7 @@
 }
 
 // Run posts what comes in until the link is closed. Datagrams from elsewhere or too long are dropped.
-func (l *Link) Run(post func(broker.Event)) {
+func (l *Link) Run(post func(broker.Heard)) {
 	buffer := make([]byte, maxDatagram+1)
 	for {
 		n, from, err := l.conn.ReadFromUDPAddrPort(buffer)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -27,7 +27,7 @@
 		t.Fatal(err)
 	}
 	heard, done := make(chan broker.Event, 8), make(chan struct{})
-	go func() { link.Run(func(e broker.Event) { heard <- e }); close(done) }()
+	go func() { link.Run(func(e broker.Heard) { heard <- e }); close(done) }()
 	read := func(c *net.UDPConn) string {
 		b := make([]byte, 512)
 		c.SetReadDeadline(time.Now().Add(5 * time.Second))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/room"
 )
 
 // Options bounds a pool.
@@ -37,7 +38,7 @@
 // Pool keeps connections by address.
 type Pool struct {
 	opt     Options
-	slots   chan struct{} // one for each connection
+	slots   *room.Room // a place for each connection
 	mu      sync.Mutex
 	connect time.Duration      // the options' times as they are now
 	most    time.Duration      // so long idle, a connection is not used again
@@ -53,7 +54,7 @@
 
 // New returns an empty pool.
 func New(opt Options) *Pool {
-	p := &Pool{opt: opt, slots: make(chan struct{}, opt.Sockets), idle: map[string][]*link{}}
+	p := &Pool{opt: opt, slots: room.New(opt.Sockets), idle: map[string][]*link{}}
 	p.Retune(opt.ConnectTimeout, opt.Idle)
 	return p
 }
@@ -65,6 +66,18 @@
 	p.connect, p.most = connect, time.Duration(retireAt*float64(idle))
 }
 
+// Resize changes how many connections there may be. Idle ones beyond that end.
+func (p *Pool) Resize(sockets int) {
+	p.slots.Resize(sockets)
+	for p.slots.Over() {
+		l := p.oldest()
+		if l == nil {
+			return
+		}
+		p.drop(l)
+	}
+}
+
 func (p *Pool) times() (connect, most time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -266,7 +279,7 @@
 		if l == nil {
 			break
 		}
-		if time.Since(l.used) < most && alive(l.Conn) {
+		if time.Since(l.used) < most && Silent(l.Conn) {
 			return l, nil
 		}
 		p.drop(l)
@@ -278,7 +291,7 @@
 	}
 	conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", address)
 	if err != nil {
-		<-p.slots
+		p.slots.Give()
 		return nil, err
 	}
 	l := &link{Conn: conn, in: bufio.NewReaderSize(conn, 4<<10), used: time.Now()}
@@ -296,21 +309,14 @@
 // slot waits for room for a connection; where all is taken, an idle one of any address gives way.
 func (p *Pool) slot(ctx context.Context) error {
 	for {
-		select {
-		case p.slots <- struct{}{}:
+		if p.slots.TryTake() {
 			return nil
-		default:
 		}
 		if l := p.oldest(); l != nil {
 			p.drop(l)
 			continue
 		}
-		select {
-		case p.slots <- struct{}{}:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+		return p.slots.Take(ctx)
 	}
 }
 
@@ -349,7 +355,7 @@
 func (p *Pool) put(address string, l *link) {
 	l.used = time.Now()
 	p.mu.Lock()
-	closed := p.closed
+	closed := p.closed || p.slots.Over() || p.slots.Wanted()
 	if !closed {
 		p.idle[address] = append(p.idle[address], l)
 	}
@@ -361,7 +367,7 @@
 
 func (p *Pool) drop(l *link) {
 	l.Close()
-	<-p.slots
+	p.slots.Give()
 }
 
 // CloseIdle closes the idle connections to an address.
@@ -383,7 +389,7 @@
 	p.mu.Lock()
 	for address, links := range p.idle {
 		links = slices.DeleteFunc(links, func(l *link) bool {
-			useless := now.Sub(l.used) >= most || !alive(l.Conn)
+			useless := now.Sub(l.used) >= most || !Silent(l.Conn)
 			if useless {
 				old = append(old, l)
 			}
@@ -413,18 +419,17 @@
 	}
 }
 
-// alive tells whether an idle connection is still open and silent.
-func alive(conn net.Conn) bool {
+// Silent tells whether a connection is open and nothing has come that was not read.
+func Silent(conn net.Conn) bool {
 	raw, err := conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
 	}
 	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) { // not Read, which would wait for a reader
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		open = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
 	})
 	return err == nil && open
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -108,7 +108,7 @@
 		<-results
 	}
 	io.WriteString(conns[1], "answer\n") // a second copy
-	for alive(p.idle[node.address][1].Conn) {
+	for Silent(p.idle[node.address][1].Conn) {
 		time.Sleep(time.Millisecond) // it is on its way through the kernel
 	}
 	p.opt.Settle = 0
@@ -133,8 +133,8 @@
 			p.Retire(time.Now())
 		}
 	}
-	if len(p.idle) != 0 || len(p.slots) != 0 {
-		t.Errorf("%d addresses, %d connections kept", len(p.idle), len(p.slots))
+	if len(p.idle) != 0 || p.slots.Taken() != 0 {
+		t.Errorf("%d addresses, %d connections kept", len(p.idle), p.slots.Taken())
 	}
 }
 
@@ -152,7 +152,7 @@
 	node.serve(conn)
 	<-results
 	conn.Close()
-	for len(p.idle[node.address]) > 0 && alive(p.idle[node.address][0].Conn) {
+	for len(p.idle[node.address]) > 0 && Silent(p.idle[node.address][0].Conn) {
 		time.Sleep(time.Millisecond) // the close is on its way through the kernel
 	}
 	_, results = start(p, node.address, echo)
@@ -174,8 +174,8 @@
 		t.Fatal("retired too early")
 	}
 	p.Retire(time.Now().Add(43 * time.Minute))
-	if len(p.idle) != 0 || len(p.slots) != 0 {
-		t.Errorf("%d addresses idle, %d slots taken", len(p.idle), len(p.slots))
+	if len(p.idle) != 0 || p.slots.Taken() != 0 {
+		t.Errorf("%d addresses idle, %d slots taken", len(p.idle), p.slots.Taken())
 	}
 	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("not closed: %v", err)
@@ -306,7 +306,7 @@
 	if r := <-results; r.Err == nil || r.Err.Progress != broker.WrittenWhole || <-lines != "nodes: panic: fault" {
 		t.Errorf("%+v", r)
 	}
-	if len(p.slots) != 0 {
+	if p.slots.Taken() != 0 {
 		t.Error("the connection is kept")
 	}
 }
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +17,7 @@
 
 	"junctionwharf/broker"
 	"junctionwharf/internal/front"
+	"junctionwharf/internal/pool"
 )
 
 const (
@@ -34,8 +37,10 @@
 
 	mu      sync.Mutex
 	open    map[string]struct{} // ids of requests that wait for their answer
-	faults  int                 // commands turned away since the last line about them
-	faultAt time.Time           // of that line
+	others  map[string]struct{} // and of those that wait at the broker's other process
+	tell    func(id string, opened bool)
+	faults  int       // commands turned away since the last line about them
+	faultAt time.Time // of that line
 }
 
 // NewFront returns a front that holds most connections, and bytes of requests and answers, at the most. Beyond easy
@@ -43,11 +48,43 @@
 func NewFront(loop *broker.Loop, terms Terms, most, easy, bytes int, log func(string)) *Front {
 	say := func(text string) { log("clients: " + text) }
 	f := &Front{Hall: front.NewHall(most, easy, say), loop: loop, log: say, budget: front.NewBudget(bytes),
-		open: map[string]struct{}{}}
+		open: map[string]struct{}{}, others: map[string]struct{}{}, tell: func(string, bool) {}}
 	f.Retune(terms)
 	return f
 }
 
+// Share has each id that opens or ends told to the broker's other process. It comes before Serve; tell does not block.
+func (f *Front) Share(tell func(id string, opened bool)) { f.tell = tell }
+
+// Open returns the ids of the requests that wait for their answer.
+func (f *Front) Open() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Keys(f.open))
+}
+
+// Hear takes what the other process tells of its requests.
+func (f *Front) Hear(opened, ended []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range opened {
+		f.others[id] = struct{}{}
+	}
+	for _, id := range ended {
+		delete(f.others, id)
+	}
+}
+
+// Part forgets the other process, which is gone.
+func (f *Front) Part() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.others)
+}
+
+// ResizeBudget changes how many bytes of requests and answers there may be.
+func (f *Front) ResizeBudget(bytes int) { f.budget.Resize(bytes) }
+
 // Retune changes what requests may ask for from now on.
 func (f *Front) Retune(terms Terms) { f.terms.Store(&terms) }
 
@@ -56,17 +93,22 @@
 func (f *Front) enter(id string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, open := f.open[id]; open {
+	_, here := f.open[id]
+	if _, there := f.others[id]; here || there {
 		return fmt.Errorf("%w: a request with this id is open", errForm)
 	}
 	f.open[id] = struct{}{}
+	f.tell(id, true)
 	return nil
 }
 
 func (f *Front) leave(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.open, id)
+	if _, open := f.open[id]; open {
+		delete(f.open, id)
+		f.tell(id, false)
+	}
 }
 
 // fault logs what was turned away, now and then.
@@ -366,7 +408,12 @@
 	c.mu.Lock()
 	idle, fresh := len(c.slots) == 0, c.fresh
 	c.mu.Unlock() // the hall asks its guests under its own lock
-	return idle && c.front.Dismisses(fresh)
+	return idle && c.quiet() && c.front.Dismisses(fresh)
+}
+
+// quiet guards a request that crosses the end of its connection: nothing of a command has come, as far as can be seen.
+func (c *client) quiet() bool {
+	return c.guard == nil || c.guard.resting.Load() && pool.Silent(c.guard.Conn)
 }
 
 // release gives back what the connection held.
--- a/internal/resp/guard.go
+++ b/internal/resp/guard.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"junctionwharf/internal/front"
@@ -33,6 +34,8 @@
 	args     int // bulk strings still to come
 	skip     int // bytes of a bulk string still to come
 	err      error
+
+	resting atomic.Bool // it waits for a command, and all before is taken
 }
 
 type guardState int
@@ -55,7 +58,11 @@
 		return 0, g.err
 	}
 	g.Conn.SetReadDeadline(g.limit(time.Now()))
+	g.resting.Store(g.state == atCommand)
 	n, err := g.Conn.Read(p)
+	if n > 0 {
+		g.resting.Store(false)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && g.state != atCommand {
 		err = errSlow
 	}
--- a/internal/resp/nodes.go
+++ b/internal/resp/nodes.go
@@ -22,6 +22,9 @@
 // the most.
 func NewNodes(p *pool.Pool, bytes int) *Nodes { return &Nodes{pool: p, budget: front.NewBudget(bytes)} }
 
+// Resize changes how many bytes large answers may hold.
+func (n *Nodes) Resize(bytes int) { n.budget.Resize(bytes) }
+
 // Start implements broker.Transport.
 func (n *Nodes) Start(a broker.Attempt, done func(broker.Result)) broker.Handle {
 	m, ok := a.Request.Message.(*message)
--- a/logic/api.go
+++ b/logic/api.go
@@ -197,10 +197,14 @@
 func (AnswerStarted) event() {}
 func (NodeList) event()      {}
 func (Retuned) event()       {}
+func (Shared) event()        {}
 
 // Retuned brings new settings, which passed Check. Hosts and Ordinal count only when a Gateway starts.
 type Retuned struct{ Settings Settings }
 
+// Shared tells that so many processes are this host together, as while one replaces another.
+type Shared struct{ Processes int }
+
 // ListKind says how a NodeList is to be read.
 type ListKind int
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,6 +44,7 @@
 // Gateway decides for one host. It is not safe for concurrent use.
 type Gateway struct {
 	set           Settings
+	processes     float64 // that are this host together: while one replaces another, 2
 	classes       map[string]*Class
 	plans         map[string]*Plan
 	rng           *rand.Rand
@@ -102,7 +103,7 @@
 	if err := set.Check(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	g := &Gateway{rng: rand.New(rand.NewPCG(seed, uint64(set.Ordinal))), requests: map[uint64]*request{},
+	g := &Gateway{processes: 1, rng: rand.New(rand.NewPCG(seed, uint64(set.Ordinal))), requests: map[uint64]*request{},
 		volumes: map[string]*volume{}, nodes: map[string]*node{}, shards: map[int]*shard{},
 		turns: map[string]*turn{}, byID: map[uint32]*volume{}, kept: map[uint32][]news{},
 		unserved: map[try]patience{}, logged: map[string]int{}}
@@ -186,6 +187,8 @@
 	case Retuned:
 		e.Settings.Hosts, e.Settings.Ordinal = g.set.Hosts, g.set.Ordinal // peers know this host by them
 		g.follow(e.Settings)
+	case Shared:
+		g.processes = float64(max(1, e.Processes))
 	}
 }
 
@@ -310,7 +313,8 @@
 	if v.plan.Limit <= 0 {
 		return math.Inf(1)
 	}
-	v.limit = min(v.limit+v.plan.Limit/v.hosts*(g.now-v.filled).Seconds(), v.plan.LimitBurst/v.hosts)
+	part := 1 / v.hosts / g.processes
+	v.limit = min(v.limit+v.plan.Limit*part*(g.now-v.filled).Seconds(), v.plan.LimitBurst*part)
 	v.filled = g.now
 	return v.limit
 }
@@ -481,7 +485,7 @@
 	}
 	multiple, span := max(2, rules.FallMultiple), rules.FallTime.Seconds()
 	own := g.shards[n.Shard].served * rules.ColdShare * multiple * span
-	part := max(g.set.ColdUnits/float64(g.set.Hosts), own) * (1 - 1/multiple) / 2
+	part := max(g.set.ColdUnits/float64(g.set.Hosts), own) * (1 - 1/multiple) / 2 / g.processes
 	if rules.ColdShare > 0 && rules.ColdTime > 0 {
 		warm := max(0, (age-rules.FallTime).Seconds()) / rules.ColdTime.Seconds()
 		part *= 1 + warm*(1-rules.ColdShare)/rules.ColdShare
@@ -1025,7 +1029,10 @@
 	}
 	if n.young && n.savedAt < n.bornAt-g.set.Rules.FallTime {
 		spread := g.rng.Float64() * (1 - 1/float64(g.set.Hosts)) // keeps first sends of many hosts apart
-		n.savings, n.savedAt = -spread*g.set.MeanUnits, g.now-g.set.Rules.FallTime
+		n.savings, n.savedAt = -spread*g.set.MeanUnits, g.now
+		if g.processes == 1 { // else the other process may have spent what was saved
+			n.savedAt -= g.set.Rules.FallTime
+		}
 	}
 	n.NodeInfo, n.state = info, info.State
 	if info.State != Ready {
