--- a/logic/logic.go
+++ b/logic/logic.go
@@ -105,7 +105,7 @@
 	}
 	g := &Gateway{processes: 1, rng: rand.New(rand.NewPCG(seed, uint64(set.Ordinal))),
 		requests: map[uint64]*request{},
-		volumes: map[string]*volume{}, nodes: map[string]*node{}, shards: map[int]*shard{},
+		volumes:  map[string]*volume{}, nodes: map[string]*node{}, shards: map[int]*shard{},
 		turns: map[string]*turn{}, byID: map[uint32]*volume{}, kept: map[uint32][]news{},
 		unserved: map[try]patience{}, logged: map[string]int{}}
 	g.follow(set)
