Pass long values on in pieces; an attempt ends with the first bytes of its value

At fault: readBulk in internal/resp/reply.go held values whole up to 1 MiB under a budget, and the attempt, with its place at the node, lasted until the last byte; writeTime of 5 s covered all answers of a batch. Tidy in internal/pool held an answer back for up to 100 ms while its figures were on the way.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -50,7 +50,7 @@
 // Final is the one final answer to a request.
 type Final struct {
 	Verdict Verdict
-	Value   any    // of Served, as the transport made it
+	Value   any    // of Served, as the transport made it; one that is an io.Closer is closed if no client takes it
 	After   Micros // of Refused: when to come again, 0 for no advice
 }
 
--- a/broker/loop.go
+++ b/broker/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -228,6 +229,8 @@
 		})
 	case CloseIdle:
 		l.transport.CloseIdle(e.Address)
+	case Drop:
+		drop(e.Value)
 	case Log:
 		l.outside.Log(e.Text)
 	}
@@ -244,9 +247,17 @@
 func (l *Loop) answer(e Answer) {
 	c, waits := l.clients[e.ID]
 	if !waits {
+		drop(e.Final.Value)
 		return
 	}
 	l.forget(e.ID)
 	l.Figures.ended(c.class, e.Final.Verdict)
 	c.reply(e.Final)
 }
+
+// drop closes a value that no client takes.
+func drop(value any) {
+	if v, ok := value.(io.Closer); ok {
+		v.Close()
+	}
+}
--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -111,6 +111,8 @@
 	Probe struct{ Node, Address string }
 	// CloseIdle asks to close idle connections.
 	CloseIdle struct{ Address string }
+	// Drop gives up a value that no client takes any more.
+	Drop struct{ Value any }
 	// Log is a line for the people on call.
 	Log struct{ Text string }
 )
@@ -122,6 +124,7 @@
 func (Tell) effect()      {}
 func (Probe) effect()     {}
 func (CloseIdle) effect() {}
+func (Drop) effect()      {}
 func (Log) effect()       {}
 
 // entry is a request from its arrival until it is answered and no attempt is out.
@@ -222,6 +225,8 @@
 	case Ended:
 		if r := s.entries[e.ID]; r != nil && r.out && r.attempts-1 == e.Attempt && !r.stopped {
 			s.end(e.ID, r, e.Result.outcome(), e.Result)
+		} else {
+			s.drop(e.Result.Value)
 		}
 	case Stopped:
 		if r := s.entries[e.ID]; r != nil && r.out && r.attempts-1 == e.Attempt {
@@ -326,6 +331,8 @@
 	r.out, r.stopped = false, false
 	if outcome == logic.Success && !r.answered {
 		s.answer(id, r, Final{Verdict: Served, Value: result.Value})
+	} else {
+		s.drop(result.Value)
 	}
 	s.tell(logic.AttemptEnded{ID: id, Attempt: r.attempts - 1, Node: r.node, Outcome: outcome,
 		Took: (s.now - r.sentAt).Duration(), Finished: r.answered, Used: result.Used, Elsewhere: result.Elsewhere,
@@ -333,6 +340,13 @@
 	s.forget(id, r)
 }
 
+// drop guards what a value holds, such as a node's connection, where nobody takes it.
+func (s *State) drop(value any) {
+	if value != nil {
+		s.do(Drop{Value: value})
+	}
+}
+
 func (s *State) answer(id uint64, r *entry, final Final) {
 	r.answered = true
 	s.do(Answer{ID: id, Final: final})
--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -30,7 +30,6 @@
 const (
 	memoryPart   = 0.6 // of the memory limit for Go's heap: the rest is for stacks, sockets and the runtime
 	clientMemory = 0.2 // of the limit for requests and answers that wait
-	answerMemory = 0.1 // of the limit for large answers that are being read
 	gcPercent    = 100 // the live heap is small: more would let it grow through the first hours of a small machine
 	spareSockets = 48  // for all that is neither a client nor a node
 	nodePart     = 4   // a quarter of the sockets goes to nodes
@@ -77,9 +76,8 @@
 		defer link.Close()
 		outside.Tell = link.Tell
 	}
-	respNodes := resp.NewNodes(nodes, size.answers)
-	loop := broker.NewLoop(state, clock, respNodes, outside)
-	s := &service{config: c, say: say, loop: loop, watcher: discovery.NewWatcher(c.Discovery, say), respNodes: respNodes, pools: []*pool.Pool{nodes},
+	loop := broker.NewLoop(state, clock, resp.NewNodes(nodes), outside)
+	s := &service{config: c, say: say, loop: loop, watcher: discovery.NewWatcher(c.Discovery, say), pools: []*pool.Pool{nodes},
 		front: resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), size.clients, size.easy, size.requests, say)}
 	s.fronts = []drainer{s.front}
 	s.classes.Store(&c.Settings.Logic.Classes)
@@ -158,15 +156,15 @@
 
 // sizes is what a process may use.
 type sizes struct {
-	nodes, clients, easy    int // sockets
-	heap, requests, answers int // bytes
+	nodes, clients, easy int // sockets
+	heap, requests       int // bytes
 }
 
 // sizesOf shares the limits out among so many processes of one broker.
 func sizesOf(c *config.Config, processes int) sizes {
 	sockets, memory := c.Limits.Sockets/processes, c.Limits.MemoryMB*(1<<20)/float64(processes)
 	s := sizes{nodes: min(nodeSockets, sockets/nodePart), easy: sockets / easyPart,
-		heap: int(memoryPart * memory), requests: int(clientMemory * memory), answers: int(answerMemory * memory)}
+		heap: int(memoryPart * memory), requests: int(clientMemory * memory)}
 	s.clients = sockets - spareSockets/processes - s.nodes
 	if files := c.Site.SFTP; files.Listen != "" {
 		s.clients -= files.Connections/processes + s.nodes
@@ -184,7 +182,6 @@
 	}
 	s.front.Resize(size.clients, size.easy)
 	s.front.ResizeBudget(size.requests)
-	s.respNodes.Resize(size.answers)
 	if s.files != nil {
 		s.files.Resize(s.config.Site.SFTP.Connections/processes, s.config.Site.SFTP.Connections)
 	}
@@ -202,7 +199,6 @@
 	config    *config.Config // of the start
 	loop      *broker.Loop
 	watcher   *discovery.Watcher
-	respNodes *resp.Nodes
 	pools     []*pool.Pool
 	front     *resp.Front
 	files     *sftp.Front // nil if off
--- a/internal/loopback/resp_test.go
+++ b/internal/loopback/resp_test.go
@@ -22,7 +22,7 @@
 func (respProtocol) name() string { return "resp" }
 
 func (respProtocol) transport(opt pool.Options) broker.Transport {
-	return resp.NewNodes(pool.New(opt), 1<<20)
+	return resp.NewNodes(pool.New(opt))
 }
 
 func (respProtocol) front(loop *broker.Loop, _ broker.Transport, log func(string)) front {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -88,7 +88,7 @@
 // is written whole, unless it is nil.
 func (p *Pool) Start(address string, x Exchange, most time.Duration, written func(), done func(broker.Result)) broker.Handle {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Session{began: time.Now(), written: written, done: done, cancel: cancel}
+	s := &Session{began: time.Now(), written: written, done: done, ctx: ctx, cancel: cancel}
 	go p.run(ctx, s, address, x, most)
 	return s
 }
@@ -100,6 +100,7 @@
 	began   time.Time
 	written func()
 	done    func(broker.Result)
+	ctx     context.Context
 	cancel  context.CancelFunc
 
 	writing sync.Mutex // held during a write
@@ -107,6 +108,7 @@
 	conn    net.Conn // nil before the exchange has it and after
 	at      broker.Progress
 	halted  bool
+	handed  bool // the result was given before the end
 	over    bool // stopped or done
 }
 
@@ -149,15 +151,47 @@
 	return err
 }
 
-// tidyTime is how long a node may take over what follows an answer.
-const tidyTime = 100 * time.Millisecond
+// Hand gives the result before the exchange is over: what follows belongs to whoever takes it. It tells whether the
+// result still counts. Stopped is closed if nobody takes it after all.
+func (s *Session) Hand(result broker.Result) bool {
+	s.mu.Lock()
+	counts := !s.over
+	s.handed = counts
+	s.mu.Unlock()
+	if counts {
+		s.done(result)
+	}
+	return counts
+}
+
+// Stopped is closed once the exchange was stopped.
+func (s *Session) Stopped() <-chan struct{} { return s.ctx.Done() }
+
+// Await has the next reads fail unless something comes within a time.
+func (s *Session) Await(most time.Duration) {
+	s.mu.Lock()
+	conn := s.conn
+	s.mu.Unlock()
+	if conn != nil {
+		conn.SetReadDeadline(time.Now().Add(most))
+	}
+}
+
+// How long a node may take over what follows an answer.
+const (
+	tidyTime = 100 * time.Millisecond // while the client waits
+	lateTime = 3 * time.Second        // where the result is given
+)
 
 // Tidy runs what follows the answer. If that fails, the answer stands and the connection is not used again.
 func (s *Session) Tidy(rest func() error) {
 	s.mu.Lock()
-	conn := s.conn
+	conn, most := s.conn, tidyTime
+	if s.handed {
+		most = lateTime
+	}
 	s.mu.Unlock()
-	conn.SetReadDeadline(time.Now().Add(tidyTime))
+	conn.SetReadDeadline(time.Now().Add(most))
 	if rest() == nil && conn.SetReadDeadline(time.Time{}) == nil {
 		return
 	}
@@ -224,9 +258,9 @@
 func (s *Session) settle() (counts, reuse bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	counts = !s.over
+	stopped := s.over
 	s.over, s.conn = true, nil
-	return counts, counts && !s.halted
+	return !stopped && !s.handed, !stopped && !s.halted
 }
 
 func (p *Pool) run(ctx context.Context, s *Session, address string, x Exchange, most time.Duration) {
@@ -248,9 +282,7 @@
 	case began && (err != nil || !reuse || l.in.Buffered() > 0): // bytes that nobody asked for belong to no later request
 		p.drop(l)
 	default: // never written to, or done with
-		if most > 0 {
-			l.SetDeadline(time.Time{})
-		}
+		l.SetDeadline(time.Time{})
 		p.put(address, l)
 	}
 	if err != nil {
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -22,7 +22,6 @@
 
 const (
 	maxPipeline = 64              // requests of one connection that wait for answers; beyond it nothing is read
-	writeTime   = 5 * time.Second // a client that reads nothing for so long is given up
 	lingerTime  = time.Second / 2 // between an error that ends a connection and its end, which slows down who repeats it
 	logEvery    = 10 * time.Second
 )
@@ -166,14 +165,15 @@
 	guard *guard
 	wake  chan struct{}
 
-	mu    sync.Mutex
-	slots []*slot
-	room  *sync.Cond
-	used  time.Time
-	asked bool // a request came
-	fresh bool // it came while others leave and has had no request
-	ended bool // nothing more is read; what is owed is still written unless gone
-	gone  bool
+	mu      sync.Mutex
+	slots   []*slot
+	room    *sync.Cond
+	used    time.Time
+	asked   bool // a request came
+	fresh   bool // it came while others leave and has had no request
+	writing bool // an answer is being written
+	ended   bool // nothing more is read; what is owed is still written unless gone
+	gone    bool
 
 	released bool // the writer has ended and given all slots back
 }
@@ -185,6 +185,7 @@
 	last  bool // the connection ends after it
 	size  int  // of the budget
 	text  net.Buffers
+	long  *stream // the value that follows text, nil for none
 }
 
 // Wake implements front.Guest.
@@ -199,7 +200,7 @@
 func (c *client) Idle() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used, len(c.slots) == 0
+	return c.used, len(c.slots) == 0 && !c.writing
 }
 
 // Asked implements front.Guest.
@@ -287,10 +288,13 @@
 		c.front.leave(s.name)
 		text := answer(final)
 		value, _ := final.Value.([]byte)
+		long, _ := final.Value.(*stream)
 		c.mu.Lock()
 		if !c.released {
 			c.front.budget.Add(len(value))
-			s.ready, s.text, s.size = true, text, s.size+len(value)
+			s.ready, s.text, s.long, s.size = true, text, long, s.size+len(value)
+		} else if long != nil {
+			long.Close()
 		}
 		c.mu.Unlock()
 		c.Wake()
@@ -355,21 +359,21 @@
 		socket = g.Conn
 	}
 	for range c.wake {
-		out, size, last, gone := c.ready()
-		if gone {
-			return
-		}
-		if len(out) > 0 {
-			socket.SetWriteDeadline(time.Now().Add(writeTime))
-			_, err := out.WriteTo(socket)
-			c.front.budget.Give(size)
-			if err != nil {
+		for {
+			next := c.next()
+			if next.gone {
+				return
+			}
+			if len(next.out) == 0 {
+				break
+			}
+			if !c.writeOut(socket, next) {
+				return
+			}
+			if next.last {
+				c.linger()
 				return
 			}
-		}
-		if last {
-			c.linger()
-			return
 		}
 		if c.dismissed() {
 			return
@@ -377,6 +381,23 @@
 	}
 }
 
+// writeOut writes answers and tells whether the connection is of further use.
+func (c *client) writeOut(socket net.Conn, next batch) bool {
+	err := writeAll(socket, next.out)
+	c.front.budget.Give(next.size)
+	if next.long != nil {
+		if err != nil {
+			next.long.Close()
+		} else {
+			err = next.long.passTo(socket)
+		}
+	}
+	c.mu.Lock()
+	c.writing = false
+	c.mu.Unlock()
+	return err == nil
+}
+
 // linger lets a client read why its connection ends, unless the room is wanted.
 func (c *client) linger() {
 	timer := time.NewTimer(lingerTime)
@@ -387,21 +408,31 @@
 	}
 }
 
-// ready takes the answers that are next in order.
-func (c *client) ready() (out net.Buffers, size int, last, gone bool) {
+// batch is answers that are next in order, up to a long value or the last.
+type batch struct {
+	out        net.Buffers
+	size       int // of the budget
+	long       *stream
+	last, gone bool
+}
+
+// next takes the answers that are next in order.
+func (c *client) next() (b batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.gone {
-		return nil, 0, false, true
+		return batch{gone: true}
 	}
-	for len(c.slots) > 0 && c.slots[0].ready && !last {
-		out = append(out, c.slots[0].text...)
-		size += c.slots[0].size
-		last = c.slots[0].last
+	for len(c.slots) > 0 && c.slots[0].ready && !b.last && b.long == nil {
+		s := c.slots[0]
+		b.out = append(b.out, s.text...)
+		b.size += s.size
+		b.last, b.long = s.last, s.long
 		c.slots = c.slots[1:]
 	}
+	c.writing = len(b.out) > 0
 	c.room.Signal()
-	return out, size, last, false
+	return b
 }
 
 func (c *client) dismissed() bool {
@@ -423,6 +454,9 @@
 	c.released = true
 	for _, s := range c.slots {
 		c.front.budget.Give(s.size)
+		if s.long != nil {
+			s.long.Close()
+		}
 	}
 	c.room.Signal()
 }
@@ -431,6 +465,10 @@
 func answer(final broker.Final) net.Buffers {
 	switch final.Verdict {
 	case broker.Served:
+		if long, ok := final.Value.(*stream); ok {
+			head := strconv.AppendInt([]byte{'$'}, int64(long.size), 10)
+			return net.Buffers{append(head, '\r', '\n')}
+		}
 		value, _ := final.Value.([]byte)
 		head := strconv.AppendInt([]byte{'$'}, int64(len(value)), 10)
 		return net.Buffers{append(head, '\r', '\n'), value, []byte("\r\n")}
--- a/internal/resp/nodes.go
+++ b/internal/resp/nodes.go
@@ -2,28 +2,21 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"net"
 	"time"
 
 	"junctionwharf/broker"
-	"junctionwharf/internal/front"
 	"junctionwharf/internal/pool"
 	"junctionwharf/logic"
 )
 
 // Nodes carries attempts to storage nodes, each alone on its connection.
-type Nodes struct {
-	pool   *pool.Pool
-	budget *front.Budget
-}
-
-// NewNodes returns a transport over connections from p. Large answers that are being read hold so many bytes at
-// the most.
-func NewNodes(p *pool.Pool, bytes int) *Nodes { return &Nodes{pool: p, budget: front.NewBudget(bytes)} }
+type Nodes struct{ pool *pool.Pool }
 
-// Resize changes how many bytes large answers may hold.
-func (n *Nodes) Resize(bytes int) { n.budget.Resize(bytes) }
+// NewNodes returns a transport over connections from p.
+func NewNodes(p *pool.Pool) *Nodes { return &Nodes{pool: p} }
 
 // Start implements broker.Transport.
 func (n *Nodes) Start(a broker.Attempt, done func(broker.Result)) broker.Handle {
@@ -36,14 +29,35 @@
 		if err := s.Send(command, pool.Size(command)); err != nil {
 			return broker.Result{}, err
 		}
-		result, parts, err := readReply(s.In, n.budget)
-		if err == nil && parts > 0 {
-			s.Tidy(func() error { return readRest(s.In, parts, &result) })
+		result, left, err := readReply(s.In)
+		if err == nil && left.long > 0 {
+			err = pass(s, left.long, result)
+		}
+		if err == nil && left.parts > 0 {
+			finish(s, left, &result)
 		}
 		return result, err
 	}, 0, a.Written, done)
 }
 
+// finish reads what follows a value. The client does not wait for it where it has yet to come.
+func finish(s *pool.Session, left rest, result *broker.Result) {
+	if at, _ := s.In.Peek(s.In.Buffered()); left.long == 0 && !bytes.HasSuffix(at, []byte("\r\n")) {
+		s.Hand(*result)
+	}
+	s.Tidy(func() error { return readRest(s.In, left.parts, result) })
+}
+
+// pass hands a long value to whoever waits for it and returns when that has taken it whole.
+func pass(s *pool.Session, size int, result broker.Result) error {
+	value := newStream(size, s.In, s.Await)
+	result.Value = value
+	if !s.Hand(result) {
+		return errDropped
+	}
+	return value.wait(s.Stopped())
+}
+
 // Probe implements broker.Transport.
 func (n *Nodes) Probe(address string, done func(broker.Result)) {
 	n.pool.Start(address, func(s *pool.Session) (broker.Result, error) {
@@ -59,11 +73,11 @@
 // readProbe reads a load report, which comes as a bulk string.
 func readProbe(r *bufio.Reader) (broker.Result, error) {
 	if next, err := r.Peek(1); err != nil || next[0] != '$' {
-		result, _, err := readReply(r, nil)
+		result, _, err := readReply(r)
 		return result, err
 	}
 	result := broker.Result{Load: logic.NoLoad}
-	text, err := readBulk(r, maxLine, nil)
+	text, err := readBulk(r, maxLine)
 	readFigures(text, &result)
 	return result, err
 }
--- a/internal/resp/reply.go
+++ b/internal/resp/reply.go
@@ -11,14 +11,12 @@
 	"time"
 
 	"junctionwharf/broker"
-	"junctionwharf/internal/front"
 	"junctionwharf/logic"
 )
 
 const (
 	maxLine     = 512 // bytes of a line of a reply
 	maxElements = 8
-	maxAnswer   = 1 << 20 // bytes of a value: nodes give more than a request may hold
 )
 
 var errReply = errors.New("malformed reply")
@@ -38,24 +36,24 @@
 	return line[:len(line)-2], nil
 }
 
-// readBulk reads a bulk string of most bytes at the most: nil if it is null. One larger than a request's value
-// waits for room of the budget.
-func readBulk(r *bufio.Reader, most int, budget *front.Budget) ([]byte, error) {
+// readLength reads the head of a bulk string of most bytes at the most: -1 if it is null.
+func readLength(r *bufio.Reader, most int) (int, error) {
 	line, err := readLine(r)
 	if err != nil {
-		return nil, err
+		return 0, err
 	}
 	n, err := strconv.Atoi(string(line[1:]))
 	if line[0] != '$' || err != nil || n < -1 || n > most {
-		return nil, fmt.Errorf("%w: %.20q is no bulk string", errReply, line)
+		return 0, fmt.Errorf("%w: %.20q is no bulk string", errReply, line)
 	}
+	return n, nil
+}
+
+// readBytes reads a bulk string of n bytes behind its head: nil if it is null.
+func readBytes(r *bufio.Reader, n int) ([]byte, error) {
 	if n == -1 {
 		return nil, nil
 	}
-	if n > maxValue {
-		budget.Take(n)
-		defer budget.Give(n)
-	}
 	text := make([]byte, n+2)
 	if _, err := io.ReadFull(r, text); err != nil {
 		return nil, err
@@ -66,13 +64,27 @@
 	return text[:n:n], nil
 }
 
-// readReply reads a node's answer to a command up to its value, and tells how many parts stand behind that. An
-// error means that the connection is of no more use.
-func readReply(r *bufio.Reader, budget *front.Budget) (result broker.Result, parts int, err error) {
+func readBulk(r *bufio.Reader, most int) ([]byte, error) {
+	n, err := readLength(r, most)
+	if err != nil {
+		return nil, err
+	}
+	return readBytes(r, n)
+}
+
+// rest is what of an answer is still to come.
+type rest struct {
+	long  int // bytes of a value that is too long to be held, 0 if it was read
+	parts int // behind the value
+}
+
+// readReply reads a node's answer to a command up to its value, or up to the head of a long one, and tells what
+// stands behind that. An error means that the connection is of no more use.
+func readReply(r *bufio.Reader) (result broker.Result, left rest, err error) {
 	result = broker.Result{Load: logic.NoLoad}
 	line, err := readLine(r)
 	if err != nil {
-		return result, 0, err
+		return result, left, err
 	}
 	switch line[0] {
 	case '-':
@@ -84,30 +96,39 @@
 		for _, word := range words {
 			readFigures(word, &result)
 		}
-		return result, 0, nil
+		return result, left, nil
 	case '*':
 	default:
-		return result, 0, fmt.Errorf("%w: %.20q is no array", errReply, line)
+		return result, left, fmt.Errorf("%w: %.20q is no array", errReply, line)
 	}
 	n, err := strconv.Atoi(string(line[1:]))
 	if err != nil || n < 1 || n > maxElements {
-		return result, 0, fmt.Errorf("%w: %.20q is no array of 1 to %d", errReply, line, maxElements)
+		return result, left, fmt.Errorf("%w: %.20q is no array of 1 to %d", errReply, line, maxElements)
+	}
+	left.parts = n - 1
+	size, err := readLength(r, maxAnswer)
+	if err != nil {
+		return result, left, err
+	}
+	if size > maxValue {
+		left.long = size
+		return result, left, nil
 	}
-	value, err := readBulk(r, maxAnswer, budget)
+	value, err := readBytes(r, size)
 	if err != nil {
-		return result, 0, err
+		return result, left, err
 	}
 	if result.Value = value; value == nil {
-		result.Reply = broker.Errored // a null value serves nothing
+		result.Value, result.Reply = nil, broker.Errored // a null value serves nothing
 	}
-	return result, n - 1, nil
+	return result, left, nil
 }
 
 // readRest reads so many parts behind the value: the figures on use and the load report. They may be spoilt where
 // the value is good, so an error spoils the connection only.
 func readRest(r *bufio.Reader, parts int, result *broker.Result) error {
 	for range parts {
-		part, err := readBulk(r, maxLine, nil)
+		part, err := readBulk(r, maxLine)
 		if err != nil {
 			return err
 		}
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -16,7 +16,6 @@
 	"github.com/tidwall/redcon"
 
 	"junctionwharf/broker"
-	"junctionwharf/internal/front"
 	"junctionwharf/logic"
 )
 
@@ -202,18 +201,28 @@
 	{"*99\r\n", 0, "", 0, 0, 0, false},
 	{"$2\r\nhi\r\n", 0, "", 0, 0, 0, false},
 	{"*1\r\n$258436\r\n" + strings.Repeat("x", 258436) + "\r\n", broker.Done, strings.Repeat("x", 258436), 0, 0, -1, true},
-	{"*1\r\n$1048577\r\n", 0, "", 0, 0, 0, false},
+	{"*1\r\n$4194305\r\n" + strings.Repeat("x", 4194305) + "\r\n", 0, "", 0, 0, 0, false},
 	{"*1\r\n$3000000000\r\n", 0, "", 0, 0, 0, false},
 	{"*1\r\n$2\r\nhi!!", 0, "", 0, 0, 0, false},
 	{"-" + strings.Repeat("x", 5000) + "\r\n", 0, "", 0, 0, 0, false},
 }
 
-var testBudget = front.NewBudget(1)
-
+// wholeReply reads an answer to its end, a long value through a client's connection.
 func wholeReply(in *bufio.Reader) (broker.Result, error) {
-	r, parts, err := readReply(in, testBudget)
+	r, left, err := readReply(in)
+	if err == nil && left.long > 0 {
+		near, far := net.Pipe()
+		got := make(chan []byte)
+		go func() {
+			all, _ := io.ReadAll(far)
+			got <- all
+		}()
+		err = newStream(left.long, in, func(time.Duration) {}).passTo(near)
+		near.Close()
+		r.Value = bytes.TrimSuffix(<-got, []byte("\r\n"))
+	}
 	if err == nil {
-		err = readRest(in, parts, &r)
+		err = readRest(in, left.parts, &r)
 	}
 	return r, err
 }
