Let crowds give way before clients with requests, and slow writers last

Probes: counting requests and connections after SIGTERM showed that clients go on with connections they hold (up to 17 requests on one), until a crowd of connections that send PING and stay pushes these out: endIdlest in internal/front/front.go took a greeting for a request and half a command for silence, and scanned all guests for each newcomer.

After SIGTERM clients are now taken until 0.4 s before SIGKILL, 0.65 s before.

--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -31,20 +31,21 @@
 	memoryPart   = 0.6 // of the memory limit for Go's heap: the rest is for stacks, sockets and the runtime
 	clientMemory = 0.2 // of the limit for requests and answers that wait
 	gcPercent    = 100 // the live heap is small: more would let it grow through the first hours of a small machine
-	spareSockets = 48  // for all that is neither a client nor a node
+	spareSockets = 40  // for all that is neither a client nor a node
 	nodePart     = 4   // a quarter of the sockets goes to nodes
-	easyPart     = 6   // beyond a sixth of the sockets idle clients end: they may hold a third, used or not
+	easyPart     = 4   // beyond a quarter of the sockets idle clients end: they may hold a third, used or not
 	nodeSockets  = 256 // and no more than this
 
 	settle = 5 * time.Millisecond
 
-	// After SIGTERM clients go on with the connections they have, and have nowhere else to go; new ones come for
-	// 0.4 s at most. SIGKILL follows once the longest deadline (or longestWait) and killAfter have passed.
+	// After SIGTERM clients go on with the connections they have, and where each request comes on a new one, with new
+	// ones; they have nowhere else to go. SIGKILL follows once the longest deadline (or longestWait) and killAfter have
+	// passed, and the next start comes no sooner, however early this one ends.
 	handover    = 450 * time.Millisecond
 	longestWait = 3 * time.Second
 	killAfter   = 700 * time.Millisecond
-	wrapUp      = 650 * time.Millisecond // before SIGKILL: connections end
-	crossing    = 150 * time.Millisecond // for requests that crossed the end of their connection
+	wrapUp      = 400 * time.Millisecond // before SIGKILL: connections end
+	crossing    = 100 * time.Millisecond // for requests that crossed the end of their connection
 	lastAnswers = 250 * time.Millisecond // before SIGKILL: what is still owed is answered
 	reserve     = 100 * time.Millisecond // before SIGKILL: the program ends at the latest
 	lastCheck   = 20 * time.Millisecond
--- a/cmd/junctionwharf/serve_test.go
+++ b/cmd/junctionwharf/serve_test.go
@@ -413,9 +413,9 @@
 // Clients of a planned restart are served for as long as answers can still come before SIGKILL.
 func TestTimetable(t *testing.T) {
 	for longest, want := range map[time.Duration]timetable{
-		2500 * time.Millisecond: {2550 * time.Millisecond, 2700 * time.Millisecond, 2950 * time.Millisecond, 3100 * time.Millisecond},
-		9 * time.Second:         {3050 * time.Millisecond, 3200 * time.Millisecond, 3450 * time.Millisecond, 3600 * time.Millisecond},
-		100 * time.Millisecond:  {450 * time.Millisecond, 600 * time.Millisecond, 550 * time.Millisecond, 700 * time.Millisecond},
+		2500 * time.Millisecond: {2800 * time.Millisecond, 2900 * time.Millisecond, 2950 * time.Millisecond, 3100 * time.Millisecond},
+		9 * time.Second:         {3300 * time.Millisecond, 3400 * time.Millisecond, 3450 * time.Millisecond, 3600 * time.Millisecond},
+		100 * time.Millisecond:  {450 * time.Millisecond, 550 * time.Millisecond, 550 * time.Millisecond, 700 * time.Millisecond},
 	} {
 		if got := timesOf([]logic.Class{{Deadline: time.Millisecond}, {Deadline: longest}}); got != want {
 			t.Errorf("%v: %v, want %v", longest, got, want)
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	most        = 16              // connections at once; beyond it the one unfinished for longest gives way
+	most        = 8               // connections at once; beyond it the one unfinished for longest gives way
 	lineBytes   = 256             // of a call
 	lineTime    = 6 * time.Second // for a call to come whole
 	answerTime  = time.Second     // for its answer to be taken
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -15,12 +16,21 @@
 
 // Guest is one connection of a front.
 type Guest interface {
-	Wake()                              // has it look whether it should go on
-	Idle() (since time.Time, idle bool) // whether no answer is owed
-	Asked() bool                        // whether a request came that could be read
-	End()                               // closes the connection
+	Wake()        // has it look whether it should go on
+	Look() Status // tells what it does
+	End()         // closes the connection
 }
 
+// Status is what a guest does.
+type Status int
+
+// The statuses.
+const (
+	Busy    Status = iota // it waits for an answer, or takes one
+	Idle                  // it has sent nothing, or nothing since its last answer
+	HalfWay               // a part of a command has come
+)
+
 // What a client has time for. A bad one gets its error, or its end, within three seconds.
 const (
 	FirstTime   = 2500 * time.Millisecond // from connecting to the end of the first command
@@ -38,13 +48,24 @@
 type Hall struct {
 	log    func(string)
 	room   *room.Room // a place for each connection
-	easy   int        // connections up to which idle ones may stay
 	mu     sync.Mutex
-	guests map[Guest]struct{}
+	easy   int              // connections up to which idle ones may stay
+	places map[Guest]*place // of all guests
+	fresh  list.List        // those that have sent no command, in the order in which they came
+	polite list.List        // those that have sent none but greetings
+	known  list.List        // those that have had a request, by their last one
 	ln     net.Listener
 	stage  stage
 }
 
+// place is a guest in one of the lists, or in none once it was ended.
+type place struct {
+	guest Guest
+	at    *list.Element
+	in    *list.List
+	since time.Time // its entry
+}
+
 type stage int
 
 const (
@@ -53,11 +74,11 @@
 	closed         // no new ones come
 )
 
-// NewHall returns a hall for so many guests. Beyond easy of them, each new one has the idlest end: clients may have
-// room for fewer connections than the hall and keep those they do not use. log gets a line when the system refuses
-// a connection.
+// NewHall returns a hall for so many guests. Of those that have asked, more than easy do not stay idle: clients may have
+// room for fewer connections than the hall and keep those they do not use. But they are kept up to there, since a client
+// may have no other way in once the broker was told to end. log gets a line when the system refuses a connection.
 func NewHall(most, easy int, log func(string)) *Hall {
-	return &Hall{log: log, easy: easy, room: room.New(most), guests: map[Guest]struct{}{}}
+	return &Hall{log: log, easy: easy, room: room.New(most), places: map[Guest]*place{}}
 }
 
 // Accept accepts a connection when there is room for it. It guards against a full socket table: until there is
@@ -92,19 +113,40 @@
 func (h *Hall) Enter(g Guest) (late bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.guests[g] = struct{}{}
-	if len(h.guests) > h.easy {
-		h.endIdlest(timeToAsk)
-	}
+	p := &place{guest: g, since: time.Now()}
+	h.places[g] = p
+	h.put(p, &h.fresh)
 	return h.stage != open
 }
 
+// Asked notes that a request of a guest came, which is the last to give way from now on.
+func (h *Hall) Asked(g Guest) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p := h.places[g]; p != nil && p.in != nil {
+		h.put(p, &h.known)
+		if h.known.Len() > h.easy {
+			h.end(h.first(&h.known, Idle))
+		}
+	}
+}
+
+func (h *Hall) put(p *place, in *list.List) {
+	if p.in != nil {
+		p.in.Remove(p.at)
+	}
+	if p.in = in; in != nil {
+		p.at = in.PushBack(p)
+	}
+}
+
 // Leave gives back the room of a connection that has ended.
 func (h *Hall) Leave(g Guest) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if _, held := h.guests[g]; held {
-		delete(h.guests, g)
+	if p := h.places[g]; p != nil {
+		h.put(p, nil)
+		delete(h.places, g)
 		h.room.Give()
 	}
 }
@@ -113,7 +155,7 @@
 func (h *Hall) makeRoom() {
 	for {
 		h.mu.Lock()
-		h.endIdlest(0)
+		h.giveWay()
 		h.mu.Unlock()
 		ctx, cancel := context.WithTimeout(context.Background(), roomPause)
 		err := h.room.Take(ctx)
@@ -124,35 +166,53 @@
 	}
 }
 
-// endIdlest ends the connection that has been idle for longest, and for so long at least, first of those that have
-// not asked for anything: it guards the usual clients against a flood of silent ones. A new connection gets its time
-// to ask. The caller holds h.mu.
-func (h *Hall) endIdlest(least time.Duration) bool {
-	var idlest Guest
-	var oldest time.Time
-	mute, now := false, time.Now()
-	for g := range h.guests {
-		since, idle := g.Idle()
-		if !idle || now.Sub(since) < least {
-			continue
+// Greeted notes that a guest sent a command that asks for nothing.
+func (h *Hall) Greeted(g Guest) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p := h.places[g]; p != nil && p.in == &h.fresh {
+		h.put(p, &h.polite)
+	}
+}
+
+// giveWay ends one guest: the first that has done no more than greet; else the first that has sent nothing, once it had
+// time to; else the idlest that has asked; else the first that stands half way in its first command. It guards the
+// usual clients, slow ones among them, against crowds. The caller holds h.mu.
+func (h *Hall) giveWay() {
+	for _, p := range []*place{h.first(&h.polite, Idle), h.first(&h.fresh, Idle), h.first(&h.known, Idle), h.first(&h.fresh, HalfWay)} {
+		if p != nil {
+			h.end(p)
+			return
+		}
+	}
+}
+
+// first returns the first guest of a list with a status, nil for none. One that has just come gets its time to ask.
+func (h *Hall) first(in *list.List, status Status) *place {
+	for at := in.Front(); at != nil; at = at.Next() {
+		p := at.Value.(*place)
+		if in == &h.fresh && time.Since(p.since) < timeToAsk {
+			return nil // as all behind it
 		}
-		silent := !g.Asked() && now.Sub(since) > timeToAsk
-		if idlest == nil || silent && !mute || silent == mute && since.Before(oldest) {
-			idlest, oldest, mute = g, since, silent
+		if p.guest.Look() == status {
+			return p
 		}
 	}
-	if idlest == nil {
-		return false
+	return nil
+}
+
+func (h *Hall) end(p *place) {
+	if p != nil {
+		h.put(p, nil) // it counts as a guest until it leaves
+		p.guest.End()
 	}
-	idlest.End()
-	return true
 }
 
 // Clients tells how many connections are open.
 func (h *Hall) Clients() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.guests)
+	return len(h.places)
 }
 
 // Drain has connections end as soon as they wait for no answer. New ones are taken still: a client whose
@@ -193,7 +253,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.stage = to
-	for g := range h.guests {
+	for g := range h.places {
 		g.Wake()
 	}
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -9,63 +9,70 @@
 
 type guest struct {
 	woken, ended int
-	since        time.Time
-	busy, mute   bool
+	status       Status
 }
 
-func (g *guest) Wake()                   { g.woken++ }
-func (g *guest) Idle() (time.Time, bool) { return g.since, !g.busy }
-func (g *guest) Asked() bool             { return !g.mute }
-func (g *guest) End()                    { g.ended++ }
+func (g *guest) Wake()        { g.woken++ }
+func (g *guest) Look() Status { return g.status }
+func (g *guest) End()         { g.ended++ }
 
-// A full hall ends what has been idle for longest, never what waits for an answer.
-func TestEndIdlest(t *testing.T) {
-	h := NewHall(3, 3, func(line string) { t.Log(line) })
-	busy, old, young := &guest{busy: true}, &guest{since: time.Unix(1, 0)}, &guest{since: time.Unix(2, 0)}
-	for _, g := range []*guest{busy, old, young} {
+// enter adds guests that came a second ago; those that have asked did so in this order.
+func enter(h *Hall, asked bool, guests ...*guest) {
+	for _, g := range guests {
+		h.room.TryTake()
 		h.Enter(g)
-	}
-	h.endIdlest(0)
-	if busy.ended+young.ended != 0 || old.ended != 1 {
-		t.Errorf("ended: busy %d, old %d, young %d", busy.ended, old.ended, young.ended)
+		h.places[g].since = time.Now().Add(-time.Second)
+		if asked {
+			h.Asked(g)
+		}
 	}
 }
 
-// A flood of silent connections gives way before a client that has asked; a new one may still be about to ask.
-func TestEndSilentFirst(t *testing.T) {
-	h := NewHall(4, 4, func(line string) { t.Log(line) })
-	now := time.Now()
-	usual, silent := &guest{since: now.Add(-time.Hour)}, &guest{since: now.Add(-time.Second), mute: true}
-	older, fresh := &guest{since: now.Add(-2 * time.Second), mute: true}, &guest{since: now, mute: true}
-	for _, g := range []*guest{usual, silent, older, fresh} {
-		h.Enter(g)
-	}
-	for _, next := range []*guest{older, silent, usual} {
-		if h.endIdlest(0); next.ended != 1 {
-			t.Fatalf("usual %d, silent %d, older %d, fresh %d", usual.ended, silent.ended, older.ended, fresh.ended)
+// A full hall first ends who has only greeted, then who has sent nothing, then who has been idle for longest, then who stands half way in a first
+// command: a crowd must not push out slow writers. Who waits for an answer stays, and who has just come.
+func TestGiveWay(t *testing.T) {
+	h := NewHall(10, 10, func(line string) { t.Log(line) })
+	busy, old, young := &guest{status: Busy}, &guest{status: Idle}, &guest{status: Idle}
+	slow, mute, mute2, fresh := &guest{status: HalfWay}, &guest{status: Idle}, &guest{status: Idle}, &guest{status: Idle}
+	enter(h, true, busy, young, old)
+	h.Asked(young) // again
+	polite := &guest{status: Idle}
+	enter(h, false, slow, mute, mute2, polite, fresh)
+	h.places[fresh].since = time.Now()
+	h.Greeted(polite)
+	h.Greeted(old) // one that has asked before stays what it is
+	for i, next := range []*guest{polite, mute, mute2, old, young, slow, nil} {
+		sum := func() (n int) {
+			for _, g := range []*guest{busy, old, young, slow, mute, mute2, polite, fresh} {
+				n += g.ended
+			}
+			return n
+		}
+		before := sum()
+		if h.giveWay(); next == nil && sum() != before || next != nil && (next.ended != 1 || sum() != before+1) {
+			t.Fatalf("step %d: another was ended than was wanted", i)
 		}
-		delete(h.guests, next)
+	}
+	if busy.ended+fresh.ended != 0 {
+		t.Error("one that is busy or fresh was ended")
 	}
 }
 
 // Clients that ask once and keep their connection must not use up the few that they have: beyond the easy number
-// the idlest ends, long before the hall is full. One that has just come, or waits for an answer, stays.
+// the idlest of them ends, long before the hall is full. Who has not asked yet, or waits for an answer, stays.
 func TestBeyondEasy(t *testing.T) {
 	h := NewHall(100, 2, func(line string) { t.Log(line) })
-	now := time.Now()
-	busy, idle := &guest{since: now.Add(-time.Hour), busy: true}, &guest{since: now.Add(-time.Second)}
-	h.Enter(busy)
-	h.Enter(idle)
+	busy, idle, mute, other := &guest{status: Busy}, &guest{status: Idle}, &guest{status: Idle}, &guest{status: Idle}
+	enter(h, false, mute)
+	enter(h, true, busy, idle)
 	if idle.ended != 0 {
 		t.Fatal("ended too early")
 	}
-	fresh := &guest{since: time.Now()}
-	if h.Enter(fresh); idle.ended != 1 {
+	if enter(h, true, other); idle.ended != 1 {
 		t.Error("the idle one stays")
 	}
-	delete(h.guests, idle)
-	if h.Enter(&guest{since: time.Now()}); busy.ended+fresh.ended != 0 {
-		t.Errorf("ended: busy %d, fresh %d", busy.ended, fresh.ended)
+	if busy.ended+mute.ended+other.ended != 0 {
+		t.Errorf("ended: busy %d, mute %d, other %d", busy.ended, mute.ended, other.ended)
 	}
 }
 
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -149,7 +149,7 @@
 // handle gets the guard's first command and takes the connection from redcon, whose own loop would read
 // nothing more before a request is answered.
 func (f *Front) handle(conn redcon.Conn, _ redcon.Command) {
-	c := &client{front: f, in: conn.Detach(), conn: conn.NetConn(), wake: make(chan struct{}, 1), used: time.Now()}
+	c := &client{front: f, in: conn.Detach(), conn: conn.NetConn(), wake: make(chan struct{}, 1)}
 	c.guard, _ = c.conn.(*guard)
 	c.room = sync.NewCond(&c.mu)
 	c.fresh = f.Enter(c)
@@ -196,18 +196,17 @@
 	}
 }
 
-// Idle implements front.Guest.
-func (c *client) Idle() (time.Time, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.used, len(c.slots) == 0 && !c.writing
-}
-
-// Asked implements front.Guest.
-func (c *client) Asked() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.asked && !c.ended
+// Look implements front.Guest.
+func (c *client) Look() front.Status {
+	switch {
+	case c.owed():
+		return front.Busy
+	case c.guard == nil || c.guard.phase.Load() == resting:
+		return front.Idle
+	case c.guard.phase.Load() == halfWay:
+		return front.HalfWay
+	}
+	return front.Busy
 }
 
 // End implements front.Guest.
@@ -247,9 +246,11 @@
 	}
 }
 
+// owed tells whether the client waits for an answer or takes one.
 func (c *client) owed() bool {
-	_, idle := c.Idle()
-	return !idle
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.slots) > 0 || c.writing
 }
 
 // refuse answers malformed input and ends the connection behind the answer.
@@ -317,8 +318,13 @@
 	} else {
 		c.slots = append(c.slots, s)
 	}
-	c.used, c.fresh, c.asked = time.Now(), false, true
+	c.fresh = false
 	c.mu.Unlock()
+	if s.name == "" {
+		c.front.Greeted(c)
+	} else {
+		c.front.Asked(c)
+	}
 	if s.ready {
 		c.Wake()
 	}
@@ -444,7 +450,7 @@
 
 // quiet guards a request that crosses the end of its connection: nothing of a command has come, as far as can be seen.
 func (c *client) quiet() bool {
-	return c.guard == nil || c.guard.resting.Load() && pool.Silent(c.guard.Conn)
+	return c.guard == nil || c.guard.phase.Load() == resting && pool.Silent(c.guard.Conn)
 }
 
 // release gives back what the connection held.
--- a/internal/resp/guard.go
+++ b/internal/resp/guard.go
@@ -35,9 +35,16 @@
 	skip     int // bytes of a bulk string still to come
 	err      error
 
-	resting atomic.Bool // it waits for a command, and all before is taken
+	phase atomic.Int32 // what it reads
 }
 
+// The phases of a guard.
+const (
+	working int32 = iota // what was read is being taken
+	resting              // it waits for a command, and all before is taken
+	halfWay              // it waits for the rest of a command
+)
+
 type guardState int
 
 const (
@@ -58,10 +65,14 @@
 		return 0, g.err
 	}
 	g.Conn.SetReadDeadline(g.limit(time.Now()))
-	g.resting.Store(g.state == atCommand)
+	if g.state == atCommand {
+		g.phase.Store(resting)
+	} else {
+		g.phase.Store(halfWay)
+	}
 	n, err := g.Conn.Read(p)
 	if n > 0 {
-		g.resting.Store(false)
+		g.phase.Store(working)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && g.state != atCommand {
 		err = errSlow
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -16,6 +16,7 @@
 	"github.com/tidwall/redcon"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/front"
 	"junctionwharf/logic"
 )
 
@@ -397,13 +398,12 @@
 // asked is a guest that keeps the hall's lock while it is asked.
 type asked struct{ began, end chan struct{} }
 
-func (a *asked) Wake()       {}
-func (a *asked) End()        {}
-func (a *asked) Asked() bool { return false }
-func (a *asked) Idle() (time.Time, bool) {
+func (a *asked) Wake() {}
+func (a *asked) End()  {}
+func (a *asked) Look() front.Status {
 	a.began <- struct{}{}
 	<-a.end
-	return time.Time{}, false
+	return front.Busy
 }
 
 // A connection must not hold its own lock while it waits for the hall's: the hall may be asking it.
@@ -411,6 +411,7 @@
 	f := NewFront(nil, Terms{}, 0, 1, 1, func(string) {})
 	a := &asked{make(chan struct{}), make(chan struct{})}
 	f.Enter(a)
+	f.Asked(a)
 	go f.Accept(nil) // no room: it asks, and never comes to accept
 	<-a.began
 	c := &client{front: f}
--- a/internal/sftp/front.go
+++ b/internal/sftp/front.go
@@ -76,9 +76,9 @@
 	ops     []*pending // in the order of arrival
 	handles map[string]*handle
 	opened  uint64 // names handles
-	used    time.Time
-	asked   bool // a command came
-	fresh   bool // it came while others leave and has had no command
+	partly  bool   // a part of a packet has come
+	writing bool   // an answer is being written
+	fresh   bool   // it came while others leave and has had no command
 	out     net.Buffers
 	last    bool // the connection ends behind what is in out
 	gone    bool
@@ -86,7 +86,7 @@
 
 func newSession(f *Front, conn net.Conn) *session {
 	s := &session{front: f, conn: conn, wake: make(chan struct{}, 1),
-		handles: map[string]*handle{}, used: time.Now()}
+		handles: map[string]*handle{}}
 	s.room = sync.NewCond(&s.mu)
 	return s
 }
@@ -111,18 +111,17 @@
 	}
 }
 
-// Idle implements front.Guest.
-func (s *session) Idle() (time.Time, bool) {
+// Look implements front.Guest.
+func (s *session) Look() front.Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.used, len(s.ops) == 0
-}
-
-// Asked implements front.Guest.
-func (s *session) Asked() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.asked
+	switch {
+	case len(s.ops) > 0 || s.writing:
+		return front.Busy
+	case s.partly:
+		return front.HalfWay
+	}
+	return front.Idle
 }
 
 // End implements front.Guest.
@@ -149,6 +148,7 @@
 	for {
 		p, err := s.next(in)
 		if err == nil {
+			s.front.Asked(s)
 			err = s.take(p)
 		}
 		if err != nil {
@@ -170,13 +170,21 @@
 		return packet{}, err
 	}
 	s.conn.SetReadDeadline(time.Now().Add(front.CommandTime))
+	s.reading(true)
 	p, err := readPacket(in)
+	s.reading(false)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = fmt.Errorf("%w: it took too long", errPacket)
 	}
 	return p, err
 }
 
+func (s *session) reading(partly bool) {
+	s.mu.Lock()
+	s.partly = partly
+	s.mu.Unlock()
+}
+
 // end follows the last read: what is still owed no longer has a client.
 func (s *session) end() {
 	s.mu.Lock()
@@ -206,13 +214,16 @@
 	for range s.wake {
 		s.mu.Lock()
 		out, stop, idle, fresh := s.out, s.last || s.gone, len(s.ops) == 0, s.fresh
-		s.out = nil
+		s.out, s.writing = nil, len(s.out) > 0
 		s.mu.Unlock() // the hall asks its guests under its own lock
 		if len(out) > 0 {
 			s.conn.SetWriteDeadline(time.Now().Add(writeTime))
 			if _, err := out.WriteTo(s.conn); err != nil {
 				return
 			}
+			s.mu.Lock()
+			s.writing = false
+			s.mu.Unlock()
 		}
 		if stop || idle && s.front.Dismisses(fresh) {
 			return
@@ -400,7 +411,7 @@
 			return fmt.Errorf("%w: a command with id %d is open", errPacket, id)
 		}
 	}
-	s.used, s.fresh, s.asked = time.Now(), false, true
+	s.fresh = false
 	s.ops = append(s.ops, op)
 	if s.free(op) {
 		s.start(op)
