Ask an overbooked discovery less and less often, at random, from the version held

At fault: callAgain in internal/discovery/discovery.go, a flat 50 ms. Calls wait for longer the more brokers there are; with four it is 5 s as before.

--- a/cmd/junctionwharf/serve.go
+++ b/cmd/junctionwharf/serve.go
@@ -78,7 +78,7 @@
 		outside.Tell = link.Tell
 	}
 	loop := broker.NewLoop(state, clock, resp.NewNodes(nodes), outside)
-	s := &service{config: c, say: say, loop: loop, watcher: discovery.NewWatcher(c.Discovery, say), pools: []*pool.Pool{nodes},
+	s := &service{config: c, say: say, loop: loop, watcher: discovery.NewWatcher(c.Discovery, c.Settings.Logic.Hosts, say), pools: []*pool.Pool{nodes},
 		front: resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), size.clients, size.easy, size.requests, say)}
 	s.fronts = []drainer{s.front}
 	s.classes.Store(&c.Settings.Logic.Classes)
--- a/cmd/junctionwharf/serve_test.go
+++ b/cmd/junctionwharf/serve_test.go
@@ -377,7 +377,7 @@
 		t.Fatal(err)
 	}
 	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Log: say})
-	parts := &service{loop: loop, watcher: discovery.NewWatcher(c.Discovery, say), say: say,
+	parts := &service{loop: loop, watcher: discovery.NewWatcher(c.Discovery, 1, say), say: say,
 		front: resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, 0), 1, 1, 1, say)}
 	for _, fault := range []struct{ old, new, line string }{
 		{`"discovery":"127.0.0.1:2"`, `"discovery":"there"`, `discovery: "there" is no address:port`},
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -80,9 +82,13 @@
 }
 
 const (
-	hold      = 5 * time.Second // how long a call may wait for news
-	slack     = time.Second     // past that a call counts as lost
-	callAgain = 50 * time.Millisecond
+	holdLeast = 5 * time.Second // how long a call may wait for news
+	holdEach  = time.Second / 2 // for each broker of the tier: calls add up
+	holdMost  = 20 * time.Second
+	slack     = 2500 * time.Millisecond // past that a call counts as lost
+	dialTime  = time.Second
+	again     = 50 * time.Millisecond // the first wait after a failed call
+	againMost = 3 * time.Second
 	behind    = 10 * time.Second // for so long a list older than the one held is not believed
 	maxList   = 4 << 20          // bytes of an answer
 )
@@ -92,6 +98,7 @@
 	address string
 	moves   chan string // the latest address to move to
 	client  *http.Client
+	hold    time.Duration
 	log     func(string)
 	held    uint64    // version of the list posted last
 	heldAt  time.Time // when it was last confirmed
@@ -100,12 +107,13 @@
 	whole List // what the lists so far come to
 }
 
-// NewWatcher returns a watcher of the service at address. log gets a line when the service falls
+// NewWatcher returns a watcher of the service at address for one of so many brokers. log gets a line when the service falls
 // silent and when it is back.
-func NewWatcher(address string, log func(string)) *Watcher {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: slack}).DialContext,
+func NewWatcher(address string, brokers int, log func(string)) *Watcher {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTime}).DialContext,
 		MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true}
-	return &Watcher{address: address, moves: make(chan string, 1), client: &http.Client{Transport: transport}, log: log}
+	return &Watcher{address: address, moves: make(chan string, 1), client: &http.Client{Transport: transport}, log: log,
+		hold: max(holdLeast, min(time.Duration(brokers)*holdEach, holdMost))}
 }
 
 // Start has the watch go on from a list that was held before. It comes before Run.
@@ -151,7 +159,7 @@
 	w.moves <- address
 }
 
-// Run posts each list until ctx ends. After a failed call or a move it asks for the whole list anew.
+// Run posts each list until ctx ends. After a lost call or a move it asks for the whole list anew.
 func (w *Watcher) Run(ctx context.Context, clock *broker.Clock, post func(broker.Event)) {
 	for ctx.Err() == nil {
 		leg, leave := context.WithCancel(ctx)
@@ -186,6 +194,7 @@
 // watch follows one address until ctx ends.
 func (w *Watcher) watch(ctx context.Context, clock *broker.Clock, post func(broker.Event)) {
 	seq, whole, silent := uint64(0), true, false
+	wait := again
 	for {
 		list, err := w.call(ctx, seq, whole)
 		if ctx.Err() != nil {
@@ -198,13 +207,16 @@
 			if !silent {
 				w.log("discovery: silent: " + err.Error())
 			}
-			silent, whole = true, true
+			// An overbooked service has the version still; any other failure may have lost it.
+			silent, whole = true, whole || !errors.Is(err, errStatus)
 			select {
 			case <-ctx.Done():
-			case <-time.After(callAgain):
+			case <-time.After(wait/2 + rand.N(wait)):
 			}
+			wait = min(2*wait, againMost)
 			continue
 		}
+		wait = again
 		if silent {
 			w.log("discovery: back")
 		}
@@ -218,11 +230,13 @@
 	}
 }
 
+var errStatus = errors.New("status")
+
 func (w *Watcher) call(ctx context.Context, seq uint64, whole bool) (*List, error) {
 	url, wait := "http://"+w.address+"/registry/instances", slack
 	if !whole {
-		url = fmt.Sprintf("%s?index=%d&wait=%d", url, seq, hold.Milliseconds())
-		wait += hold
+		url = fmt.Sprintf("%s?index=%d&wait=%d", url, seq, w.hold.Milliseconds())
+		wait += w.hold
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -240,7 +254,7 @@
 		return nil, err
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d", response.StatusCode)
+		return nil, fmt.Errorf("%w %d", errStatus, response.StatusCode)
 	}
 	return ParseList(body)
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -35,7 +35,8 @@
 	}
 }
 
-// The watch goes on from the last version, and after a failed call begins with the whole list.
+// The watch goes on from the last version, also where the service is overbooked, and after a lost call begins with the
+// whole list. A call that is cut on a connection used before is sent again by the client of net/http itself.
 func TestWatch(t *testing.T) {
 	queries := make(chan string, 16)
 	answers := make(chan string)
@@ -44,8 +45,11 @@
 		queries <- r.URL.Query().Get("index")
 		select {
 		case text := <-answers:
-			if text == "" {
-				w.WriteHeader(http.StatusInternalServerError)
+			switch text {
+			case "":
+				w.WriteHeader(http.StatusServiceUnavailable)
+			case "cut":
+				panic(http.ErrAbortHandler)
 			}
 			w.Write([]byte(text))
 		case <-r.Context().Done():
@@ -54,13 +58,13 @@
 	defer server.Close()
 	defer cancel()
 	events := make(chan broker.Event, 16)
-	go NewWatcher(server.Listener.Addr().String(), func(line string) { t.Log(line) }).Run(ctx, broker.NewClock(), func(e broker.Event) { events <- e })
+	go NewWatcher(server.Listener.Addr().String(), 1, func(line string) { t.Log(line) }).Run(ctx, broker.NewClock(), func(e broker.Event) { events <- e })
 	for i, step := range []struct {
 		index, answer string
 		kind          logic.ListKind
 		news          bool
 	}{{"", wholeText, logic.ListFull, true}, {"41", changeText, logic.ListChanges, true}, {"43", quietText, 0, false},
-		{"43", "", 0, false}, {"", strings.Replace(wholeText, "41", "44", 1), logic.ListFull, true}, {"44", changeText, logic.ListChanges, true}} {
+		{"43", "", 0, false}, {"43", quietText, 0, false}, {"43", "cut", 0, false}, {"43", "cut", 0, false}, {"", strings.Replace(wholeText, "41", "44", 1), logic.ListFull, true}, {"44", changeText, logic.ListChanges, true}} {
 		select {
 		case index := <-queries:
 			if index != step.index {
@@ -81,6 +85,23 @@
 	}
 }
 
+// Guards an overbooked service against a herd: a broker whose calls fail asks less and less often, and serves meanwhile.
+func TestBackoff(t *testing.T) {
+	calls := make(chan struct{}, 1000)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- struct{}{}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	NewWatcher(server.Listener.Addr().String(), 48, func(string) {}).Run(ctx, broker.NewClock(), func(broker.Event) {})
+	// Half of 50, 100, 200 and 400 ms at the least lie between the first five.
+	if n := len(calls); n < 2 || n > 7 {
+		t.Errorf("%d calls in a second", n)
+	}
+}
+
 // A move ends the call that waits at the old address and asks the new one for the whole list. There an older list
 // must not bring back what is known to drain.
 func TestMove(t *testing.T) {
@@ -108,7 +129,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	events, lines := make(chan broker.Event, 16), make(chan string, 16)
-	w := NewWatcher(serve("old", old), func(line string) { lines <- line })
+	w := NewWatcher(serve("old", old), 1, func(line string) { lines <- line })
 	go w.Run(ctx, broker.NewClock(), func(e broker.Event) { events <- e })
 	for range 3 {
 		<-asked // the third call waits
