Keep an idle volume's tokens through a reload, and count a long value when it is given whole

Seen in the code and shown by TestRetune: follow set a volume's hosts to 0 until its next request, so that endTick granted it an endless reserve and its bucket was full at the next tick; with a limit its part would have been endless too. Buckets are now resized at once.

inflight and success took a long value for done with its first bytes; it lasts for seconds. Loop.answer now waits for broker.Lasting (TestLongValues counts five served and two cut).

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -54,6 +54,12 @@
 	After   Micros // of Refused: when to come again, 0 for no advice
 }
 
+// Lasting is a value that takes its time to be given, and may break meanwhile. Its request counts as open until then.
+type Lasting interface {
+	// OnEnd has a function called once when the value was given whole, or never will be.
+	OnEnd(func(whole bool))
+}
+
 // Progress says how far an attempt had come when it broke.
 type Progress int
 
--- a/broker/loop.go
+++ b/broker/loop.go
@@ -250,8 +250,20 @@
 		drop(e.Final.Value)
 		return
 	}
-	l.forget(e.ID)
-	l.Figures.ended(c.class, e.Final.Verdict)
+	if value, lasts := e.Final.Value.(Lasting); lasts {
+		delete(l.clients, e.ID)
+		value.OnEnd(func(whole bool) {
+			l.Figures.open.Add(-1)
+			if whole {
+				l.Figures.ended(c.class, Served)
+			} else {
+				l.Figures.ended(c.class, Failed)
+			}
+		})
+	} else {
+		l.forget(e.ID)
+		l.Figures.ended(c.class, e.Final.Verdict)
+	}
 	c.reply(e.Final)
 }
 
--- a/internal/resp/stream.go
+++ b/internal/resp/stream.go
@@ -31,8 +31,12 @@
 	claim chan struct{}       // closed when a client takes it
 	ended chan error          // how passing it on ended
 	once  sync.Once
+	onEnd func(whole bool) // set before a client takes it
 }
 
+// OnEnd implements broker.Lasting.
+func (v *stream) OnEnd(call func(whole bool)) { v.onEnd = call }
+
 func newStream(size int, in *bufio.Reader, await func(time.Duration)) *stream {
 	return &stream{size: size, in: in, await: await, claim: make(chan struct{}), ended: make(chan error, 1)}
 }
@@ -43,7 +47,14 @@
 	return nil
 }
 
-func (v *stream) end(err error) { v.once.Do(func() { v.ended <- err }) }
+func (v *stream) end(err error) {
+	v.once.Do(func() {
+		v.ended <- err
+		if v.onEnd != nil {
+			v.onEnd(err == nil)
+		}
+	})
+}
 
 // wait returns once the value was passed on or given up, or stopped is closed.
 func (v *stream) wait(stopped <-chan struct{}) error {
--- a/internal/resp/stream_test.go
+++ b/internal/resp/stream_test.go
@@ -172,4 +172,15 @@
 			t.Errorf("%s: %d bytes of %d", id, len(got), len(whole))
 		}
 	}
+	// A value counts as served once it was given whole, and as open until then.
+	for end := time.Now().Add(5 * time.Second); loop.Open() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d open", loop.Open())
+		}
+	}
+	for _, figure := range loop.Figures.Read() {
+		if want, checked := map[string]uint64{"success.read": 5, "failure.read": 2}[figure.Name]; checked && figure.Value != want {
+			t.Errorf("%s: %d, want %d", figure.Name, figure.Value, want)
+		}
+	}
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -123,7 +123,8 @@
 	}
 	for _, v := range g.inOrder {
 		if p := g.plans[v.plan.Name]; p != nil {
-			v.plan, v.hosts = p, 0 // its bucket is sized anew with its next request
+			v.plan, v.size = p, max(p.Rate, p.Reserve)+set.MaxUnits
+			v.level = min(v.level, v.size)
 		}
 	}
 	g.aim = slices.MinFunc(set.Classes, func(a, b Class) int { return int(a.Aim - b.Aim) }).Aim
--- a/logic/retune_test.go
+++ b/logic/retune_test.go
@@ -34,6 +34,9 @@
 		return sends, fails
 	}
 	sends, _ := count(g.Step(now, []Event{NodeList{Kind: ListFull, Nodes: []NodeInfo{{Node: "n"}}}, ask(1, "gone"), ask(2, "gone")}))
+	idle := ask(9, "old")
+	idle.Volume = "w"
+	g.Step(now, []Event{idle, ClientGone{ID: 9}})
 	if sends != 2 {
 		t.Fatalf("%d sends", sends)
 	}
@@ -50,6 +53,10 @@
 	if g.set.Ordinal != 1 || g.requests[3].class.Effect != Unsafe || g.requests[1].class.Effect != Safe || g.volumes["v"].plan.Rate != 5 {
 		t.Error("the settings in force are not the new ones")
 	}
+	// Guards the tokens of a volume that nobody asks for just now: they must not jump with the new plan.
+	if w := g.volumes["w"]; w.hosts != 1 || w.size != 13 || w.level >= w.size {
+		t.Errorf("an idle volume has %v hosts, %v of %v tokens", w.hosts, w.level, w.size)
+	}
 	for range 400 {
 		now += g.tick
 		g.Step(now, []Event{Timer{Token: timerTick}})
