--- a/logic/logic.go
+++ b/logic/logic.go
@@ -134,12 +134,13 @@
 // Classes are the classes of requests that it knows.
 func (g *Gateway) Classes() []Class { return g.set.Classes }
 
-// Nodes counts the nodes in the list, and those of them that are avoided now: they drain, are silent or rest.
+// Nodes counts the nodes in the list, and those of them that are avoided now: they drain, are silent or
+// rest for long.
 func (g *Gateway) Nodes() (listed, avoided int) {
 	for _, n := range g.nodeList {
 		if n.state != Gone {
 			listed++
-			if n.state != Ready || n.silent(g) || g.now < n.restTill {
+			if n.state != Ready || n.silent(g) || g.now < n.restTill && n.rest >= g.aim {
 				avoided++
 			}
 		}
@@ -809,9 +810,10 @@
 		if n.took == 0 {
 			n.took = e.Took.Seconds()
 		}
-	case Overloaded, Unreachable, Failure, Broken:
-		// One spoilt or lost answer among good ones shows nothing of the node's room; two on end may.
-		if n.faults++; n.faults < 2 && (e.Outcome == Failure || e.Outcome == Broken) {
+	case Overloaded, Unreachable, Broken:
+		// One lost answer among good ones shows nothing of the node's room, two on end may. An error never
+		// does: a shard has no other node, and what waits while that rests is given up.
+		if n.faults++; n.faults < 2 && e.Outcome == Broken {
 			return
 		}
 		n.bound = max(min(1, n.bound), n.bound*boundCut)
