Wake a guest that was taking a command when it was asked to leave

Seen: 'what was taken before a stop is answered' failed once in some ten runs: a connection stayed open after Close. dismissed in internal/resp/front.go spares a guest whose reader is not at rest, and nothing woke its writer once it was. The guard now tells when it begins to wait for a command.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"junctionwharf/internal/room"
@@ -56,6 +57,8 @@
 	known  list.List        // those that have had a request, by their last one
 	ln     net.Listener
 	stage  stage
+
+	leaving atomic.Bool // it is no longer open
 }
 
 // place is a guest in one of the lists, or in none once it was ended.
@@ -253,11 +256,15 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.stage = to
+	h.leaving.Store(true)
 	for g := range h.places {
 		g.Wake()
 	}
 }
 
+// Leaving tells whether guests leave as soon as they are idle.
+func (h *Hall) Leaving() bool { return h.leaving.Load() }
+
 // Dismisses tells whether an idle connection should end; fresh says that it came late and has had no request.
 func (h *Hall) Dismisses(fresh bool) bool {
 	h.mu.Lock()
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -152,6 +152,14 @@
 	c := &client{front: f, in: conn.Detach(), conn: conn.NetConn(), wake: make(chan struct{}, 1)}
 	c.guard, _ = c.conn.(*guard)
 	c.room = sync.NewCond(&c.mu)
+	if c.guard != nil {
+		// Guards against a guest that was taking a command when it was asked to leave: it looks again.
+		c.guard.rested = func() {
+			if f.Leaving() {
+				c.Wake()
+			}
+		}
+	}
 	c.fresh = f.Enter(c)
 	go c.read()
 	go c.write()
--- a/internal/resp/guard.go
+++ b/internal/resp/guard.go
@@ -35,7 +35,8 @@
 	skip     int // bytes of a bulk string still to come
 	err      error
 
-	phase atomic.Int32 // what it reads
+	phase  atomic.Int32 // what it reads
+	rested func()       // called when it begins to wait for a command, nil for none
 }
 
 // The phases of a guard.
@@ -67,6 +68,9 @@
 	g.Conn.SetReadDeadline(g.limit(time.Now()))
 	if g.state == atCommand {
 		g.phase.Store(resting)
+		if g.rested != nil {
+			g.rested()
+		}
 	} else {
 		g.phase.Store(halfWay)
 	}
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -424,3 +424,37 @@
 		c.mu.Unlock()
 	}
 }
+
+// A guest that is asked to leave while it takes a command must look again once it waits for the next: nobody else
+// wakes it.
+func TestGuardTellsThatItRests(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	rests := make(chan int32, 8)
+	g := &guard{Conn: near, attached: true}
+	g.rested = func() { rests <- g.phase.Load() }
+	go func() {
+		for _, part := range []string{pingText[:5], pingText[5:]} {
+			io.WriteString(far, part)
+		}
+		far.Close()
+	}()
+	for buffer := make([]byte, 64); ; {
+		if _, err := g.Read(buffer); err != nil {
+			break
+		}
+		if g.phase.Load() != working {
+			t.Error("it takes what it read, and rests")
+		}
+	}
+	close(rests)
+	count := 0
+	for phase := range rests {
+		if count++; phase != resting {
+			t.Errorf("phase %d", phase)
+		}
+	}
+	if count != 2 { // before the command and behind it, not half way
+		t.Errorf("it rested %d times", count)
+	}
+}
