--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -402,6 +402,13 @@
 	p.slots.Give()
 }
 
+// Rests tells whether an idle connection to an address is kept.
+func (p *Pool) Rests(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[address]) > 0
+}
+
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(address string) {
 	p.mu.Lock()
--- a/internal/resp/nodes.go
+++ b/internal/resp/nodes.go
@@ -40,9 +40,12 @@
 	}, 0, a.Written, done)
 }
 
-// finish reads what follows a value. The client does not wait for it where it has yet to come.
+// finish reads what follows a value. The client waits for it only where all of it has come: figures may be late, or
+// so spoilt that they never end.
 func finish(s *pool.Session, left rest, result *broker.Result) {
-	if at, _ := s.In.Peek(s.In.Buffered()); left.long == 0 && !bytes.HasSuffix(at, []byte("\r\n")) {
+	at, _ := s.In.Peek(s.In.Buffered())
+	trial := *result
+	if left.long == 0 && readRest(bufio.NewReaderSize(bytes.NewReader(at), 2*maxLine), left.parts, &trial) != nil {
 		s.Hand(*result)
 	}
 	s.Tidy(func() error { return readRest(s.In, left.parts, result) })
