--- a/internal/resp/stream_test.go
+++ b/internal/resp/stream_test.go
@@ -47,16 +47,20 @@
 	}()
 	passed := make(chan error, 1)
 	go func() { passed <- v.passTo(toClient) }()
-	one := make([]byte, 1)
-	if _, err := io.ReadFull(client, one); err != nil { // it has begun, and now the client stops
-		t.Fatal(err)
-	}
-	time.Sleep(50 * time.Millisecond)
-	if sent := from.sent.Load(); sent > pieceBytes+8<<10 {
-		t.Errorf("%d bytes were taken from the node while the client read one", sent)
+	const between = pieceBytes + 4<<10 + 512 // a piece, the reader's buffer and what the node is writing
+	chunk := make([]byte, 2<<10)
+	for read := int64(0); read < size; {
+		if sent := from.sent.Load(); sent > read+between+int64(len(chunk)) {
+			t.Fatalf("%d bytes were taken from the node while the client had %d", sent, read)
+		}
+		n, err := client.Read(chunk)
+		if err != nil {
+			t.Fatal(err)
+		}
+		read += int64(n)
 	}
-	if _, err := io.ReadFull(client, make([]byte, size+2-1)); err != nil {
-		t.Error(err)
+	if _, err := io.ReadFull(client, chunk[:2]); err != nil || string(chunk[:2]) != "\r\n" {
+		t.Errorf("%q, %v", chunk[:2], err)
 	}
 	if err := <-passed; err != nil {
 		t.Error(err)
