--- a/telemetry/sink.go
+++ b/telemetry/sink.go
@@ -237,12 +237,14 @@
 
 func (s *Sink) wrote(now Micros) {
 	written := len(s.queue[0].Frames[s.frame])
+	if len(s.queue) > 1 || s.opt.PaceAll { // guards a sink that has just come back against a flood
+		s.pausing, s.due = true, now+Micros(written)*1e6/Micros(s.opt.Pace)
+	}
 	s.writing = false
 	if s.state == Stalled {
 		s.state = Sending
 	}
 	if s.frame++; s.frame < len(s.queue[0].Frames) {
-		s.pause(now, written)
 		return
 	}
 	done := s.queue[0]
@@ -259,14 +261,6 @@
 		s.lost = false
 		s.do(Back{})
 	}
-	s.pause(now, written)
-}
-
-// pause guards a sink that has just come back against a flood.
-func (s *Sink) pause(now Micros, written int) {
-	if len(s.queue) > 0 || s.opt.PaceAll {
-		s.pausing, s.due = true, now+Micros(written)*1e6/Micros(s.opt.Pace)
-	}
 }
 
 // fail ends the connection or dial that is under way, and begins a rest: the next is drawn between the least and three times the
