Push figures by class, plan, node and volume through sinks that no request waits for

Need: figures were pushed by a fresh connection each time, and what a dead sink missed was lost.

The reducer gives facts, the loop passes them to telemetry's registry, and internal/report carries cuts to Graphite (plaintext over TCP or UDP, pickle; dotted or tagged names) and collectd (high-resolution times, several values a list, signed or encrypted, notifications). Sinks follow at SIGHUP, and the last interval is flushed after the last answer. Figures count classes without a lock. serve.go became internal/daemon, so that tools can start a broker. Stand-in receivers decode with code of their own.

--- a/broker/figures.go
+++ b/broker/figures.go
@@ -24,8 +24,8 @@
 
 	reloads, faultyReloads atomic.Uint64
 
-	mu      sync.Mutex
-	classes []*classFigures // in the order in which they were first seen
+	adding  sync.Mutex                      // among those that add classes; nobody waits for it to count
+	classes atomic.Pointer[[]*classFigures] // in the order in which they were first seen; a new slice with each new one
 }
 
 // classFigures counts how requests of one class ended.
@@ -42,14 +42,35 @@
 }
 
 func (f *Figures) class(name string) *classFigures {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	at := slices.IndexFunc(f.classes, func(c *classFigures) bool { return c.name == name })
-	if at < 0 {
-		at = len(f.classes)
-		f.classes = append(f.classes, &classFigures{name: name})
+	if c := f.known(name); c != nil {
+		return c
 	}
-	return f.classes[at]
+	f.adding.Lock()
+	defer f.adding.Unlock()
+	c := f.known(name)
+	if c == nil {
+		c = &classFigures{name: name}
+		all := append(slices.Clone(f.all()), c)
+		f.classes.Store(&all)
+	}
+	return c
+}
+
+func (f *Figures) all() []*classFigures {
+	if all := f.classes.Load(); all != nil {
+		return *all
+	}
+	return nil
+}
+
+// known finds a class without a lock. There are a few; a map would take longer.
+func (f *Figures) known(name string) *classFigures {
+	for _, c := range f.all() {
+		if c.name == name {
+			return c
+		}
+	}
+	return nil
 }
 
 // ended counts a final answer.
@@ -70,12 +91,10 @@
 // Read returns all figures, each class with every way to end, at 0 too.
 func (f *Figures) Read() []Figure {
 	var all []Figure
-	f.mu.Lock()
-	for _, c := range f.classes {
+	for _, c := range f.all() {
 		all = append(all, Figure{"success." + c.name, c.served.Load(), true}, Figure{"busy." + c.name, c.refused.Load(), true},
 			Figure{"failure." + c.name, c.failed.Load(), true})
 	}
-	f.mu.Unlock()
 	for _, c := range []struct {
 		name  string
 		count *atomic.Uint64
--- a/broker/loop.go
+++ b/broker/loop.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"junctionwharf/telemetry"
 )
 
 // Clock counts whole microseconds of the monotonic clock. It starts an hour up, so that nodes which
@@ -32,8 +34,9 @@
 
 // Outside is what a Loop acts on besides transports. Its methods do not block.
 type Outside struct {
-	Tell func(peer int, data []byte) // nil without peers
-	Log  func(text string)
+	Tell    func(peer int, data []byte)  // nil without peers
+	Observe func(facts []telemetry.Fact) // nil for none; it does not keep the slice
+	Log     func(text string)
 }
 
 type attemptKey struct {
@@ -61,6 +64,7 @@
 
 	mu     sync.Mutex
 	inbox  []Event
+	calls  []func()
 	added  map[uint64]client // of the requests in inbox
 	notify chan struct{}
 }
@@ -108,16 +112,24 @@
 	}
 }
 
-func (l *Loop) collect() []Event {
+// Do has a function run between two turns, on the loop's own goroutine. It must be short.
+func (l *Loop) Do(call func()) {
+	l.mu.Lock()
+	l.calls = append(l.calls, call)
+	l.mu.Unlock()
+	l.wake()
+}
+
+func (l *Loop) collect() ([]Event, []func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	events := l.inbox
-	l.inbox = nil
+	events, calls := l.inbox, l.calls
+	l.inbox, l.calls = nil, nil
 	for id, c := range l.added {
 		l.clients[id] = c
 	}
 	clear(l.added)
-	return events
+	return events, calls
 }
 
 // Run turns until ctx ends.
@@ -132,7 +144,11 @@
 		case <-alarm.C:
 		}
 		now := l.clock.Now()
-		l.safeTurn(now, l.collect())
+		events, calls := l.collect()
+		l.safeTurn(now, events)
+		for _, call := range calls {
+			l.safely(call)
+		}
 		wait := time.Hour
 		if at, any := l.state.Next(); any {
 			wait = (at - now).Duration()
@@ -144,12 +160,23 @@
 // safeTurn guards the requests that are open against a fault met by one event: the turn ends, and what it left
 // undone is answered by its deadline.
 func (l *Loop) safeTurn(now Micros, events []Event) {
+	l.safely(func() { l.turn(now, events) })
+}
+
+func (l *Loop) safely(call func()) {
 	defer func() {
 		if r := recover(); r != nil {
 			l.outside.Log(fmt.Sprintf("core: panic: %v", r))
 		}
 	}()
-	l.turn(now, events)
+	call()
+}
+
+// observe comes after the effects were carried out, and a fault in it is its own: telemetry costs no request its answer.
+func (l *Loop) observe() {
+	if facts := l.state.Facts(); len(facts) > 0 && l.outside.Observe != nil {
+		l.outside.Observe(facts)
+	}
 }
 
 // turn reduces events, and again what stopping attempts brought, at the same point of the clock.
@@ -168,6 +195,7 @@
 				events = append(events, e)
 			}
 		}
+		l.safely(l.observe)
 		again = len(events) > 0
 	}
 }
@@ -248,6 +276,7 @@
 	c, waits := l.clients[e.ID]
 	if !waits {
 		drop(e.Final.Value)
+		l.Post(Given{ID: e.ID})
 		return
 	}
 	if value, lasts := e.Final.Value.(Lasting); lasts {
@@ -259,6 +288,7 @@
 			} else {
 				l.Figures.ended(c.class, Failed)
 			}
+			l.Post(Given{ID: e.ID, Whole: whole})
 		})
 	} else {
 		l.forget(e.ID)
--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"junctionwharf/logic"
+	"junctionwharf/telemetry"
 )
 
 // Event is something that happened; State.Reduce takes it.
@@ -54,6 +55,11 @@
 	Retuned struct{ Settings logic.Settings }
 	// Shared tells that so many processes are this broker together, as while one replaces another.
 	Shared struct{ Processes int }
+	// Given tells that a Lasting value was given to its client whole, or never will be.
+	Given struct {
+		ID    uint64
+		Whole bool
+	}
 	// Ending tells that the process ends: what is owed is to be answered now.
 	Ending struct{}
 )
@@ -74,6 +80,7 @@
 func (Heard) event()   {}
 func (Retuned) event() {}
 func (Shared) event()  {}
+func (Given) event()   {}
 func (Ending) event()  {}
 
 // Effect is something that the reducer wants done.
@@ -130,7 +137,9 @@
 // entry is a request from its arrival until it is answered and no attempt is out.
 type entry struct {
 	req      *Request
+	arrived  Micros
 	deadline Micros
+	begunAt  Micros // when the first attempt was sent, 0 before
 	sentAt   Micros
 	attempts int
 	node     string // where an attempt is out
@@ -151,6 +160,8 @@
 	now     Micros
 	news    []logic.Event // what the gateway is told next
 	effects []Effect
+	facts   []telemetry.Fact
+	giving  map[uint64]telemetry.Fact // requests whose Lasting value is on its way to the client
 }
 
 // NewState returns the state of a broker that has taken nothing yet.
@@ -160,7 +171,7 @@
 		return nil, err
 	}
 	return &State{gateway: gateway, entries: map[uint64]*entry{}, nodes: map[string]string{},
-		shards: map[string]int{}, leaving: map[string]bool{}}, nil
+		shards: map[string]int{}, leaving: map[string]bool{}, giving: map[uint64]telemetry.Fact{}}, nil
 }
 
 // rounds bounds how often the gateway may act on the news of its own actions within one turn.
@@ -169,6 +180,8 @@
 // Reduce takes the events of one turn of the loop and returns what is to be done, in order.
 func (s *State) Reduce(now Micros, events []Event) []Effect {
 	s.now, s.effects = now, nil
+	clear(s.facts)
+	s.facts = s.facts[:0]
 	for _, e := range events {
 		s.take(e)
 	}
@@ -185,6 +198,9 @@
 	return s.effects
 }
 
+// Facts returns what telemetry is to hear of the last Reduce, in order. It is good until the next.
+func (s *State) Facts() []telemetry.Fact { return s.facts }
+
 // Next tells when Reduce wants to be called again at the latest.
 func (s *State) Next() (at Micros, any bool) {
 	if len(s.news) > 0 {
@@ -219,9 +235,12 @@
 	case Left:
 		if r := s.entries[e.ID]; r != nil && !r.answered {
 			r.answered = true
+			s.facts = append(s.facts, s.ended(r, telemetry.Left))
 			s.tell(logic.ClientGone{ID: e.ID})
 			s.forget(e.ID, r)
 		}
+	case Given:
+		s.given(e)
 	case Ended:
 		if r := s.entries[e.ID]; r != nil && r.out && r.attempts-1 == e.Attempt && !r.stopped {
 			s.end(e.ID, r, e.Result.outcome(), e.Result)
@@ -266,7 +285,7 @@
 }
 
 func (s *State) arrive(id uint64, req *Request) {
-	r := &entry{req: req, deadline: s.now + max(0, req.Wait)}
+	r := &entry{req: req, arrived: s.now, deadline: s.now + max(0, req.Wait)}
 	s.entries[id] = r
 	s.wake(alarm{at: r.deadline, kind: overdue, id: id})
 	s.tell(logic.Request{ID: id, Class: req.Class, Plan: req.Plan, Key: req.Key, Remaining: req.Wait.Duration(),
@@ -279,6 +298,9 @@
 		if n.Address != "" {
 			s.nodes[n.Node] = n.Address
 		}
+		if _, listed := s.shards[n.Node]; !listed {
+			s.facts = append(s.facts, telemetry.Fact{Kind: telemetry.NodeListed, Node: n.Node})
+		}
 		s.shards[n.Node] = n.Shard
 		s.leave(n.Node, n.State != logic.Ready)
 		if n.State == logic.Gone {
@@ -304,6 +326,7 @@
 func (s *State) leave(node string, leaving bool) {
 	if leaving && !s.leaving[node] {
 		s.halt(node)
+		s.facts = append(s.facts, telemetry.Fact{Kind: telemetry.NodeLeaving, Node: node})
 		s.do(CloseIdle{Address: s.nodes[node]})
 	}
 	s.leaving[node] = leaving
@@ -313,6 +336,7 @@
 // months.
 func (s *State) lose(node string) {
 	s.do(CloseIdle{Address: s.nodes[node]})
+	s.facts = append(s.facts, telemetry.Fact{Kind: telemetry.NodeUnlisted, Node: node})
 	delete(s.nodes, node)
 	delete(s.shards, node)
 	delete(s.leaving, node)
@@ -329,6 +353,8 @@
 // end tells the gateway of an attempt's one outcome and passes a served answer on.
 func (s *State) end(id uint64, r *entry, outcome logic.Outcome, result Result) {
 	r.out, r.stopped = false, false
+	s.facts = append(s.facts, telemetry.Fact{Kind: telemetry.AttemptEnded, Outcome: outcomes[outcome], Class: r.req.Class, Plan: r.req.Plan,
+		Volume: r.req.Volume, Node: r.node, Units: r.req.Units, AtNode: int64(s.now - r.sentAt)})
 	if outcome == logic.Success && !r.answered {
 		s.answer(id, r, Final{Verdict: Served, Value: result.Value})
 	} else {
@@ -349,9 +375,42 @@
 
 func (s *State) answer(id uint64, r *entry, final Final) {
 	r.answered = true
+	fact := s.ended(r, [...]telemetry.End{Served: telemetry.Served, Refused: telemetry.Busy, Failed: telemetry.Failed}[final.Verdict])
+	if _, lasts := final.Value.(Lasting); lasts {
+		s.giving[id] = fact
+	} else {
+		s.facts = append(s.facts, fact)
+	}
 	s.do(Answer{ID: id, Final: final})
 }
 
+// given tells how a request ended whose value took its time.
+func (s *State) given(e Given) {
+	fact, waits := s.giving[e.ID]
+	if !waits {
+		return
+	}
+	delete(s.giving, e.ID)
+	if !e.Whole {
+		fact.End = telemetry.Failed
+	}
+	s.facts = append(s.facts, fact)
+}
+
+// outcomes words an attempt's outcome for telemetry. Void is none: such an attempt was never begun.
+var outcomes = [...]telemetry.Outcome{logic.Success: telemetry.Success, logic.Failure: telemetry.Failure, logic.Overloaded: telemetry.Overloaded,
+	logic.TimedOut: telemetry.TimedOut, logic.Unreachable: telemetry.Unreachable, logic.Broken: telemetry.Broken, logic.Withdrawn: telemetry.Withdrawn}
+
+// ended is what telemetry hears of a request that ends now.
+func (s *State) ended(r *entry, end telemetry.End) telemetry.Fact {
+	begun := r.begunAt
+	if r.attempts == 0 || begun == 0 {
+		begun = s.now
+	}
+	return telemetry.Fact{Kind: telemetry.RequestEnded, End: end, Class: r.req.Class, Plan: r.req.Plan, Volume: r.req.Volume, Node: r.node,
+		Units: r.req.Units, Whole: int64(s.now - r.arrived), Waiting: int64(begun - r.arrived)}
+}
+
 func (s *State) forget(id uint64, r *entry) {
 	if r.answered && !r.out {
 		delete(s.entries, id)
@@ -449,6 +508,9 @@
 		s.wake(alarm{at: s.now + wait, kind: timeout, id: a.ID, attempt: r.attempts - 1})
 	}
 	r.out, r.node, r.sentAt = true, a.Node, s.now
+	if r.begunAt == 0 {
+		r.begunAt = s.now
+	}
 	s.do(Start{ID: a.ID, Number: r.attempts - 1,
 		Attempt: Attempt{Node: a.Node, Address: address, Request: r.req, Wait: wait}})
 }
--- a/cmd/junctionwharf/main.go
+++ b/cmd/junctionwharf/main.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"junctionwharf/internal/config"
+	"junctionwharf/internal/daemon"
 )
 
 // version is set by the linker for a release.
@@ -61,7 +62,7 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return serve(ctx, c, reload, func() (*config.Config, error) { return load(cmd) })
+	return daemon.Serve(ctx, c, reload, func() (*config.Config, error) { return load(cmd) })
 }
 
 func checkCommand(_ context.Context, cmd *cli.Command) error {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -141,6 +141,7 @@
 func (c *Config) Renew(other *Config) {
 	c.Discovery, c.Settings, c.keys = other.Discovery, other.Settings, other.keys
 	c.Site.SFTP.plan = other.Site.SFTP.plan
+	c.Site.Telemetry, c.Site.Graphite, c.Site.Collectd = other.Site.Telemetry, other.Site.Graphite, other.Site.Collectd
 }
 
 func or(value, fallback string) string {
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/BurntSushi/toml"
 
@@ -14,46 +13,19 @@
 	defaultConnections = 32
 	defaultUnitBytes   = 16 << 10
 	maxConnections     = 256
-	defaultIntervalS   = 10
-	defaultPrefix      = "junctionwharf"
 )
 
 // Site is what a broker does besides the platform's port. All of it is off by default.
 type Site struct {
-	SFTP     SFTP     `toml:"sftp"`
-	Graphite Receiver `toml:"graphite"`
-	Collectd Receiver `toml:"collectd"`
+	SFTP      SFTP      `toml:"sftp"`
+	Telemetry Telemetry `toml:"telemetry"`
+	Graphite  Graphite  `toml:"graphite"`
+	Collectd  Collectd  `toml:"collectd"`
 }
 
-// ends is all of a site but the mapping of file commands, which may change while the broker runs.
+// ends is all of a site but the mapping of file commands and where figures go, which may change while the broker runs.
 func (s Site) ends() any {
-	return []any{s.SFTP.Listen, s.SFTP.NodePort, s.SFTP.Connections, s.Graphite, s.Collectd}
-}
-
-// Receiver is where figures are pushed to.
-type Receiver struct {
-	Address   string `toml:"address"` // empty: off
-	Prefix    string `toml:"prefix"`  // of Graphite's names; the broker's name follows
-	IntervalS int    `toml:"interval_s"`
-}
-
-// Interval is the time between two pushes.
-func (r Receiver) Interval() time.Duration { return time.Duration(r.IntervalS) * time.Second }
-
-func (r *Receiver) complete() error {
-	if err := checkAddress(r.Address, false); err != nil {
-		return fmt.Errorf("address: %w", err)
-	}
-	if r.IntervalS == 0 {
-		r.IntervalS = defaultIntervalS
-	}
-	if r.IntervalS < 0 {
-		return fmt.Errorf("interval_s: %d is below 0", r.IntervalS)
-	}
-	if r.Prefix == "" {
-		r.Prefix = defaultPrefix
-	}
-	return nil
+	return []any{s.SFTP.Listen, s.SFTP.NodePort, s.SFTP.Connections}
 }
 
 // SFTP is the second front, file commands.
@@ -84,6 +56,9 @@
 	if err := s.SFTP.complete(set); err != nil {
 		return Site{}, fmt.Errorf("%s: sftp.%w", path, err)
 	}
+	if err := s.Telemetry.check(set); err != nil {
+		return Site{}, fmt.Errorf("%s: telemetry.%w", path, err)
+	}
 	if err := s.Graphite.complete(); err != nil {
 		return Site{}, fmt.Errorf("%s: graphite.%w", path, err)
 	}
--- a/cmd/junctionwharf/serve.go
+++ b/internal/daemon/serve.go
@@ -1,4 +1,5 @@
-package main
+// Package daemon puts the parts of a broker together, and starts, renews, hands over and ends them.
+package daemon
 
 import (
 	"context"
@@ -15,12 +16,14 @@
 	"time"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/collectd"
 	"junctionwharf/internal/config"
 	"junctionwharf/internal/console"
 	"junctionwharf/internal/discovery"
 	"junctionwharf/internal/metrics"
 	"junctionwharf/internal/peer"
 	"junctionwharf/internal/pool"
+	"junctionwharf/internal/report"
 	"junctionwharf/internal/resp"
 	"junctionwharf/internal/sftp"
 	"junctionwharf/internal/succession"
@@ -51,9 +54,9 @@
 	lastCheck   = 20 * time.Millisecond
 )
 
-// serve runs the broker until ctx ends, and then until what it took is answered. On reload it loads the
+// Serve runs the broker until ctx ends, and then until what it took is answered. On reload it loads the
 // configuration again.
-func serve(ctx context.Context, c *config.Config, reload <-chan os.Signal, load func() (*config.Config, error)) error {
+func Serve(ctx context.Context, c *config.Config, reload <-chan os.Signal, load func() (*config.Config, error)) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	debug.SetGCPercent(gcPercent)
 	logger := log.New(os.Stderr, c.Name+" ", log.LstdFlags|log.Lmicroseconds)
@@ -77,9 +80,14 @@
 		defer link.Close()
 		outside.Tell = link.Tell
 	}
+	s := &service{config: c, say: say}
+	calls := &loopCalls{}
+	s.reporter = report.New(report.Options{Name: c.Name, Loop: calls, Figures: s.figures, Log: say})
+	outside.Observe = s.reporter.Observe
 	loop := broker.NewLoop(state, clock, resp.NewNodes(nodes), outside)
-	s := &service{config: c, say: say, loop: loop, watcher: discovery.NewWatcher(c.Discovery, c.Settings.Logic.Hosts, say), pools: []*pool.Pool{nodes},
-		front: resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), size.clients, size.easy, size.requests, say)}
+	calls.Loop = loop
+	s.loop, s.watcher, s.pools = loop, discovery.NewWatcher(c.Discovery, c.Settings.Logic.Hosts, say), []*pool.Pool{nodes}
+	s.front = resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), size.clients, size.easy, size.requests, say)
 	s.fronts = []drainer{s.front}
 	s.classes.Store(&c.Settings.Logic.Classes)
 	s.resize(1)
@@ -94,7 +102,7 @@
 	defer stop()
 	if c.Console != "" {
 		door, err := console.Open(c.Console, console.Calls{Check: s.check,
-			Vars: func() []byte { return metrics.Statsd(loop.Figures.Read()) }}, say)
+			Vars: func() []byte { return metrics.Statsd(append(loop.Figures.Read(), s.reporter.Figures()...)) }}, say)
 		if err != nil {
 			return err
 		}
@@ -130,7 +138,8 @@
 		go func() { served <- s.files.Serve(fileLn) }()
 		say("serving: file commands on " + c.Site.SFTP.Listen)
 	}
-	push(running, c, loop, s.fronts, say)
+	s.reporter.Retune(reportOf(c))
+	go s.reporter.Run(running)
 	go func() { served <- s.front.Serve(ln) }()
 	go func() {
 		for current := c; ; {
@@ -201,6 +210,7 @@
 	loop      *broker.Loop
 	watcher   *discovery.Watcher
 	pools     []*pool.Pool
+	reporter  *report.Reporter
 	front     *resp.Front
 	files     *sftp.Front // nil if off
 	fronts    []drainer
@@ -223,6 +233,7 @@
 	s.loop.Figures.Reloaded(err == nil)
 	if err != nil {
 		s.say("reload: " + err.Error() + ": the old configuration stands")
+		s.reporter.Notify(collectd.Notice{Severity: collectd.Failure, Instance: "reload", Text: "reload turned down: " + err.Error()})
 		return old
 	}
 	if keys := old.Fixed(c); len(keys) > 0 {
@@ -250,9 +261,15 @@
 	for _, p := range s.pools {
 		p.Retune(set.ConnectTimeout.Duration(), set.ConnIdle.Duration())
 	}
+	s.reporter.Retune(reportOf(c))
 	s.classes.Store(&set.Logic.Classes)
 }
 
+// reportOf is what a configuration says of sinks of figures.
+func reportOf(c *config.Config) report.Settings {
+	return report.Settings{Registry: c.Site.Telemetry.Options(c.Settings.Logic), Graphite: c.Site.Graphite, Collectd: c.Site.Collectd}
+}
+
 // timetable is what happens when after SIGTERM.
 type timetable struct{ drain, shut, answer, end time.Duration }
 
@@ -296,6 +313,7 @@
 			s.loop.Post(broker.Ending{})
 		}
 	}
+	s.reporter.Finish(began.Add(max(t.end, time.Since(began)+lastCheck))) // no client waits any more
 }
 
 func (s *service) drain() {
@@ -320,25 +338,13 @@
 	return sum
 }
 
-// push starts the pushing of figures, where a receiver is named.
-func push(ctx context.Context, c *config.Config, loop *broker.Loop, fronts []drainer, say func(string)) {
-	if g := c.Site.Graphite; g.Address != "" {
-		to := metrics.Graphite{Address: g.Address, Prefix: g.Prefix + "." + c.Name}
-		go metrics.Run(ctx, g.Interval(), func(ctx context.Context, now time.Time) error {
-			return to.Push(ctx, now, samples(loop, fronts))
-		}, say)
-	}
-	if d := c.Site.Collectd; d.Address != "" {
-		to := metrics.Collectd{Address: d.Address, Host: c.Name}
-		go metrics.Run(ctx, d.Interval(), func(ctx context.Context, now time.Time) error {
-			return to.Push(ctx, now, d.Interval(), samples(loop, fronts))
-		}, say)
-	}
+// figures are the broker's own, as sinks get them.
+func (s *service) figures() []broker.Figure {
+	return append(s.loop.Figures.Read(), broker.Figure{Name: "clients", Value: uint64(clients(s.fronts))})
 }
 
-func samples(loop *broker.Loop, fronts []drainer) []metrics.Sample {
-	return append(loop.Figures.Read(), metrics.Sample{Name: "clients", Value: uint64(clients(fronts))})
-}
+// loopCalls stands for the loop before there is one: the reporter hears its facts, and asks it for cuts.
+type loopCalls struct{ *broker.Loop }
 
 func retire(ctx context.Context, nodes *pool.Pool) {
 	tick := time.NewTicker(time.Second)
--- a/cmd/junctionwharf/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"bufio"
@@ -20,6 +20,7 @@
 	"junctionwharf/broker"
 	"junctionwharf/internal/config"
 	"junctionwharf/internal/discovery"
+	"junctionwharf/internal/report"
 	"junctionwharf/internal/resp"
 	"junctionwharf/logic"
 )
@@ -93,10 +94,18 @@
 			if err != nil {
 				return
 			}
-			text, _ := io.ReadAll(conn)
-			if strings.Contains(string(text), "wharf.n1.taken 1 ") {
-				figures <- string(text)
-				return
+			for text, in := "", bufio.NewReader(conn); ; {
+				line, err := in.ReadString('\n')
+				if err != nil {
+					break
+				}
+				if text += line; strings.HasPrefix(line, "wharf.n1.telemetry.graphite.redials") { // the last of the broker's own
+					if strings.Contains(text, "wharf.n1.taken 1 ") {
+						figures <- text
+						return
+					}
+					text = ""
+				}
 			}
 		}
 	}()
@@ -106,10 +115,10 @@
 		t.Fatal(err)
 	}
 	c.Site.SFTP.Listen, c.Site.SFTP.Connections = files, 4
-	c.Site.Graphite = config.Receiver{Address: carbon.Addr().String(), Prefix: "wharf", IntervalS: 1}
+	c.Site.Graphite = config.Graphite{Receiver: config.Receiver{Address: carbon.Addr().String(), IntervalS: 1, QueueBytes: 1 << 20}, Prefix: "wharf", Transport: "tcp"}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- serve(ctx, c, nil, nil) }()
+	go func() { ended <- Serve(ctx, c, nil, nil) }()
 
 	conn := dial(t, address)
 	in := bufio.NewReader(conn)
@@ -204,7 +213,19 @@
 	t.Setenv("BALANCER_CONFIG", configure(services[0]))
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- app().Run(ctx, []string{"junctionwharf", "serve", "--site", site}) }()
+	reload := make(chan os.Signal, 1)
+	load := func() (*config.Config, error) {
+		c, err := config.Load(os.Getenv)
+		if err == nil {
+			c.Site, err = config.LoadSite(site, c.Settings.Logic)
+		}
+		return c, err
+	}
+	c, err := load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { ended <- Serve(ctx, c, reload, load) }()
 	conn, file := dial(t, address), dial(t, files)
 	in := bufio.NewReader(conn)
 	ask := func() string {
@@ -223,9 +244,7 @@
 		t.Fatalf("served by %q", got)
 	}
 	configure(services[1])
-	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
-		t.Fatal(err)
-	}
+	reload <- syscall.SIGHUP
 	for end := time.Now().Add(5 * time.Second); ask() != "1"; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("discovery did not move")
@@ -289,7 +308,7 @@
 		c.Site.SFTP.Listen, c.Site.SFTP.Connections = files, 4
 		ctx, stop := context.WithCancel(context.Background())
 		ended = make(chan error, 1)
-		go func() { ended <- serve(ctx, c, nil, nil) }()
+		go func() { ended <- Serve(ctx, c, nil, nil) }()
 		return door, stop, ended
 	}
 	check := func(door string) string {
@@ -377,7 +396,7 @@
 		t.Fatal(err)
 	}
 	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Log: say})
-	parts := &service{loop: loop, watcher: discovery.NewWatcher(c.Discovery, 1, say), say: say,
+	parts := &service{loop: loop, reporter: report.New(report.Options{}), watcher: discovery.NewWatcher(c.Discovery, 1, say), say: say,
 		front: resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, 0), 1, 1, 1, say)}
 	for _, fault := range []struct{ old, new, line string }{
 		{`"discovery":"127.0.0.1:2"`, `"discovery":"there"`, `discovery: "there" is no address:port`},
--- a/cmd/junctionwharf/succeed.go
+++ b/internal/daemon/succeed.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"os"
--- /dev/null
+++ b/internal/report/words.go
@@ -0,0 +1,170 @@
+package report
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"junctionwharf/broker"
+	"junctionwharf/internal/collectd"
+	"junctionwharf/internal/config"
+	"junctionwharf/internal/graphite"
+	"junctionwharf/telemetry"
+)
+
+// target is a sink as it is set.
+type target struct {
+	name, network, address string
+
+	interval time.Duration
+	options  telemetry.SinkOptions
+	sets     any // what the words depend on; a sink with other settings is another sink
+	encode   encoder
+	notice   func(collectd.Notice, time.Time) ([]byte, error) // nil for none
+}
+
+// encoder words an interval as frames.
+type encoder func(name string, figures []broker.Figure, rows *telemetry.Rollup, stamp int64, sum *telemetry.Summarizer) ([][]byte, error)
+
+func (t target) same(other target) bool {
+	return t.name == other.name && t.network == other.network && t.address == other.address && t.interval == other.interval &&
+		t.options == other.options && reflect.DeepEqual(t.sets, other.sets)
+}
+
+// targets are the sinks that are on.
+func targets(set Settings, name string) []target {
+	var all []target
+	if g := set.Graphite; g.Address != "" {
+		all = append(all, target{name: "graphite", network: g.Transport, address: g.Address, interval: g.Interval(), sets: g,
+			options: telemetry.SinkOptions{QueueBytes: g.QueueBytes, PaceAll: g.Transport == "udp", Again: g.Transport == "tcp"},
+			encode:  carbon(g)})
+	}
+	if c := set.Collectd; c.Address != "" {
+		e := &collectd.Encoder{Host: short(name), Plugin: plugin, Security: c.Guard(), Key: c.Key}
+		all = append(all, target{name: "collectd", network: "udp", address: c.Address, interval: c.Interval(), sets: c,
+			options: telemetry.SinkOptions{QueueBytes: c.QueueBytes, PaceAll: true},
+			encode:  packets(e, c.Interval()), notice: e.Notify})
+	}
+	return all
+}
+
+// carbon words an interval for Graphite.
+func carbon(g config.Graphite) encoder {
+	return func(name string, figures []broker.Figure, rows *telemetry.Rollup, stamp int64, sum *telemetry.Summarizer) ([][]byte, error) {
+		prefix := string(graphite.AppendName([]byte(g.Prefix+"."), name))
+		points := make([]graphite.Point, 0, 2*telemetry.DefaultMaxSeries)
+		for _, f := range figures {
+			points = append(points, graphite.Point{Path: figurePath(f.Name), Value: f.Value})
+		}
+		rows.Tell(func(row *telemetry.Row) {
+			tag := row.Dimension.String()
+			add := func(last string, value uint64) {
+				p := graphite.Path{Tag: tag, Name: row.Name, Plain: row.Special, Last: last}
+				if row.Dimension == telemetry.All {
+					p = graphite.Path{Words: allWords, Last: last}
+				}
+				points = append(points, graphite.Point{Path: p, Value: value})
+			}
+			for i, n := range row.Counts {
+				add(telemetry.CountNames[i], n)
+			}
+			for t, b := range row.Times {
+				for i, n := range summary(sum.Of(b)) {
+					if b != nil || i == 0 { // without a time there is no quantile
+						add(timingWords[t][i], n)
+					}
+				}
+			}
+		})
+		if g.Protocol == "pickle" {
+			return graphite.Pickle(points, prefix, g.Naming(), stamp), nil
+		}
+		return graphite.Plaintext(points, prefix, g.Naming(), stamp, g.Transport == "udp"), nil
+	}
+}
+
+var allWords = []string{telemetry.All.String()}
+
+var timingWords = func() (words [len(telemetry.TimingNames)][len(telemetry.SummaryNames)]string) {
+	for t, timing := range telemetry.TimingNames {
+		for i, name := range telemetry.SummaryNames {
+			words[t][i] = timing + "." + name
+		}
+	}
+	return words
+}()
+
+func summary(s telemetry.Summary) [len(telemetry.SummaryNames)]uint64 {
+	return [...]uint64{s.Count, uint64(s.P50), uint64(s.P90), uint64(s.P99), uint64(s.P999), uint64(s.Max)}
+}
+
+// figurePath keeps the paths that figures have had from the start, such as success.CLASS, whose class alone may hold
+// anything.
+func figurePath(name string) graphite.Path {
+	for _, kind := range []string{"success.", "busy.", "failure."} {
+		if class, is := strings.CutPrefix(name, kind); is {
+			return graphite.Path{Words: []string{kind + string(graphite.AppendName(nil, class))}}
+		}
+	}
+	return graphite.Path{Words: []string{name}}
+}
+
+// plugin is collectd's name for what a broker tells.
+const plugin = "junctionwharf"
+
+// packets words an interval for collectd. The types stand in deploy/types.db.
+func packets(e *collectd.Encoder, interval time.Duration) encoder {
+	return func(_ string, figures []broker.Figure, rows *telemetry.Rollup, stamp int64, sum *telemetry.Summarizer) ([][]byte, error) {
+		lists := make([]collectd.List, 0, len(figures)+512)
+		for _, f := range figures {
+			l := collectd.List{Type: "gauge", TypeInstance: short(f.Name), Values: []collectd.Value{{Kind: collectd.Gauge, N: f.Value}}}
+			if f.Counter {
+				l.Type, l.Values[0].Kind = "derive", collectd.Derive
+			}
+			lists = append(lists, l)
+		}
+		rows.Tell(func(row *telemetry.Row) {
+			name := row.Name
+			if !row.Special {
+				name = string(graphite.AppendName(nil, name))
+			}
+			instance := row.Dimension.String()
+			if row.Dimension != telemetry.All {
+				instance = short(instance + "." + name)
+			}
+			counts := func(kind string, from, to telemetry.Count) {
+				l := collectd.List{PluginInstance: instance, Type: kind}
+				for _, n := range row.Counts[from:to] {
+					l.Values = append(l.Values, collectd.Value{Kind: collectd.Derive, N: n})
+				}
+				lists = append(lists, l)
+			}
+			counts("junctionwharf_requests", telemetry.RequestsServed, telemetry.Attempts)
+			counts("junctionwharf_attempts", telemetry.Attempts, telemetry.MilliUnits)
+			counts("junctionwharf_units", telemetry.MilliUnits, telemetry.MilliUnitsServed+1)
+			for t, b := range row.Times {
+				if b == nil {
+					continue
+				}
+				l := collectd.List{PluginInstance: instance, Type: "junctionwharf_latency", TypeInstance: telemetry.TimingNames[t]}
+				for _, n := range summary(sum.Of(b)) {
+					l.Values = append(l.Values, collectd.Value{Kind: collectd.Gauge, N: n})
+				}
+				lists = append(lists, l)
+			}
+		})
+		return e.Lists(lists, time.Unix(stamp, 0), interval)
+	}
+}
+
+// short keeps to the bytes that collectd keeps of a name, and has no slash in it.
+func short(name string) string {
+	name = strings.ReplaceAll(strings.ReplaceAll(name, "/", "%2F"), "\x00", "%00")
+	if len(name) <= collectd.MaxName {
+		return name
+	}
+	return fmt.Sprintf("%s-%016x", name[:collectd.MaxName-17], xxhash.Sum64String(name))
+}
--- a/telemetry/fact.go
+++ b/telemetry/fact.go
@@ -40,6 +40,7 @@
 	RequestEnded FactKind = iota
 	AttemptEnded
 	NodeListed
+	NodeLeaving // it is listed as draining or gone: nothing new goes there
 	NodeUnlisted
 )
 
--- a/telemetry/registry_test.go
+++ b/telemetry/registry_test.go
@@ -58,7 +58,7 @@
 			for range random.IntN(300) {
 				f := Fact{Class: "read", Plan: names("p", 3), Volume: names("v", 1+random.IntN(200)), Node: names("n", 30),
 					Units: float64(random.IntN(9000)) / 1000, Whole: random.Int64N(1e8), Waiting: random.Int64N(1e5)}
-				switch f.Kind = FactKind(random.IntN(4)); f.Kind {
+				switch f.Kind = FactKind(random.IntN(5)); f.Kind {
 				case RequestEnded:
 					if random.IntN(4) == 0 {
 						f.Node = ""
