Add wharflab: a demonstration, an open-loop load, stand-in receivers, a dashboard

Need: tools and stand-ins of the project's own, which never weigh on the daemon.

wharflab demo starts stand-ins and a broker on loopback and prints a table by class, plan and node; load draws arrivals ahead and counts latency from the intended time; listen checks both formats with decoders that share no code with the encoders; dashboard writes one for Graphite. Hard cases of sinks are tests: never reading, a byte a second, resets, killed and back, unknown name, wrong key, turned off, at the end.

--- /dev/null
+++ b/cmd/wharflab/load.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/urfave/cli/v3"
+
+	"junctionwharf/internal/config"
+	"junctionwharf/internal/load"
+	"junctionwharf/logic"
+)
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "send an open-loop load to a running broker and say what came back",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "the broker's configuration `FILE`: its address, classes and plans", Required: true},
+			&cli.StringSliceFlag{Name: "address", Usage: "send to `ADDR` instead; may stand several times"},
+			&cli.FloatFlag{Name: "rate", Value: 200, Usage: "requests a second"},
+			&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "length of the run"},
+			&cli.StringFlag{Name: "mix", Usage: "shares of classes, such as lesson-read=55,record-write=30"},
+			&cli.IntFlag{Name: "volumes", Value: 40},
+			&cli.FloatFlag{Name: "skew", Usage: "Zipf's exponent over volumes, above 1; 0: all alike"},
+			&cli.IntFlag{Name: "shards", Usage: "draw from so many shards; 0: as many as the settings name"},
+			&cli.IntFlag{Name: "units", Value: 4, Usage: "a request's units at the most"},
+			&cli.IntFlag{Name: "connections", Value: 256},
+			&cli.UintFlag{Name: "seed", Value: 1, Usage: "of all draws: the same seed sends the same requests"},
+			&cli.StringFlag{Name: "json", Usage: "write the result to `FILE`"},
+			&cli.StringFlag{Name: "hdr", Usage: "write latencies of each second to `FILE`, an HdrHistogram log"},
+		},
+		Action: sendLoad,
+	}
+}
+
+// kindsOf makes the classes of settings into a mix: all alike, or by shares as in "a=1,b=2".
+func kindsOf(classes []logic.Class, mix string) ([]load.Kind, error) {
+	shares := map[string]float64{}
+	if mix != "" {
+		for part := range strings.SplitSeq(mix, ",") {
+			name, text, found := strings.Cut(part, "=")
+			share, err := strconv.ParseFloat(text, 64)
+			if !found || err != nil || !(share >= 0) {
+				return nil, fmt.Errorf("--mix: %q is no class=share", part)
+			}
+			shares[name] = share
+		}
+	}
+	var kinds []load.Kind
+	for _, c := range classes {
+		k := load.Kind{Class: c.Name, Share: 1, Write: c.Effect != logic.Safe, Deadline: c.Deadline}
+		if mix != "" {
+			k.Share = shares[c.Name]
+			delete(shares, c.Name)
+		}
+		kinds = append(kinds, k)
+	}
+	for name := range shares {
+		return nil, fmt.Errorf("--mix: class %q is not in the settings", name)
+	}
+	return kinds, nil
+}
+
+func sendLoad(ctx context.Context, cmd *cli.Command) error {
+	path := cmd.String("config")
+	c, err := config.Load(func(name string) string {
+		if name == "BALANCER_CONFIG" {
+			return path
+		}
+		return os.Getenv(name)
+	})
+	if err != nil {
+		return err
+	}
+	kinds, err := kindsOf(c.Settings.Logic.Classes, cmd.String("mix"))
+	if err != nil {
+		return err
+	}
+	t := load.Traffic{Kinds: kinds, Volumes: cmd.Int("volumes"), Skew: cmd.Float("skew"), Shards: cmd.Int("shards"), MaxUnits: cmd.Int("units"),
+		Hosts: c.Settings.Logic.Hosts, Rate: cmd.Float("rate"), Length: cmd.Duration("for"), Seed: uint64(cmd.Uint("seed"))}
+	for _, p := range c.Settings.Logic.Plans {
+		t.Plans = append(t.Plans, p.Name)
+	}
+	if t.Shards == 0 {
+		t.Shards = max(1, c.Settings.Shards)
+	}
+	opt := load.Options{Addresses: cmd.StringSlice("address"), Connections: cmd.Int("connections"), Progress: progress(t.Length)}
+	if len(opt.Addresses) == 0 {
+		opt.Addresses = []string{c.Listen}
+	}
+	result, err := load.Run(ctx, t, opt)
+	clearProgress()
+	if err != nil {
+		return err
+	}
+	if err := writeTo(cmd.String("json"), func(w io.Writer) error { return writeJSON(w, result) }); err != nil {
+		return fmt.Errorf("--json: %w", err)
+	}
+	if err := writeTo(cmd.String("hdr"), func(w io.Writer) error { return writeHDR(w, result) }); err != nil {
+		return fmt.Errorf("--hdr: %w", err)
+	}
+	return printResult(os.Stdout, result)
+}
+
+func progress(length time.Duration) func(time.Duration, int) {
+	if !terminal(os.Stderr) {
+		return nil
+	}
+	return func(done time.Duration, sent int) {
+		fmt.Fprintf(os.Stderr, "\r%5.1f of %.0f s, %d requests ", done.Seconds(), length.Seconds(), sent)
+	}
+}
+
+func clearProgress() {
+	if terminal(os.Stderr) {
+		fmt.Fprint(os.Stderr, "\r\033[K")
+	}
+}
+
+func writeTo(path string, write func(io.Writer) error) error {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := write(file); err != nil {
+		file.Close()
+		return err
+	}
+	return file.Close()
+}
+
+// tallies names the tallies of a result.
+func tallies(r *load.Result, each func(group, name string, t *load.Tally)) {
+	for i, t := range r.ByKind {
+		each("class", r.Traffic.Kinds[i].Class, t)
+	}
+	for i, t := range r.ByPlan {
+		each("plan", r.Traffic.Plans[i], t)
+	}
+	each("all", "", r.All)
+}
+
+func printResult(w io.Writer, r *load.Result) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "\tsent\tserved\tbusy\tfailed\tlost\tp50 ms\tp90\tp99\tp99.9\tmax\t")
+	tallies(r, func(group, name string, t *load.Tally) {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t", strings.TrimSpace(group+" "+name), t.Sent(), t.Counts[load.Served], t.Counts[load.Busy],
+			t.Counts[load.Failed], t.Counts[load.Lost])
+		for _, p := range []float64{50, 90, 99, 99.9, 100} {
+			fmt.Fprintf(table, "%.1f\t", float64(t.Latency.ValueAtPercentile(p))/1000)
+		}
+		fmt.Fprintln(table)
+	})
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "latency counts from the intended time; sent %v late at the most, over %d connections\n", r.Behind.Round(time.Microsecond), r.Dials)
+	return err
+}
+
+type tallyJSON struct {
+	Group   string `json:"group"`
+	Name    string `json:"name,omitempty"`
+	Sent    int    `json:"sent"`
+	Served  int    `json:"served"`
+	Busy    int    `json:"busy"`
+	Failed  int    `json:"failed"`
+	Lost    int    `json:"lost"`
+	P50US   int64  `json:"p50_us"`
+	P90US   int64  `json:"p90_us"`
+	P99US   int64  `json:"p99_us"`
+	P999US  int64  `json:"p99_9_us"`
+	MaxUS   int64  `json:"max_us"`
+	MeanUS  int64  `json:"mean_us"`
+	StdevUS int64  `json:"stdev_us"`
+}
+
+func writeJSON(w io.Writer, r *load.Result) error {
+	out := struct {
+		Seed     uint64      `json:"seed"`
+		Rate     float64     `json:"rate"`
+		LengthS  float64     `json:"length_s"`
+		BehindUS int64       `json:"behind_us"`
+		Tallies  []tallyJSON `json:"tallies"`
+	}{Seed: r.Traffic.Seed, Rate: r.Traffic.Rate, LengthS: r.Traffic.Length.Seconds(), BehindUS: r.Behind.Microseconds()}
+	tallies(r, func(group, name string, t *load.Tally) {
+		h := t.Latency
+		out.Tallies = append(out.Tallies, tallyJSON{group, name, t.Sent(), t.Counts[load.Served], t.Counts[load.Busy], t.Counts[load.Failed],
+			t.Counts[load.Lost], h.ValueAtPercentile(50), h.ValueAtPercentile(90), h.ValueAtPercentile(99), h.ValueAtPercentile(99.9),
+			h.Max(), int64(h.Mean()), int64(h.StdDev())})
+	})
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(out)
+}
+
+// writeHDR writes a log that HdrHistogram's own tools read, an interval a second, in µs.
+func writeHDR(w io.Writer, r *load.Result) error {
+	log := hdrhistogram.NewHistogramLogWriter(w)
+	if err := log.OutputLogFormatVersion(); err != nil {
+		return err
+	}
+	if err := log.OutputComment("[latency in microseconds from the intended time of each request]"); err != nil {
+		return err
+	}
+	start := r.Began.UnixMilli()
+	if err := log.OutputStartTime(start); err != nil {
+		return err
+	}
+	log.SetBaseTime(start)
+	if err := log.OutputLegend(); err != nil {
+		return err
+	}
+	for i, h := range r.Interval {
+		h.SetStartTimeMs(start + int64(i)*1000)
+		h.SetEndTimeMs(start + int64(i+1)*1000)
+		if err := log.OutputIntervalHistogram(h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/wharflab/main.go
@@ -0,0 +1,37 @@
+// Command wharflab holds the tools round a broker: stand-in receivers of figures, a demonstration, and a load.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	app := &cli.Command{
+		Name:  "wharflab",
+		Usage: "tools round a junctionwharf broker",
+		Commands: []*cli.Command{
+			demoCommand(),
+			loadCommand(),
+			listenCommand(),
+			dashboardCommand(),
+		},
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "wharflab:", err)
+		os.Exit(1)
+	}
+}
+
+// terminal tells whether a file is one: progress is shown there alone.
+func terminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -113,6 +113,18 @@
 		{`volume = "v"`, `volumes = "v"`, "volumes"},
 		{`[sftp]`, "[graphite]\naddress = \"x\"\n[sftp]", "graphite.address"},
 		{`[sftp]`, "[collectd]\ninterval_s = -1\n[sftp]", "collectd.interval_s"},
+		{`[sftp]`, "[collectd]\nsecurity = \"odd\"\n[sftp]", "collectd.security"},
+		{`[sftp]`, "[collectd]\naddress = \"h:1\"\nsecurity = \"sign\"\n[sftp]", "collectd.key_file"},
+		{`[sftp]`, "[collectd]\naddress = \"h:1\"\nsecurity = \"sign\"\nkey_file = \"/nowhere\"\n[sftp]", "collectd.key_file"},
+		{`[sftp]`, "[graphite]\naddress = \"h:0\"\n[sftp]", "graphite.address"},
+		{`[sftp]`, "[graphite]\nnames = \"long\"\n[sftp]", "graphite.names"},
+		{`[sftp]`, "[graphite]\nprefix = \"a b\"\n[sftp]", "graphite.prefix"},
+		{`[sftp]`, "[graphite]\nprotocol = \"pickle\"\ntransport = \"udp\"\n[sftp]", "graphite.transport"},
+		{`[sftp]`, "[graphite]\nqueue_bytes = 1\n[sftp]", "graphite.queue_bytes"},
+		{`[sftp]`, "[graphite]\ninterval = 1\n[sftp]", "graphite.interval"},
+		{`[sftp]`, "[telemetry]\nmax_series = 100\n[sftp]", "telemetry.max_series"},
+		{`[sftp]`, "[telemetry]\nmax_bytes = 100\n[sftp]", "telemetry.max_bytes"},
+		{`[sftp]`, "[telemetry]\nidle_intervals = -1\n[sftp]", "telemetry.idle_intervals"},
 		{`[sftp.command]`, "node_port = 70000\n[sftp.command]", "sftp.node_port"},
 	} {
 		text := siteText
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,345 @@
+// Package load sends an open-loop load to a running broker: arrivals are drawn ahead and do not wait for answers, and
+// latency counts from the time at which a request was to be sent, so that a broker which stands still is not spared
+// the requests that it would have met ("coordinated omission").
+package load
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Kind is a class of requests in the mix.
+type Kind struct {
+	Class    string
+	Share    float64       // of all requests, against the other kinds' shares
+	Write    bool          // sent as BLK.WRITE
+	Deadline time.Duration // how long the client waits
+}
+
+// Traffic says what is sent. All draws come from Seed.
+type Traffic struct {
+	Kinds    []Kind
+	Plans    []string
+	Volumes  int     // numbered from 1, each on one plan
+	Skew     float64 // Zipf's exponent over volumes, above 1; 0 for an even draw
+	Shards   int     // they run from 0
+	MaxUnits int     // a request has 1 to so many units
+	Hosts    int     // brokers through which a volume's requests come
+	Rate     float64 // requests a second
+	Length   time.Duration
+	Seed     uint64
+}
+
+// MostRequests bounds a run.
+const MostRequests = 20_000_000
+
+// Check names what makes no sense.
+func (t Traffic) Check() error {
+	switch {
+	case len(t.Kinds) == 0 || len(t.Plans) == 0:
+		return errors.New("no classes or no plans")
+	case !(t.Rate > 0) || t.Length <= 0:
+		return errors.New("rate and length must be above 0")
+	case t.Rate*t.Length.Seconds() > MostRequests:
+		return fmt.Errorf("%.0f requests are over %d", t.Rate*t.Length.Seconds(), MostRequests)
+	case t.Volumes < 1 || t.Shards < 1 || t.MaxUnits < 1:
+		return errors.New("volumes, shards and units must be above 0")
+	case t.Skew != 0 && t.Skew <= 1:
+		return errors.New("skew must be above 1, or 0")
+	}
+	return nil
+}
+
+// Arrival is one request.
+type Arrival struct {
+	At     time.Duration // from the start of the run
+	Kind   int           // in Traffic.Kinds
+	Plan   int           // in Traffic.Plans
+	Volume int
+	Shard  int
+	Units  int
+	Key    uint64
+}
+
+// Arrivals yields the requests in the order of their times: a Poisson process.
+func (t Traffic) Arrivals(yield func(Arrival) bool) {
+	random := rand.New(rand.NewPCG(t.Seed, 0x10ad))
+	var zipf *rand.Zipf
+	if t.Skew > 0 {
+		zipf = rand.NewZipf(random, t.Skew, 1, uint64(t.Volumes-1))
+	}
+	sum := 0.0
+	for _, k := range t.Kinds {
+		sum += k.Share
+	}
+	for at := 0.0; ; {
+		at += random.ExpFloat64() / t.Rate
+		if at >= t.Length.Seconds() {
+			return
+		}
+		a := Arrival{At: time.Duration(at * float64(time.Second)), Shard: random.IntN(t.Shards), Units: 1 + random.IntN(t.MaxUnits), Key: random.Uint64()}
+		if zipf != nil {
+			a.Volume = 1 + int(zipf.Uint64())
+		} else {
+			a.Volume = 1 + random.IntN(t.Volumes)
+		}
+		a.Plan = a.Volume % len(t.Plans)
+		for draw := random.Float64() * sum; a.Kind < len(t.Kinds)-1 && draw >= t.Kinds[a.Kind].Share; a.Kind++ {
+			draw -= t.Kinds[a.Kind].Share
+		}
+		if !yield(a) {
+			return
+		}
+	}
+}
+
+// Verdict is what a client made of an answer.
+type Verdict int
+
+// The verdicts. Lost has no whole answer: the connection ended, or the client gave up well after its deadline.
+const (
+	Served Verdict = iota
+	Busy
+	Failed
+	Lost
+	verdicts
+)
+
+var verdictNames = [verdicts]string{"served", "busy", "failed", "lost"}
+
+func (v Verdict) String() string { return verdictNames[v] }
+
+// Tally counts what one kind of request got. Latency, in µs, counts from the intended time of the request, of all
+// that got an answer of the broker's.
+type Tally struct {
+	Counts  [verdicts]int
+	Latency *hdrhistogram.Histogram
+}
+
+// mostMicros bounds what a histogram holds: 100 s.
+const mostMicros = 100_000_000
+
+func newTally() *Tally { return &Tally{Latency: hdrhistogram.New(1, mostMicros, 3)} }
+
+func (t *Tally) add(v Verdict, took time.Duration) {
+	t.Counts[v]++
+	if v != Lost {
+		t.Latency.RecordValue(max(1, min(took.Microseconds(), mostMicros)))
+	}
+}
+
+// Sent is how many requests were sent.
+func (t *Tally) Sent() int {
+	sum := 0
+	for _, n := range t.Counts {
+		sum += n
+	}
+	return sum
+}
+
+// Result is what a run came to.
+type Result struct {
+	Traffic  Traffic
+	Began    time.Time
+	All      *Tally
+	ByKind   []*Tally
+	ByPlan   []*Tally
+	Interval []*hdrhistogram.Histogram // of each second of the run, by intended time
+	Behind   time.Duration             // the latest that a request was sent after its time
+	Dials    int
+}
+
+// Options are of the sending side.
+type Options struct {
+	Addresses   []string // brokers, in turn
+	Connections int      // open at once, at the most
+	Progress    func(done time.Duration, sent int)
+}
+
+// Run sends the traffic until its end, or until ctx ends; then it waits for the answers that are owed.
+func Run(ctx context.Context, traffic Traffic, opt Options) (*Result, error) {
+	if err := traffic.Check(); err != nil {
+		return nil, err
+	}
+	if len(opt.Addresses) == 0 {
+		return nil, errors.New("no address")
+	}
+	r := &runner{traffic: traffic, opt: opt, places: make(chan struct{}, cmp.Or(opt.Connections, 256)),
+		result: &Result{Traffic: traffic, Began: time.Now(), All: newTally()}}
+	r.idle = make([][]*client, len(opt.Addresses))
+	for range traffic.Kinds {
+		r.result.ByKind = append(r.result.ByKind, newTally())
+	}
+	for range traffic.Plans {
+		r.result.ByPlan = append(r.result.ByPlan, newTally())
+	}
+	for range int(math.Ceil(traffic.Length.Seconds())) {
+		r.result.Interval = append(r.result.Interval, hdrhistogram.New(1, mostMicros, 3))
+	}
+	r.send(ctx)
+	r.wait.Wait()
+	for _, idle := range r.idle {
+		for _, c := range idle {
+			c.conn.Close()
+		}
+	}
+	r.result.Dials = int(r.dials.Load())
+	return r.result, nil
+}
+
+type runner struct {
+	traffic Traffic
+	opt     Options
+	places  chan struct{}
+	wait    sync.WaitGroup
+	dials   atomic.Int64
+
+	mu     sync.Mutex
+	idle   [][]*client // by address
+	result *Result
+}
+
+// patience is how long past a request's deadline a client waits before it calls the answer lost.
+const patience = 2 * time.Second
+
+func (r *runner) send(ctx context.Context) {
+	began, sent := r.result.Began, 0
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	shown := began
+	for a := range r.traffic.Arrivals {
+		if wait := time.Until(began.Add(a.At)); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-ctx.Done():
+				return
+			case <-timer.C:
+			}
+		} else if ctx.Err() != nil {
+			return
+		}
+		sent++
+		if now := time.Now(); r.opt.Progress != nil && now.Sub(shown) >= time.Second/4 {
+			shown = now
+			r.opt.Progress(now.Sub(began), sent)
+		}
+		select {
+		case r.places <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		number := sent
+		r.wait.Add(1)
+		go func() {
+			defer r.wait.Done()
+			defer func() { <-r.places }()
+			r.ask(a, number)
+		}()
+	}
+}
+
+func (r *runner) ask(a Arrival, number int) {
+	began := r.result.Began.Add(a.At)
+	behind := time.Since(began)
+	to := number % len(r.opt.Addresses)
+	v := Lost
+	if c, err := r.take(to); err == nil {
+		if v, err = c.ask(r.traffic, a, number); err == nil {
+			r.mu.Lock()
+			r.idle[to] = append(r.idle[to], c)
+			r.mu.Unlock()
+		} else {
+			c.conn.Close()
+		}
+	}
+	took := time.Since(began)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Behind = max(r.result.Behind, behind)
+	r.result.All.add(v, took)
+	r.result.ByKind[a.Kind].add(v, took)
+	r.result.ByPlan[a.Plan].add(v, took)
+	if v != Lost {
+		r.result.Interval[int(a.At/time.Second)].RecordValue(max(1, min(took.Microseconds(), mostMicros)))
+	}
+}
+
+// take returns an idle connection, or a new one.
+func (r *runner) take(to int) (*client, error) {
+	r.mu.Lock()
+	if last := len(r.idle[to]) - 1; last >= 0 {
+		c := r.idle[to][last]
+		r.idle[to] = r.idle[to][:last]
+		r.mu.Unlock()
+		return c, nil
+	}
+	r.mu.Unlock()
+	r.dials.Add(1)
+	conn, err := net.DialTimeout("tcp", r.opt.Addresses[to], patience)
+	if err != nil {
+		return nil, err
+	}
+	return &client{conn: conn, in: bufio.NewReader(conn)}, nil
+}
+
+// client is a connection that speaks RESP2 as the platform's clients do.
+type client struct {
+	conn net.Conn
+	in   *bufio.Reader
+	out  []byte
+}
+
+func (c *client) ask(t Traffic, a Arrival, number int) (Verdict, error) {
+	kind := t.Kinds[a.Kind]
+	list := fmt.Sprintf("c=%s,t=%s,d=%d,volume=%016x,units=%d,shard=%d,hosts=%d", kind.Class, t.Plans[a.Plan], kind.Deadline.Milliseconds(),
+		a.Volume, a.Units, a.Shard, max(1, t.Hosts))
+	args := []string{"BLK.READ", fmt.Sprintf("%016x", a.Key), fmt.Sprintf("%08x%08x", uint32(t.Seed), number), list}
+	if kind.Write {
+		args[0] = "BLK.WRITE"
+		args = append(args, "BODY")
+	}
+	c.out = fmt.Appendf(c.out[:0], "*%d\r\n", len(args))
+	for _, arg := range args {
+		c.out = fmt.Appendf(c.out, "$%d\r\n%s\r\n", len(arg), arg)
+	}
+	c.conn.SetDeadline(time.Now().Add(kind.Deadline + patience))
+	if _, err := c.conn.Write(c.out); err != nil {
+		return Lost, err
+	}
+	return c.read()
+}
+
+func (c *client) read() (Verdict, error) {
+	line, err := c.in.ReadString('\n')
+	if err != nil {
+		return Lost, err
+	}
+	line = strings.TrimSuffix(line, "\r\n")
+	switch {
+	case strings.HasPrefix(line, "$"):
+		size, err := strconv.Atoi(line[1:])
+		if err != nil || size < 0 || size > 16<<20 {
+			return Failed, err
+		}
+		if _, err := c.in.Discard(size + 2); err != nil {
+			return Lost, err
+		}
+		return Served, nil
+	case strings.HasPrefix(line, "-BUSY"):
+		return Busy, nil
+	}
+	return Failed, nil
+}
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -45,6 +45,7 @@
 	finish   chan time.Time
 	over     chan struct{}
 	started  atomic.Bool
+	hasten   func(*target) // of tests, which can't wait for seconds; nil otherwise
 
 	mu    sync.Mutex
 	sinks []*sink // for whoever reads their figures
@@ -183,6 +184,9 @@
 	var sinks []*sink
 	base := time.Duration(0)
 	for _, want := range targets(set, r.opt.Name) {
+		if r.hasten != nil {
+			r.hasten(&want)
+		}
 		var held *sink
 		for _, s := range old {
 			if s.target.same(want) {
--- a/internal/report/words.go
+++ b/internal/report/words.go
@@ -118,46 +118,50 @@
 // packets words an interval for collectd. The types stand in deploy/types.db.
 func packets(e *collectd.Encoder, interval time.Duration) encoder {
 	return func(_ string, figures []broker.Figure, rows *telemetry.Rollup, stamp int64, sum *telemetry.Summarizer) ([][]byte, error) {
-		lists := make([]collectd.List, 0, len(figures)+512)
-		for _, f := range figures {
-			l := collectd.List{Type: "gauge", TypeInstance: short(f.Name), Values: []collectd.Value{{Kind: collectd.Gauge, N: f.Value}}}
-			if f.Counter {
-				l.Type, l.Values[0].Kind = "derive", collectd.Derive
+		return e.Lists(listsOf(figures, rows, sum), time.Unix(stamp, 0), interval)
+	}
+}
+
+func listsOf(figures []broker.Figure, rows *telemetry.Rollup, sum *telemetry.Summarizer) []collectd.List {
+	lists := make([]collectd.List, 0, len(figures)+512)
+	for _, f := range figures {
+		l := collectd.List{Type: "gauge", TypeInstance: short(f.Name), Values: []collectd.Value{{Kind: collectd.Gauge, N: f.Value}}}
+		if f.Counter {
+			l.Type, l.Values[0].Kind = "derive", collectd.Derive
+		}
+		lists = append(lists, l)
+	}
+	rows.Tell(func(row *telemetry.Row) {
+		name := row.Name
+		if !row.Special {
+			name = string(graphite.AppendName(nil, name))
+		}
+		instance := row.Dimension.String()
+		if row.Dimension != telemetry.All {
+			instance = short(instance + "." + name)
+		}
+		counts := func(kind string, from, to telemetry.Count) {
+			l := collectd.List{PluginInstance: instance, Type: kind}
+			for _, n := range row.Counts[from:to] {
+				l.Values = append(l.Values, collectd.Value{Kind: collectd.Derive, N: n})
 			}
 			lists = append(lists, l)
 		}
-		rows.Tell(func(row *telemetry.Row) {
-			name := row.Name
-			if !row.Special {
-				name = string(graphite.AppendName(nil, name))
+		counts("junctionwharf_requests", telemetry.RequestsServed, telemetry.Attempts)
+		counts("junctionwharf_attempts", telemetry.Attempts, telemetry.MilliUnits)
+		counts("junctionwharf_units", telemetry.MilliUnits, telemetry.MilliUnitsServed+1)
+		for t, b := range row.Times {
+			if b == nil {
+				continue
 			}
-			instance := row.Dimension.String()
-			if row.Dimension != telemetry.All {
-				instance = short(instance + "." + name)
+			l := collectd.List{PluginInstance: instance, Type: "junctionwharf_latency", TypeInstance: telemetry.TimingNames[t]}
+			for _, n := range summary(sum.Of(b)) {
+				l.Values = append(l.Values, collectd.Value{Kind: collectd.Gauge, N: n})
 			}
-			counts := func(kind string, from, to telemetry.Count) {
-				l := collectd.List{PluginInstance: instance, Type: kind}
-				for _, n := range row.Counts[from:to] {
-					l.Values = append(l.Values, collectd.Value{Kind: collectd.Derive, N: n})
-				}
-				lists = append(lists, l)
-			}
-			counts("junctionwharf_requests", telemetry.RequestsServed, telemetry.Attempts)
-			counts("junctionwharf_attempts", telemetry.Attempts, telemetry.MilliUnits)
-			counts("junctionwharf_units", telemetry.MilliUnits, telemetry.MilliUnitsServed+1)
-			for t, b := range row.Times {
-				if b == nil {
-					continue
-				}
-				l := collectd.List{PluginInstance: instance, Type: "junctionwharf_latency", TypeInstance: telemetry.TimingNames[t]}
-				for _, n := range summary(sum.Of(b)) {
-					l.Values = append(l.Values, collectd.Value{Kind: collectd.Gauge, N: n})
-				}
-				lists = append(lists, l)
-			}
-		})
-		return e.Lists(lists, time.Unix(stamp, 0), interval)
-	}
+			lists = append(lists, l)
+		}
+	})
+	return lists
 }
 
 // short keeps to the bytes that collectd keeps of a name, and has no slash in it.
--- a/internal/standin/carbon.go
+++ b/internal/standin/carbon.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	pickle "github.com/kisielk/og-rek"
 )
@@ -25,6 +26,7 @@
 	Takes  Manner = iota
 	Stands        // accepts and never reads
 	Resets        // reads a little, then resets the connection
+	Drips         // takes a byte a second
 )
 
 // Carbon is a stand-in for a Carbon receiver: plaintext lines over TCP and UDP at one port, or pickles over TCP.
@@ -46,6 +48,8 @@
 	maxLine   = 4096
 	maxPickle = 1 << 20
 	resetsAt  = 100 // bytes
+
+	smallBuffer = 4096
 )
 
 // NewCarbon listens at a TCP address, and at the same port for datagrams unless it takes pickles.
@@ -119,6 +123,9 @@
 			reset(conn)
 			return
 		}
+		if tcp, ok := conn.(*net.TCPConn); ok && Manner(c.manner.Load()) != Takes {
+			tcp.SetReadBuffer(smallBuffer) // what the system takes in its place is no reading
+		}
 		go func() {
 			defer func() {
 				conn.Close()
@@ -158,6 +165,10 @@
 		}
 		<-woken
 	}
+	if Manner(m.c.manner.Load()) == Drips {
+		time.Sleep(time.Second)
+		return m.Conn.Read(b[:1])
+	}
 	if Manner(m.c.manner.Load()) == Resets {
 		io.ReadFull(m.Conn, make([]byte, resetsAt))
 		reset(m.Conn)
