--- a/broker/loop.go
+++ b/broker/loop.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
+	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,7 +37,7 @@
 type Outside struct {
 	Tell    func(peer int, data []byte)  // nil without peers
 	Observe func(facts []telemetry.Fact) // nil for none; it does not keep the slice
-	Log     func(text string)
+	Log     *slog.Logger                 // nil for none
 }
 
 type attemptKey struct {
@@ -71,6 +72,9 @@
 
 // NewLoop returns a loop over a new state. Requests that name no transport go through transport.
 func NewLoop(state *State, clock *Clock, transport Transport, outside Outside) *Loop {
+	if outside.Log == nil {
+		outside.Log = slog.New(slog.DiscardHandler)
+	}
 	l := &Loop{state: state, clock: clock, transport: transport, outside: outside,
 		clients: map[uint64]client{}, handles: map[attemptKey]Handle{}, added: map[uint64]client{},
 		notify: make(chan struct{}, 1)}
@@ -166,7 +170,7 @@
 func (l *Loop) safely(call func()) {
 	defer func() {
 		if r := recover(); r != nil {
-			l.outside.Log(fmt.Sprintf("core: panic: %v", r))
+			l.outside.Log.Error("panic", "front", "core", "panic", r)
 		}
 	}()
 	call()
@@ -260,7 +264,7 @@
 	case Drop:
 		drop(e.Value)
 	case Log:
-		l.outside.Log(e.Text)
+		l.say(e.Text)
 	}
 	return nil
 }
@@ -297,6 +301,15 @@
 	c.reply(e.Final)
 }
 
+// say logs a line of the module: its kind, and what it is about.
+func (l *Loop) say(text string) {
+	if kind, detail, found := strings.Cut(text, ": "); found {
+		l.outside.Log.Info(kind, "detail", detail)
+	} else {
+		l.outside.Log.Info(text)
+	}
+}
+
 // drop closes a value that no client takes.
 func drop(value any) {
 	if v, ok := value.(io.Closer); ok {
--- a/broker/loop_test.go
+++ b/broker/loop_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"junctionwharf/internal/logs"
 	"junctionwharf/logic"
 )
 
@@ -34,14 +35,14 @@
 		t.Fatal(err)
 	}
 	lines := make(chan string, 8)
-	loop := NewLoop(state, NewClock(), &faulty{}, Outside{Log: func(line string) { lines <- line }})
+	loop := NewLoop(state, NewClock(), &faulty{}, Outside{Log: logs.Func(func(line string) { lines <- line })})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	loop.Post(Listed{Kind: logic.ListFull, Nodes: []Node{node("n1", 0, logic.Ready)}})
 	finals := make(chan Final, 2)
 	loop.Submit(request("write", 0), func(f Final) { finals <- f })
 	go loop.Run(ctx)
-	if line := <-lines; line != "core: panic: first" {
+	if line := <-lines; line != "panic front=core panic=first" {
 		t.Fatal(line)
 	}
 	loop.Submit(request("read", 0), func(f Final) { finals <- f })
@@ -71,7 +72,7 @@
 	if err != nil {
 		panic(err)
 	}
-	loop := NewLoop(state, NewClock(), local{}, Outside{Log: func(string) {}})
+	loop := NewLoop(state, NewClock(), local{}, Outside{})
 	loop.Post(Listed{Kind: logic.ListFull, Nodes: []Node{{NodeInfo: logic.NodeInfo{Node: "n1"}, Address: "192.0.2.1:6379"}}})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -90,7 +91,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	loop := NewLoop(state, NewClock(), local{}, Outside{Log: func(string) {}})
+	loop := NewLoop(state, NewClock(), local{}, Outside{})
 	read := func() map[string]uint64 {
 		all := map[string]uint64{}
 		for _, f := range loop.Figures.Read() {
--- a/cmd/junctionwharf/main.go
+++ b/cmd/junctionwharf/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,6 +13,7 @@
 
 	"junctionwharf/internal/config"
 	"junctionwharf/internal/daemon"
+	"junctionwharf/internal/logs"
 )
 
 // version is set by the linker for a release.
@@ -20,6 +22,11 @@
 // flags name the file of what is off on the platform.
 var flags = []cli.Flag{&cli.StringFlag{Name: "site", Usage: "read the second front and the metrics from `FILE` (such as deploy/site.toml)"}}
 
+var logFlags = []cli.Flag{
+	&cli.StringFlag{Name: "log-format", Value: "human", Usage: "`FORMAT` of the log: human or json"},
+	&cli.StringFlag{Name: "log-level", Value: "info", Usage: "least `LEVEL` that is logged: debug, info, warn or error"},
+}
+
 func main() {
 	if err := app().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "junctionwharf:", err)
@@ -32,7 +39,7 @@
 		Name:  "junctionwharf",
 		Usage: "broker in front of storage nodes",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve until SIGTERM; SIGHUP rereads the configuration", Flags: flags, Action: serveCommand},
+			{Name: "serve", Usage: "serve until SIGTERM; SIGHUP rereads the configuration", Flags: append(logFlags, flags...), Action: serveCommand},
 			{Name: "check", Usage: "check the configuration and say what it holds", Flags: flags, Action: checkCommand},
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
 				fmt.Println("junctionwharf", version)
@@ -60,9 +67,28 @@
 	if err != nil {
 		return err
 	}
+	log, err := logger(cmd, c.Name)
+	if err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return daemon.Serve(ctx, c, reload, func() (*config.Config, error) { return load(cmd) })
+	return daemon.Serve(ctx, c, log, reload, func() (*config.Config, error) { return load(cmd) })
+}
+
+// logger writes to standard error as the flags say.
+func logger(cmd *cli.Command, name string) (*slog.Logger, error) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(cmd.String("log-level"))); err != nil {
+		return nil, fmt.Errorf("--log-level: %w", err)
+	}
+	info, err := os.Stderr.Stat()
+	log, err2 := logs.New(os.Stderr, logs.Options{Name: name, Format: cmd.String("log-format"), Level: level,
+		Color: err == nil && info.Mode()&os.ModeCharDevice != 0})
+	if err2 != nil {
+		return nil, fmt.Errorf("--log-format: %w", err2)
+	}
+	return log, nil
 }
 
 func checkCommand(_ context.Context, cmd *cli.Command) error {
@@ -73,6 +99,11 @@
 	set := c.Settings.Logic
 	fmt.Printf("%s listens on %s: broker %d of %d, %d classes, %d plans\n", c.Name, c.Listen,
 		set.Ordinal, set.Hosts, len(set.Classes), len(set.Plans))
+	for sink, address := range map[string]string{"Graphite": c.Site.Graphite.Address, "collectd": c.Site.Collectd.Address} {
+		if address != "" {
+			fmt.Printf("figures to %s at %s\n", sink, address)
+		}
+	}
 	if c.Site.SFTP.Listen != "" {
 		fmt.Printf("file commands on %s: %d volumes\n", c.Site.SFTP.Listen, len(c.Site.SFTP.Plan().Volumes))
 	}
--- a/cmd/wharflab/demo.go
+++ b/cmd/wharflab/demo.go
@@ -18,6 +18,7 @@
 	"junctionwharf/internal/config"
 	"junctionwharf/internal/daemon"
 	"junctionwharf/internal/load"
+	"junctionwharf/internal/logs"
 	"junctionwharf/internal/standin"
 )
 
@@ -94,9 +95,13 @@
 		return err
 	}
 
+	log, err := logs.New(os.Stderr, logs.Options{Name: c.Name, Color: terminal(os.Stderr)})
+	if err != nil {
+		return err
+	}
 	running, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- daemon.Serve(running, c, nil, nil) }()
+	go func() { ended <- daemon.Serve(running, c, log, nil, nil) }()
 	defer stop()
 	if err := awaitPong(ctx, address, ended); err != nil {
 		return err
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"strings"
 	"sync"
@@ -35,7 +36,7 @@
 // Door answers calls.
 type Door struct {
 	calls Calls
-	log   func(string)
+	log   *slog.Logger
 	ln    net.Listener
 
 	mu      sync.Mutex
@@ -43,7 +44,7 @@
 }
 
 // Open listens at an address.
-func Open(address string, calls Calls, log func(string)) (*Door, error) {
+func Open(address string, calls Calls, log *slog.Logger) (*Door, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("console: %w", err)
@@ -62,7 +63,7 @@
 			return
 		}
 		if err != nil {
-			d.log("console: accept: " + err.Error())
+			d.log.Warn("accept failed", "front", "console", "reason", err)
 			time.Sleep(acceptPause)
 			continue
 		}
@@ -98,7 +99,7 @@
 	defer d.leave(conn)
 	defer func() { // a fault in one call ends its connection only
 		if r := recover(); r != nil {
-			d.log(fmt.Sprintf("console: panic: %v", r))
+			d.log.Error("panic", "front", "console", "panic", r)
 		}
 	}()
 	conn.SetDeadline(time.Now().Add(lineTime))
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -5,7 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"math"
 	"net"
 	"os"
@@ -56,11 +56,9 @@
 
 // Serve runs the broker until ctx ends, and then until what it took is answered. On reload it loads the
 // configuration again.
-func Serve(ctx context.Context, c *config.Config, reload <-chan os.Signal, load func() (*config.Config, error)) error {
+func Serve(ctx context.Context, c *config.Config, log *slog.Logger, reload <-chan os.Signal, load func() (*config.Config, error)) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
 	debug.SetGCPercent(gcPercent)
-	logger := log.New(os.Stderr, c.Name+" ", log.LstdFlags|log.Lmicroseconds)
-	say := func(text string) { logger.Print(text) }
 
 	state, err := broker.NewState(c.Settings.Logic, c.Seed)
 	if err != nil {
@@ -69,9 +67,9 @@
 	clock := broker.NewClock()
 	size := sizesOf(c, 1)
 	options := pool.Options{ConnectTimeout: c.Settings.ConnectTimeout.Duration(),
-		Idle: c.Settings.ConnIdle.Duration(), Settle: settle, Sockets: size.nodes, Log: say}
+		Idle: c.Settings.ConnIdle.Duration(), Settle: settle, Sockets: size.nodes, Log: log}
 	nodes := pool.New(options)
-	outside := broker.Outside{Log: say}
+	outside := broker.Outside{Log: log}
 	var link *peer.Link
 	if c.PeerListen != "" && c.Settings.Logic.Bounds.Peers {
 		if link, err = peer.Open(c.PeerListen, c.Peers, c.PeersAll, c.Settings.Logic.Ordinal); err != nil {
@@ -80,21 +78,21 @@
 		defer link.Close()
 		outside.Tell = link.Tell
 	}
-	s := &service{config: c, say: say}
+	s := &service{config: c, log: log}
 	calls := &loopCalls{}
-	s.reporter = report.New(report.Options{Name: c.Name, Loop: calls, Figures: s.figures, Log: say})
+	s.reporter = report.New(report.Options{Name: c.Name, Loop: calls, Figures: s.figures, Log: log})
 	outside.Observe = s.reporter.Observe
 	loop := broker.NewLoop(state, clock, resp.NewNodes(nodes), outside)
 	calls.Loop = loop
-	s.loop, s.watcher, s.pools = loop, discovery.NewWatcher(c.Discovery, c.Settings.Logic.Hosts, say), []*pool.Pool{nodes}
-	s.front = resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), size.clients, size.easy, size.requests, say)
+	s.loop, s.watcher, s.pools = loop, discovery.NewWatcher(c.Discovery, c.Settings.Logic.Hosts, log), []*pool.Pool{nodes}
+	s.front = resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), size.clients, size.easy, size.requests, log)
 	s.fronts = []drainer{s.front}
 	s.classes.Store(&c.Settings.Logic.Classes)
 	s.resize(1)
 	if c.Site.SFTP.Listen != "" {
 		options.Greet = sftp.Greet
 		filePool := pool.New(options)
-		s.files = sftp.NewFront(loop, sftp.NewNodes(filePool, c.Site.SFTP.NodePort), c.Site.SFTP.Plan(), c.Site.SFTP.Connections, say)
+		s.files = sftp.NewFront(loop, sftp.NewNodes(filePool, c.Site.SFTP.NodePort), c.Site.SFTP.Plan(), c.Site.SFTP.Connections, log)
 		s.fronts, s.pools = append(s.fronts, s.files), append(s.pools, filePool)
 	}
 
@@ -102,13 +100,13 @@
 	defer stop()
 	if c.Console != "" {
 		door, err := console.Open(c.Console, console.Calls{Check: s.check,
-			Vars: func() []byte { return metrics.Statsd(append(loop.Figures.Read(), s.reporter.Figures()...)) }}, say)
+			Vars: func() []byte { return metrics.Statsd(append(loop.Figures.Read(), s.reporter.Figures()...)) }}, log)
 		if err != nil {
 			return err
 		}
 		defer door.Close()
 		go door.Serve()
-		say("serving: operators on " + c.Console)
+		log.Info("serving", "what", "operators", "address", c.Console)
 	}
 	s.join()
 	defer s.part()
@@ -136,7 +134,7 @@
 		}
 		s.listeners = append(s.listeners, fileLn)
 		go func() { served <- s.files.Serve(fileLn) }()
-		say("serving: file commands on " + c.Site.SFTP.Listen)
+		log.Info("serving", "what", "file commands", "address", c.Site.SFTP.Listen)
 	}
 	s.reporter.Retune(reportOf(c))
 	go s.reporter.Run(running)
@@ -152,7 +150,7 @@
 		}
 	}()
 	s.taking.Store(true)
-	say("serving: clients on " + c.Listen)
+	log.Info("serving", "what", "clients", "address", c.Listen)
 
 	select {
 	case err := <-served:
@@ -160,7 +158,7 @@
 	case <-ctx.Done():
 	}
 	s.finish()
-	say("stopped")
+	log.Info("stopped")
 	return nil
 }
 
@@ -215,7 +213,7 @@
 	files     *sftp.Front // nil if off
 	fronts    []drainer
 	listeners []net.Listener
-	say       func(string)
+	log       *slog.Logger
 
 	office  *succession.Office // nil if there can be no succession
 	handed  *discovery.List    // the list that the old process handed over
@@ -232,18 +230,18 @@
 	}
 	s.loop.Figures.Reloaded(err == nil)
 	if err != nil {
-		s.say("reload: " + err.Error() + ": the old configuration stands")
+		s.log.Error("reload turned down, the old configuration stands", "reason", err)
 		s.reporter.Notify(collectd.Notice{Severity: collectd.Failure, Instance: "reload", Text: "reload turned down: " + err.Error()})
 		return old
 	}
 	if keys := old.Fixed(c); len(keys) > 0 {
-		s.say("reload: changed, but fixed until the next start: " + strings.Join(keys, ", "))
+		s.log.Warn("reload: some keys wait for the next start", "keys", strings.Join(keys, ", "))
 	}
 	if c.Discovery != old.Discovery {
 		s.watcher.Move(c.Discovery)
 	}
 	s.follow(c)
-	s.say("reloaded: discovery at " + c.Discovery)
+	s.log.Info("reloaded", "discovery", c.Discovery)
 	renewed := *old
 	renewed.Renew(c)
 	return &renewed
@@ -291,14 +289,14 @@
 	t, began := timesOf(*s.classes.Load()), time.Now()
 	left := func() bool { return s.loop.Open() > 0 || clients(s.fronts) > 0 }
 	if s.office != nil && s.office.Succeeded() {
-		s.say("stopping: SIGTERM, a successor takes over")
+		s.log.Info("stopping", "successor", true)
 		s.leadAway()
 		s.drain()
 		for left() && time.Since(began) < t.shut {
 			time.Sleep(lastCheck)
 		}
 	} else {
-		s.say("stopping: SIGTERM")
+		s.log.Info("stopping", "successor", false)
 		time.Sleep(t.drain)
 		s.drain()
 		time.Sleep(t.shut - time.Since(began))
--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -20,6 +20,7 @@
 	"junctionwharf/broker"
 	"junctionwharf/internal/config"
 	"junctionwharf/internal/discovery"
+	"junctionwharf/internal/logs"
 	"junctionwharf/internal/report"
 	"junctionwharf/internal/resp"
 	"junctionwharf/logic"
@@ -118,7 +119,7 @@
 	c.Site.Graphite = config.Graphite{Receiver: config.Receiver{Address: carbon.Addr().String(), IntervalS: 1, QueueBytes: 1 << 20}, Prefix: "wharf", Transport: "tcp"}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- Serve(ctx, c, nil, nil) }()
+	go func() { ended <- Serve(ctx, c, logs.Discard(), nil, nil) }()
 
 	conn := dial(t, address)
 	in := bufio.NewReader(conn)
@@ -225,7 +226,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { ended <- Serve(ctx, c, reload, load) }()
+	go func() { ended <- Serve(ctx, c, logs.Discard(), reload, load) }()
 	conn, file := dial(t, address), dial(t, files)
 	in := bufio.NewReader(conn)
 	ask := func() string {
@@ -308,7 +309,7 @@
 		c.Site.SFTP.Listen, c.Site.SFTP.Connections = files, 4
 		ctx, stop := context.WithCancel(context.Background())
 		ended = make(chan error, 1)
-		go func() { ended <- Serve(ctx, c, nil, nil) }()
+		go func() { ended <- Serve(ctx, c, logs.Discard(), nil, nil) }()
 		return door, stop, ended
 	}
 	check := func(door string) string {
@@ -390,14 +391,14 @@
 		t.Fatal(err)
 	}
 	var lines []string
-	say := func(line string) { lines = append(lines, line) }
+	log := logs.Func(func(line string) { lines = append(lines, line) })
 	state, err := broker.NewState(c.Settings.Logic, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Log: say})
-	parts := &service{loop: loop, reporter: report.New(report.Options{}), watcher: discovery.NewWatcher(c.Discovery, 1, say), say: say,
-		front: resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, 0), 1, 1, 1, say)}
+	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Log: log})
+	parts := &service{loop: loop, reporter: report.New(report.Options{}), watcher: discovery.NewWatcher(c.Discovery, 1, log), log: log,
+		front: resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, 0), 1, 1, 1, log)}
 	for _, fault := range []struct{ old, new, line string }{
 		{`"discovery":"127.0.0.1:2"`, `"discovery":"there"`, `discovery: "there" is no address:port`},
 		{`"name":"n1",`, ``, "name: missing"},
@@ -410,14 +411,14 @@
 		{text, text[:len(text)-1], "unexpected end of JSON input"},
 	} {
 		lines = nil
-		if parts.renew(c, load(fault.old, fault.new)) != c || len(lines) != 1 || lines[0] != "reload: "+fault.line+": the old configuration stands" {
+		if parts.renew(c, load(fault.old, fault.new)) != c || len(lines) != 1 || lines[0] != "reload turned down, the old configuration stands reason="+fault.line {
 			t.Errorf("%s: %q", fault.new, lines)
 		}
 	}
 	lines = nil
 	renewed := parts.renew(c, load(`"127.0.0.1:1","discovery":"127.0.0.1:2"`, `"127.0.0.1:3","discovery":"127.0.0.1:4"`))
 	if renewed.Discovery != "127.0.0.1:4" || renewed.Listen != c.Listen || len(lines) != 2 ||
-		lines[0] != "reload: changed, but fixed until the next start: listen" {
+		lines[0] != "reload: some keys wait for the next start keys=listen" {
 		t.Errorf("%+v, %q", renewed, lines)
 	}
 	counts := map[string]uint64{}
--- a/internal/daemon/succeed.go
+++ b/internal/daemon/succeed.go
@@ -15,7 +15,7 @@
 	path := succession.Path(os.TempDir(), s.config.Listen)
 	office, met, err := succession.Open(path, succession.Side{Meet: s.meet, Take: s.take, Part: s.parted})
 	if err != nil {
-		s.say("succession: off: " + err.Error())
+		s.log.Warn("succession off", "reason", err)
 		return
 	}
 	s.office = office
@@ -27,7 +27,7 @@
 		}
 	})
 	if met {
-		s.say("succession: replacing the process that serves now")
+		s.log.Info("succession: replacing the process that serves now")
 	}
 }
 
@@ -60,7 +60,7 @@
 	s.front.Part()
 	s.resize(1)
 	s.loop.Post(broker.Shared{Processes: 1})
-	s.say("succession: the other process is gone")
+	s.log.Info("succession: the other process is gone")
 }
 
 // known is the newest list that is held at the start.
@@ -88,7 +88,7 @@
 func (s *service) leadAway() {
 	for _, ln := range s.listeners {
 		if err := succession.LeadAway(ln); err != nil {
-			s.say("succession: " + err.Error())
+			s.log.Warn("succession failed", "reason", err)
 		}
 	}
 	time.Sleep(leadTime)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -99,7 +100,7 @@
 	moves   chan string // the latest address to move to
 	client  *http.Client
 	hold    time.Duration
-	log     func(string)
+	log     *slog.Logger
 	held    uint64    // version of the list posted last
 	heldAt  time.Time // when it was last confirmed
 
@@ -109,7 +110,7 @@
 
 // NewWatcher returns a watcher of the service at address for one of so many brokers. log gets a line when the service falls
 // silent and when it is back.
-func NewWatcher(address string, brokers int, log func(string)) *Watcher {
+func NewWatcher(address string, brokers int, log *slog.Logger) *Watcher {
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTime}).DialContext,
 		MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true}
 	return &Watcher{address: address, moves: make(chan string, 1), client: &http.Client{Transport: transport}, log: log,
@@ -205,7 +206,7 @@
 		}
 		if err != nil {
 			if !silent {
-				w.log("discovery: silent: " + err.Error())
+				w.log.Warn("discovery silent", "reason", err)
 			}
 			// An overbooked service has the version still; any other failure may have lost it.
 			silent, whole = true, whole || !errors.Is(err, errStatus)
@@ -218,7 +219,7 @@
 		}
 		wait = again
 		if silent {
-			w.log("discovery: back")
+			w.log.Info("discovery back")
 		}
 		silent, whole, seq = false, false, list.Seq
 		w.add(list)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,6 +6,7 @@
 	"container/list"
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
@@ -47,7 +48,7 @@
 
 // Hall is the set of a front's connections.
 type Hall struct {
-	log    func(string)
+	log    *slog.Logger
 	room   *room.Room // a place for each connection
 	mu     sync.Mutex
 	easy   int              // connections up to which idle ones may stay
@@ -80,7 +81,7 @@
 // NewHall returns a hall for so many guests. Of those that have asked, more than easy do not stay idle: clients may have
 // room for fewer connections than the hall and keep those they do not use. But they are kept up to there, since a client
 // may have no other way in once the broker was told to end. log gets a line when the system refuses a connection.
-func NewHall(most, easy int, log func(string)) *Hall {
+func NewHall(most, easy int, log *slog.Logger) *Hall {
 	return &Hall{log: log, easy: easy, room: room.New(most), places: map[Guest]*place{}}
 }
 
@@ -107,7 +108,7 @@
 			h.room.Give()
 			return nil, err
 		}
-		h.log("accept: " + err.Error())
+		h.log.Warn("accept failed", "reason", err)
 		time.Sleep(acceptPause)
 	}
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"junctionwharf/internal/logs"
 	"net"
 	"sync"
 	"testing"
@@ -31,7 +32,7 @@
 // A full hall first ends who has only greeted, then who has sent nothing, then who has been idle for longest, then who stands half way in a first
 // command: a crowd must not push out slow writers. Who waits for an answer stays, and who has just come.
 func TestGiveWay(t *testing.T) {
-	h := NewHall(10, 10, func(line string) { t.Log(line) })
+	h := NewHall(10, 10, logs.Func(func(line string) { t.Log(line) }))
 	busy, old, young := &guest{status: Busy}, &guest{status: Idle}, &guest{status: Idle}
 	slow, mute, mute2, fresh := &guest{status: HalfWay}, &guest{status: Idle}, &guest{status: Idle}, &guest{status: Idle}
 	enter(h, true, busy, young, old)
@@ -61,7 +62,7 @@
 // Clients that ask once and keep their connection must not use up the few that they have: beyond the easy number
 // the idlest of them ends, long before the hall is full. Who has not asked yet, or waits for an answer, stays.
 func TestBeyondEasy(t *testing.T) {
-	h := NewHall(100, 2, func(line string) { t.Log(line) })
+	h := NewHall(100, 2, logs.Func(func(line string) { t.Log(line) }))
 	busy, idle, mute, other := &guest{status: Busy}, &guest{status: Idle}, &guest{status: Idle}, &guest{status: Idle}
 	enter(h, false, mute)
 	enter(h, true, busy, idle)
@@ -77,7 +78,7 @@
 }
 
 func TestStages(t *testing.T) {
-	h := NewHall(2, 2, func(line string) { t.Log(line) })
+	h := NewHall(2, 2, logs.Func(func(line string) { t.Log(line) }))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/loopback/resp_test.go
+++ b/internal/loopback/resp_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"strings"
 	"testing"
@@ -25,7 +26,7 @@
 	return resp.NewNodes(pool.New(opt))
 }
 
-func (respProtocol) front(loop *broker.Loop, _ broker.Transport, log func(string)) front {
+func (respProtocol) front(loop *broker.Loop, _ broker.Transport, log *slog.Logger) front {
 	return resp.NewFront(loop, resp.NewTerms(settings(), 0), 64, 64, 1<<20, log)
 }
 
--- a/internal/loopback/sftp_test.go
+++ b/internal/loopback/sftp_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"path"
 	"slices"
@@ -28,7 +29,7 @@
 	return sftp.NewNodes(pool.New(opt), 0)
 }
 
-func (sftpProtocol) front(loop *broker.Loop, via broker.Transport, log func(string)) front {
+func (sftpProtocol) front(loop *broker.Loop, via broker.Transport, log *slog.Logger) front {
 	return sftp.NewFront(loop, via, plan(settings(), "read"), 64, log)
 }
 
--- a/internal/loopback/suite_test.go
+++ b/internal/loopback/suite_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"strings"
@@ -12,6 +13,7 @@
 	"time"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/logs"
 	"junctionwharf/internal/pool"
 	"junctionwharf/logic"
 )
@@ -70,7 +72,7 @@
 type protocol interface {
 	name() string
 	transport(pool.Options) broker.Transport
-	front(*broker.Loop, broker.Transport, func(string)) front
+	front(*broker.Loop, broker.Transport, *slog.Logger) front
 	retune(f front, c client, set logic.Settings, class string) // has both follow settings; reads are of that class
 	node(net.Conn, string, *world)
 	client(*testing.T, string) client
@@ -97,8 +99,8 @@
 		t.Fatal(err)
 	}
 	via := p.transport(pool.Options{ConnectTimeout: 500 * time.Millisecond, Idle: 30 * time.Second, Sockets: 64,
-		Log: func(line string) { t.Error(line) }})
-	b.loop = broker.NewLoop(state, b.clock, via, broker.Outside{Log: func(string) {}})
+		Log: logs.Func(func(line string) { t.Error(line) })})
+	b.loop = broker.NewLoop(state, b.clock, via, broker.Outside{})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go b.loop.Run(ctx)
@@ -117,7 +119,7 @@
 	}
 	ln := listen(t)
 	b.address = ln.Addr().String()
-	b.front = p.front(b.loop, via, func(line string) { t.Log(line) })
+	b.front = p.front(b.loop, via, logs.Func(func(line string) { t.Log(line) }))
 	go b.front.Serve(ln)
 	b.list(b.nodes...)
 	b.client = p.client(t, b.address)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"slices"
 	"sync"
@@ -24,7 +25,7 @@
 	Settle         time.Duration                       // how long a connection must have been silent before it is used again
 	Sockets        int                                 // connections at the most, idle ones included
 	Greet          func(net.Conn, *bufio.Reader) error // opens a session on a new connection, nil for none
-	Log            func(string)
+	Log            *slog.Logger
 }
 
 // retireAt is the part of Options.Idle after which a connection is not used again: a request that
@@ -298,7 +299,7 @@
 	defer func() {
 		if r := recover(); r != nil {
 			err = fmt.Errorf("panic: %v", r)
-			p.opt.Log("nodes: " + err.Error())
+			p.opt.Log.Error("panic", "front", "nodes", "panic", r)
 		}
 	}()
 	return x(s)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/logs"
 )
 
 // peer is a stand-in node that hands its connections to the test.
@@ -65,7 +66,7 @@
 }
 
 func options() Options {
-	return Options{ConnectTimeout: 2 * time.Second, Idle: time.Hour, Sockets: 2, Log: func(string) {}}
+	return Options{ConnectTimeout: 2 * time.Second, Idle: time.Hour, Sockets: 2, Log: logs.Discard()}
 }
 
 func (p *peer) serve(conn net.Conn) {
@@ -297,13 +298,13 @@
 // A panic in an exchange ends its attempt, which may have run, and nothing else.
 func TestPanic(t *testing.T) {
 	opt, lines := options(), make(chan string, 1)
-	opt.Log = func(line string) { lines <- line }
+	opt.Log = logs.Func(func(line string) { lines <- line })
 	node, p := newPeer(t), New(opt)
 	_, results := start(p, node.address, func(s *Session) (broker.Result, error) {
 		s.Send(net.Buffers{[]byte("line\n")}, 5)
 		panic("fault")
 	})
-	if r := <-results; r.Err == nil || r.Err.Progress != broker.WrittenWhole || <-lines != "nodes: panic: fault" {
+	if r := <-results; r.Err == nil || r.Err.Progress != broker.WrittenWhole || <-lines != "panic front=nodes panic=fault" {
 		t.Errorf("%+v", r)
 	}
 	if p.slots.Taken() != 0 {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"hash/maphash"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +22,7 @@
 	Name    string                 // the broker's
 	Loop    Loop                   // where the registry lives
 	Figures func() []broker.Figure // the broker's own figures; called on the loop
-	Log     func(string)
+	Log     *slog.Logger
 }
 
 // Loop runs calls between turns.
@@ -128,7 +129,7 @@
 		spent = taken
 		at, back := stamp.Next(time.Now().Unix())
 		if back {
-			r.opt.Log("metrics: the system's clock stepped back")
+			r.opt.Log.Warn("clock stepped back")
 		}
 		figures = append(figures, r.own()...)
 		for _, s := range r.all() {
@@ -234,7 +235,7 @@
 	}
 	if err != nil { // guards against settings that nobody checked
 		r.on = r.registry != nil
-		r.opt.Log("metrics: " + err.Error())
+		r.opt.Log.Error("series off", "reason", err)
 	}
 }
 
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -14,6 +14,7 @@
 	"junctionwharf/broker"
 	"junctionwharf/internal/collectd"
 	"junctionwharf/internal/config"
+	"junctionwharf/internal/logs"
 	"junctionwharf/internal/standin"
 	"junctionwharf/telemetry"
 )
@@ -57,13 +58,13 @@
 	g := &rig{loop: &loop{}, t: t, stop: make(chan struct{})}
 	late := time.AfterFunc(20*time.Second, func() { close(g.stop) })
 	t.Cleanup(func() { late.Stop() })
-	g.r = New(Options{Name: "n1", Loop: g.loop, Log: func(line string) {
+	g.r = New(Options{Name: "n1", Loop: g.loop, Log: logs.Func(func(line string) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if !strings.Contains(line, "clock") { // times are whole seconds, and run ahead at 20 ms an interval
 			g.logs = append(g.logs, line)
 		}
-	}, Figures: func() []broker.Figure {
+	}), Figures: func() []broker.Figure {
 		return []broker.Figure{{Name: "success.read", Value: g.served, Counter: true}, {Name: "inflight", Value: 1}}
 	}})
 	g.r.hasten = func(t *target) {
@@ -245,7 +246,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.logs) != 2 || !strings.HasPrefix(g.logs[0], "metrics: graphite: lost: ") || g.logs[1] != "metrics: graphite: back" {
+	if len(g.logs) != 2 || !strings.HasPrefix(g.logs[0], "sink lost sink=graphite reason=") || g.logs[1] != "sink back sink=graphite" {
 		t.Errorf("%q", g.logs)
 	}
 }
--- a/internal/report/sink.go
+++ b/internal/report/sink.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
@@ -16,7 +17,7 @@
 // sink carries out what a telemetry.Sink decides. Nobody who offers an interval waits for it.
 type sink struct {
 	target target
-	log    func(string)
+	log    *slog.Logger
 	alert  func(collectd.Notice)
 	rollup *telemetry.Rollup
 	held   time.Duration // of the interval, in the rollup
@@ -33,8 +34,8 @@
 	cancel context.CancelFunc
 }
 
-func newSink(t target, log func(string), alert func(collectd.Notice), seed uint64) *sink {
-	return &sink{target: t, log: func(text string) { log("metrics: " + t.name + ": " + text) }, alert: alert, rollup: telemetry.NewRollup(),
+func newSink(t target, log *slog.Logger, alert func(collectd.Notice), seed uint64) *sink {
+	return &sink{target: t, log: log.With("sink", t.name), alert: alert, rollup: telemetry.NewRollup(),
 		start: time.Now(), ended: make(chan struct{}), state: telemetry.NewSink(t.options, seed)}
 }
 
@@ -51,7 +52,7 @@
 	s.held = 0
 	frames, err := s.target.encode(name, figures, s.rollup, stamp, sum)
 	if err != nil {
-		s.log(err.Error())
+		s.log.Error("interval not worded", "reason", err)
 		return
 	}
 	s.reduce(telemetry.Offered{Batch: telemetry.Batch{Frames: frames}})
@@ -118,10 +119,10 @@
 		case telemetry.HangUp:
 			s.hangUp()
 		case telemetry.Lost:
-			s.log("lost: " + e.Reason)
+			s.log.Warn("sink lost", "reason", e.Reason)
 			s.alert(collectd.Notice{Severity: collectd.Failure, Instance: "sinks", Text: s.target.name + " lost: " + e.Reason})
 		case telemetry.Back:
-			s.log("back")
+			s.log.Info("sink back")
 			s.alert(collectd.Notice{Severity: collectd.Okay, Instance: "sinks", Text: s.target.name + " back"})
 		case telemetry.Over:
 			s.over = true
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"maps"
 	"net"
 	"os"
@@ -31,7 +32,7 @@
 	*front.Hall
 	loop   *broker.Loop
 	terms  atomic.Pointer[Terms]
-	log    func(string)
+	log    *slog.Logger
 	budget *front.Budget
 
 	mu      sync.Mutex
@@ -44,9 +45,9 @@
 
 // NewFront returns a front that holds most connections, and bytes of requests and answers, at the most. Beyond easy
 // connections idle ones end.
-func NewFront(loop *broker.Loop, terms Terms, most, easy, bytes int, log func(string)) *Front {
-	say := func(text string) { log("clients: " + text) }
-	f := &Front{Hall: front.NewHall(most, easy, say), loop: loop, log: say, budget: front.NewBudget(bytes),
+func NewFront(loop *broker.Loop, terms Terms, most, easy, bytes int, log *slog.Logger) *Front {
+	log = log.With("front", "clients")
+	f := &Front{Hall: front.NewHall(most, easy, log), loop: loop, log: log, budget: front.NewBudget(bytes),
 		open: map[string]struct{}{}, others: map[string]struct{}{}, tell: func(string, bool) {}}
 	f.Retune(terms)
 	return f
@@ -121,7 +122,7 @@
 	}
 	f.mu.Unlock()
 	if due {
-		f.log(fmt.Sprintf("turned away %d commands, the last: %v", count, err))
+		f.log.Warn("commands turned away", "count", count, "last", err)
 	}
 }
 
@@ -226,7 +227,7 @@
 // stopPanic guards the process against a fault met by one connection.
 func (c *client) stopPanic() {
 	if r := recover(); r != nil {
-		c.front.log(fmt.Sprintf("panic: %v", r))
+		c.front.log.Error("panic", "panic", r)
 		c.conn.Close()
 	}
 }
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -17,6 +17,7 @@
 
 	"junctionwharf/broker"
 	"junctionwharf/internal/front"
+	"junctionwharf/internal/logs"
 	"junctionwharf/logic"
 )
 
@@ -269,7 +270,7 @@
 
 // A client that sends nonsense gets an error behind its other answers, and its connection ends.
 func TestMalformedEndsConnection(t *testing.T) {
-	f := NewFront(nil, Terms{}, 4, 4, 1<<20, func(line string) { t.Log(line) })
+	f := NewFront(nil, Terms{}, 4, 4, 1<<20, logs.Func(func(line string) { t.Log(line) }))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -361,8 +362,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Log: func(string) {}})
-	f := NewFront(loop, testTerms, 8, 8, 1<<20, func(line string) { t.Log(line) })
+	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{})
+	f := NewFront(loop, testTerms, 8, 8, 1<<20, logs.Func(func(line string) { t.Log(line) }))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -374,7 +375,7 @@
 
 // A full front closes a connection without requests to let the next client in.
 func TestFullFrontMakesRoom(t *testing.T) {
-	f := NewFront(nil, Terms{}, 2, 2, 1<<20, func(line string) { t.Log(line) })
+	f := NewFront(nil, Terms{}, 2, 2, 1<<20, logs.Func(func(line string) { t.Log(line) }))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -408,7 +409,7 @@
 
 // A connection must not hold its own lock while it waits for the hall's: the hall may be asking it.
 func TestDismissedHoldsNoLock(t *testing.T) {
-	f := NewFront(nil, Terms{}, 0, 1, 1, func(string) {})
+	f := NewFront(nil, Terms{}, 0, 1, 1, logs.Discard())
 	a := &asked{make(chan struct{}), make(chan struct{})}
 	f.Enter(a)
 	f.Asked(a)
--- a/internal/sftp/front.go
+++ b/internal/sftp/front.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"path"
@@ -28,13 +29,13 @@
 	loop *broker.Loop
 	via  broker.Transport
 	plan atomic.Pointer[Plan]
-	log  func(string)
+	log  *slog.Logger
 }
 
 // NewFront returns a front that holds most connections at the most. The plan has been checked.
-func NewFront(loop *broker.Loop, via broker.Transport, plan *Plan, most int, log func(string)) *Front {
-	say := func(text string) { log("files: " + text) }
-	f := &Front{Hall: front.NewHall(most, most, say), loop: loop, via: via, log: say}
+func NewFront(loop *broker.Loop, via broker.Transport, plan *Plan, most int, log *slog.Logger) *Front {
+	log = log.With("front", "files")
+	f := &Front{Hall: front.NewHall(most, most, log), loop: loop, via: via, log: log}
 	f.Retune(plan)
 	return f
 }
@@ -130,7 +131,7 @@
 // stopPanic guards the process against a fault met by one connection.
 func (s *session) stopPanic() {
 	if r := recover(); r != nil {
-		s.front.log(fmt.Sprintf("panic: %v", r))
+		s.front.log.Error("panic", "panic", r)
 		s.conn.Close()
 	}
 }
--- a/internal/sftp/sftp_test.go
+++ b/internal/sftp/sftp_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/logs"
 	"junctionwharf/logic"
 )
 
@@ -57,8 +58,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Log: func(string) {}})
-	f := NewFront(loop, nil, testPlan(t), 1, func(line string) { t.Error(line) })
+	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{})
+	f := NewFront(loop, nil, testPlan(t), 1, logs.Func(func(line string) { t.Error(line) }))
 	near, far := net.Pipe()
 	return f, newSession(f, near), far
 }
--- a/middleware/middleware_test.go
+++ b/middleware/middleware_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		panic(err)
 	}
-	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Log: func(string) {}})
+	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{})
 	loop.Post(broker.Listed{Kind: logic.ListFull, Nodes: []broker.Node{
 		{NodeInfo: logic.NodeInfo{Node: "n1"}, Address: "192.0.2.1:80"}}})
 	go loop.Run(ctx)
