Merge the list of nodes from several sources under one rule; a resolver for SRV

Need: other installations list nodes in DNS, and the latest word of one watch was the whole truth.

All off without [membership].

--- a/cmd/junctionwharf/main.go
+++ b/cmd/junctionwharf/main.go
@@ -3,17 +3,24 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
+	"net"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"junctionwharf/broker"
 	"junctionwharf/internal/config"
 	"junctionwharf/internal/daemon"
+	"junctionwharf/internal/discovery"
 	"junctionwharf/internal/logs"
+	"junctionwharf/internal/members"
 )
 
 // version is set by the linker for a release.
@@ -41,6 +48,7 @@
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "serve until SIGTERM; SIGHUP rereads the configuration", Flags: append(logFlags, flags...), Action: serveCommand},
 			{Name: "check", Usage: "check the configuration and say what it holds", Flags: flags, Action: checkCommand},
+			{Name: "nodes", Usage: "print the list of storage nodes, from a running broker's console or else from its sources", Flags: flags, Action: nodesCommand},
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
 				fmt.Println("junctionwharf", version)
 				return nil
@@ -76,6 +84,45 @@
 	return daemon.Serve(ctx, c, log, reload, func() (*config.Config, error) { return load(cmd) })
 }
 
+// askTime is how long sources are asked where no broker runs.
+const askTime = 3 * time.Second
+
+// nodesCommand prints what a running broker holds; where none answers it asks the sources itself, once.
+func nodesCommand(ctx context.Context, cmd *cli.Command) error {
+	c, err := load(cmd)
+	if err != nil {
+		return err
+	}
+	if c.Console != "" {
+		if conn, err := net.DialTimeout("tcp", c.Console, time.Second); err == nil {
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(10 * time.Second))
+			if _, err := io.WriteString(conn, "nodes\n"); err != nil {
+				return err
+			}
+			_, err := io.Copy(os.Stdout, conn)
+			return err
+		}
+	}
+	if len(c.Site.Membership.Sources) == 0 {
+		return errors.New("no broker answers at console, and the site file names no source")
+	}
+	fmt.Fprintf(os.Stderr, "no broker answers at console %q: asking the sources for %v\n", c.Console, askTime)
+	ctx, stop := context.WithTimeout(ctx, askTime)
+	defer stop()
+	clock, log := broker.NewClock(), slog.New(slog.DiscardHandler)
+	m := members.New(clock, func(broker.Event) {}, log)
+	defer m.Close()
+	c.Site.Membership.Snapshot = "" // it is the broker's
+	if err := m.Follow(c.Site.Membership); err != nil {
+		return err
+	}
+	go discovery.NewWatcher(c.Discovery, 1, log).Run(ctx, clock, m.Discovery)
+	<-ctx.Done()
+	_, err = os.Stdout.Write(m.Text())
+	return err
+}
+
 // logger writes to standard error as the flags say.
 func logger(cmd *cli.Command, name string) (*slog.Logger, error) {
 	var level slog.Level
--- a/cmd/wharflab/main.go
+++ b/cmd/wharflab/main.go
@@ -23,6 +23,8 @@
 			listenCommand(),
 			dashboardCommand(),
 			sinksCommand(),
+			dnsCommand(),
+			drainsCommand(),
 		},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -141,6 +141,9 @@
 func (c *Config) Renew(other *Config) {
 	c.Discovery, c.Settings, c.keys = other.Discovery, other.Settings, other.keys
 	c.Site.SFTP.plan = other.Site.SFTP.plan
+	if len(c.Site.Membership.Sources) > 0 && len(other.Site.Membership.Sources) > 0 {
+		c.Site.Membership.Sources, c.Site.Membership.SuspectS = other.Site.Membership.Sources, other.Site.Membership.SuspectS
+	}
 	c.Site.Telemetry, c.Site.Graphite, c.Site.Collectd = other.Site.Telemetry, other.Site.Graphite, other.Site.Collectd
 }
 
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -17,15 +17,16 @@
 
 // Site is what a broker does besides the platform's port. All of it is off by default.
 type Site struct {
-	SFTP      SFTP      `toml:"sftp"`
-	Telemetry Telemetry `toml:"telemetry"`
-	Graphite  Graphite  `toml:"graphite"`
-	Collectd  Collectd  `toml:"collectd"`
+	SFTP       SFTP       `toml:"sftp"`
+	Membership Membership `toml:"membership"`
+	Telemetry  Telemetry  `toml:"telemetry"`
+	Graphite   Graphite   `toml:"graphite"`
+	Collectd   Collectd   `toml:"collectd"`
 }
 
 // ends is all of a site but the mapping of file commands and where figures go, which may change while the broker runs.
 func (s Site) ends() any {
-	return []any{s.SFTP.Listen, s.SFTP.NodePort, s.SFTP.Connections}
+	return []any{s.SFTP.Listen, s.SFTP.NodePort, s.SFTP.Connections, len(s.Membership.Sources) > 0, s.Membership.Snapshot}
 }
 
 // SFTP is the second front, file commands.
@@ -56,6 +57,9 @@
 	if err := s.SFTP.complete(set); err != nil {
 		return Site{}, fmt.Errorf("%s: sftp.%w", path, err)
 	}
+	if err := s.Membership.complete(); err != nil {
+		return Site{}, fmt.Errorf("%s: membership.%w", path, err)
+	}
 	if err := s.Telemetry.check(set); err != nil {
 		return Site{}, fmt.Errorf("%s: telemetry.%w", path, err)
 	}
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -31,6 +31,7 @@
 type Calls struct {
 	Check func() error  // nil if clients are taken
 	Vars  func() []byte // the figures, in lines
+	Nodes func() []byte // the list of storage nodes and where it comes from, in lines; nil for none
 }
 
 // Door answers calls.
@@ -122,6 +123,8 @@
 		return []byte(success + "\n")
 	case call == "vars":
 		return append(d.calls.Vars(), endWord+"\n"...)
+	case call == "nodes" && d.calls.Nodes != nil:
+		return append(d.calls.Nodes(), endWord+"\n"...)
 	}
 	return []byte(failure + " unknown call: check or vars\n")
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -11,6 +11,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	"junctionwharf/internal/config"
 	"junctionwharf/internal/console"
 	"junctionwharf/internal/discovery"
+	"junctionwharf/internal/members"
 	"junctionwharf/internal/metrics"
 	"junctionwharf/internal/peer"
 	"junctionwharf/internal/pool"
@@ -98,9 +100,13 @@
 
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
+	s.members = members.New(clock, loop.Post, log)
+	defer s.members.Close()
 	if c.Console != "" {
 		door, err := console.Open(c.Console, console.Calls{Check: s.check,
-			Vars: func() []byte { return metrics.Statsd(append(loop.Figures.Read(), s.reporter.Figures()...)) }}, log)
+			Vars: func() []byte {
+				return metrics.Statsd(slices.Concat(loop.Figures.Read(), s.reporter.Figures(), s.members.Figures()))
+			}, Nodes: s.members.Text}, log)
 		if err != nil {
 			return err
 		}
@@ -110,11 +116,21 @@
 	}
 	s.join()
 	defer s.part()
-	if known := s.known(); known != nil {
+	listed := loop.Post // what discovery says is the truth, or one word among others
+	known := s.known()
+	if len(c.Site.Membership.Sources) > 0 {
+		if err := s.members.Follow(c.Site.Membership); err != nil {
+			return fmt.Errorf("membership: %w", err)
+		}
+		listed = s.members.Discovery
+		if known != nil {
+			s.members.Known(known.Event(logic.ListCached, clock))
+		}
+	} else if known != nil {
 		loop.Post(known.Event(logic.ListCached, clock))
 	}
 	go loop.Run(running)
-	go s.watcher.Run(running, clock, loop.Post)
+	go s.watcher.Run(running, clock, listed)
 	if link != nil {
 		go link.Run(s.hear)
 	}
@@ -209,6 +225,7 @@
 	watcher   *discovery.Watcher
 	pools     []*pool.Pool
 	reporter  *report.Reporter
+	members   *members.Members
 	front     *resp.Front
 	files     *sftp.Front // nil if off
 	fronts    []drainer
@@ -259,6 +276,11 @@
 	for _, p := range s.pools {
 		p.Retune(set.ConnectTimeout.Duration(), set.ConnIdle.Duration())
 	}
+	if len(s.config.Site.Membership.Sources) > 0 && len(c.Site.Membership.Sources) > 0 {
+		if err := s.members.Follow(c.Site.Membership); err != nil { // guards against settings that nobody checked
+			s.log.Error("sources unchanged", "reason", err)
+		}
+	}
 	s.reporter.Retune(reportOf(c))
 	s.classes.Store(&set.Logic.Classes)
 }
@@ -338,7 +360,7 @@
 
 // figures are the broker's own, as sinks get them.
 func (s *service) figures() []broker.Figure {
-	return append(s.loop.Figures.Read(), broker.Figure{Name: "clients", Value: uint64(clients(s.fronts))})
+	return slices.Concat(s.loop.Figures.Read(), s.members.Figures(), []broker.Figure{{Name: "clients", Value: uint64(clients(s.fronts))}})
 }
 
 // loopCalls stands for the loop before there is one: the reporter hears its facts, and asks it for cuts.
--- a/internal/graphite/graphite.go
+++ b/internal/graphite/graphite.go
@@ -36,7 +36,7 @@
 
 // maxFrame bounds a frame: what a sink has taken whole or not at all, and a datagram on common links.
 const (
-	maxFrame    = 16 << 10
+	maxFrame    = 4 << 10
 	maxDatagram = 1432
 )
 
@@ -100,28 +100,73 @@
 	return nil
 }
 
-// Plaintext words points as lines, in frames of whole lines. datagrams has frames fit into a datagram.
-func Plaintext(points []Point, prefix string, naming Naming, stamp int64, datagrams bool) [][]byte {
-	limit := maxFrame
+// Writer words points one after the other into frames.
+type Writer struct {
+	Prefix string
+	Naming Naming
+	Stamp  int64 // Unix time, s
+	limit  int
+	pickle bool
+	frames [][]byte
+	frame  []byte
+	item   []byte // the point at hand, used again
+	points int    // of frame
+}
+
+// NewPlaintext words points as lines, in frames of whole lines. datagrams has frames fit into a datagram.
+func NewPlaintext(prefix string, naming Naming, stamp int64, datagrams bool) *Writer {
+	w := &Writer{Prefix: prefix, Naming: naming, Stamp: stamp, limit: maxFrame}
 	if datagrams {
-		limit = maxDatagram
+		w.limit = maxDatagram
 	}
-	var frames [][]byte
-	var frame, line []byte
-	for _, p := range points {
-		line = naming.Append(line[:0], prefix, p.Path)
-		line = strconv.AppendUint(append(line, ' '), p.Value, 10)
-		line = strconv.AppendInt(append(line, ' '), stamp, 10)
-		line = append(line, '\n')
-		if len(frame) > 0 && len(frame)+len(line) > limit {
-			frames, frame = append(frames, frame), nil
+	return w
+}
+
+// NewPickle words points as batches of [(path, (timestamp, value)), ...], a frame each.
+func NewPickle(prefix string, naming Naming, stamp int64) *Writer {
+	return &Writer{Prefix: prefix, Naming: naming, Stamp: stamp, limit: maxFrame, pickle: true}
+}
+
+// Add words a point.
+func (w *Writer) Add(p Point) {
+	if w.pickle {
+		w.item = w.Naming.Append(append(w.item[:0], opString, 0, 0, 0, 0), w.Prefix, p.Path)
+		binary.LittleEndian.PutUint32(w.item[1:], uint32(len(w.item)-5))
+		w.item = appendInt(appendInt(w.item, uint64(w.Stamp)), p.Value)
+		w.item = append(w.item, opTuple2, opTuple2)
+	} else {
+		w.item = w.Naming.Append(w.item[:0], w.Prefix, p.Path)
+		w.item = strconv.AppendUint(append(w.item, ' '), p.Value, 10)
+		w.item = append(strconv.AppendInt(append(w.item, ' '), w.Stamp, 10), '\n')
+	}
+	if w.points > 0 && (len(w.frame)+len(w.item) > w.limit || w.pickle && w.points >= pickleEach) {
+		w.end()
+	}
+	if w.points == 0 {
+		w.frame = make([]byte, 0, w.limit+len(w.item)+16)
+		if w.pickle {
+			w.frame = append(w.frame, 0, 0, 0, 0, opProto, 2, opList, opMark)
 		}
-		frame = append(frame, line...)
 	}
-	if len(frame) > 0 {
-		frames = append(frames, frame)
+	w.frame = append(w.frame, w.item...)
+	w.points++
+}
+
+func (w *Writer) end() {
+	if w.points == 0 {
+		return
+	}
+	if w.pickle {
+		w.frame = append(w.frame, opAppends, opStop)
+		binary.BigEndian.PutUint32(w.frame, uint32(len(w.frame)-4))
 	}
-	return frames
+	w.frames, w.frame, w.points = append(w.frames, w.frame), nil, 0
+}
+
+// Frames ends the last frame and returns all.
+func (w *Writer) Frames() [][]byte {
+	w.end()
+	return w.frames
 }
 
 // The opcodes of pickle protocol 2 that a batch needs.
@@ -138,29 +183,6 @@
 	pickleEach = 500 // points of a batch at the most, as Carbon's relays send them
 )
 
-// Pickle words points as batches of [(path, (timestamp, value)), ...], a frame each.
-func Pickle(points []Point, prefix string, naming Naming, stamp int64) [][]byte {
-	var frames [][]byte
-	var path []byte
-	for len(points) > 0 {
-		b := []byte{0, 0, 0, 0, opProto, 2, opList, opMark}
-		for n := 0; len(points) > 0 && n < pickleEach && len(b) < maxFrame; n++ {
-			p := points[0]
-			points = points[1:]
-			path = naming.Append(path[:0], prefix, p.Path)
-			b = binary.LittleEndian.AppendUint32(append(b, opString), uint32(len(path)))
-			b = append(b, path...)
-			b = appendInt(b, uint64(stamp))
-			b = appendInt(b, p.Value)
-			b = append(b, opTuple2, opTuple2)
-		}
-		b = append(b, opAppends, opStop)
-		binary.BigEndian.PutUint32(b, uint32(len(b)-4))
-		frames = append(frames, b)
-	}
-	return frames
-}
-
 // appendInt writes a whole number: a long has its length and then its bytes, little-endian in two's complement.
 func appendInt(b []byte, n uint64) []byte {
 	if n < 1<<31 {
--- a/internal/graphite/graphite_test.go
+++ b/internal/graphite/graphite_test.go
@@ -11,6 +11,21 @@
 	"junctionwharf/internal/standin"
 )
 
+func plaintext(points []graphite.Point, prefix string, naming graphite.Naming, datagrams bool) [][]byte {
+	return words(graphite.NewPlaintext(prefix, naming, 1_700_000_000, datagrams), points)
+}
+
+func pickled(points []graphite.Point, prefix string, naming graphite.Naming) [][]byte {
+	return words(graphite.NewPickle(prefix, naming, 1_700_000_000), points)
+}
+
+func words(w *graphite.Writer, points []graphite.Point) [][]byte {
+	for _, p := range points {
+		w.Add(p)
+	}
+	return w.Frames()
+}
+
 // The stand-in, whose code is its own, reads back what was written.
 func TestFormats(t *testing.T) {
 	points := []graphite.Point{
@@ -29,7 +44,7 @@
 	}
 	for naming, paths := range want {
 		var got []standin.Point
-		for _, frame := range graphite.Plaintext(points, "p.n1", naming, 1_700_000_000, false) {
+		for _, frame := range plaintext(points, "p.n1", naming, false) {
 			for line := range strings.Lines(string(frame)) {
 				p, err := standin.ParseLine(strings.TrimSuffix(line, "\n"))
 				if err != nil {
@@ -38,7 +53,7 @@
 				got = append(got, p)
 			}
 		}
-		for _, frame := range graphite.Pickle(points, "p.n1", naming, 1_700_000_000) {
+		for _, frame := range pickled(points, "p.n1", naming) {
 			if int(binary.BigEndian.Uint32(frame)) != len(frame)-4 {
 				t.Fatal("the length is wrong")
 			}
@@ -66,7 +81,7 @@
 		points = append(points, graphite.Point{Path: graphite.Path{Tag: "volume", Name: strings.Repeat("v", i%80), Last: "served"}, Value: uint64(i)})
 	}
 	lines := 0
-	for _, frame := range graphite.Plaintext(points, "p", graphite.Dotted, 1, true) {
+	for _, frame := range plaintext(points, "p", graphite.Dotted, true) {
 		lines += bytes.Count(frame, []byte("\n"))
 		if len(frame) > 1432 || frame[len(frame)-1] != '\n' {
 			t.Fatalf("a frame of %d bytes", len(frame))
@@ -98,14 +113,14 @@
 		for i, name := range []string{a, b} {
 			for _, naming := range []graphite.Naming{graphite.Dotted, graphite.Tagged} {
 				points := []graphite.Point{{Path: graphite.Path{Tag: "volume", Name: name, Last: "served"}, Value: 1}}
-				frames[i] = graphite.Plaintext(points, "p", naming, 1, false)[0]
+				frames[i] = plaintext(points, "p", naming, false)[0]
 				if _, err := standin.ParseLine(strings.TrimSuffix(string(frames[i]), "\n")); err != nil {
 					t.Fatal(err)
 				}
 				if bytes.Count(frames[i], []byte("\n")) != 1 {
 					t.Fatalf("%q makes %q", name, frames[i])
 				}
-				if got, err := standin.ParsePickle(graphite.Pickle(points, "p", naming, 1)[0][4:]); err != nil || len(got) != 1 {
+				if got, err := standin.ParsePickle(pickled(points, "p", naming)[0][4:]); err != nil || len(got) != 1 {
 					t.Fatal(got, err)
 				}
 			}
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,335 @@
+// Package members feeds the core's list of storage nodes from several sources, as package membership decides: discovery's watch,
+// DNS and files. It keeps the last good list across a restart where a site wants that.
+package members
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"junctionwharf/broker"
+	"junctionwharf/internal/config"
+	"junctionwharf/internal/srv"
+	"junctionwharf/logic"
+	"junctionwharf/membership"
+)
+
+// Members merges sources and posts what changes.
+type Members struct {
+	clock *broker.Clock
+	post  func(broker.Event)
+	log   *slog.Logger
+
+	mu       sync.Mutex
+	set      config.Membership
+	state    *membership.State
+	running  map[string]running // by source
+	timer    *time.Timer
+	version  uint64
+	closed   bool
+	snapshot *snapshot // nil for none
+}
+
+// running is a source that is being asked.
+type running struct {
+	set  config.MemberSource
+	stop context.CancelFunc
+}
+
+const (
+	filePoll = time.Second // between two looks at a file
+	kept     = "snapshot"  // the source of what was held before a restart
+)
+
+// New returns members that post to the core. Nothing is asked before Follow.
+func New(clock *broker.Clock, post func(broker.Event), log *slog.Logger) *Members {
+	return &Members{clock: clock, post: post, log: log, running: map[string]running{}}
+}
+
+// Follow goes over to settings, which were checked: sources that stay as they are go on, others end and begin. What ended
+// sources held stays until the new ones have answered.
+func (m *Members) Follow(set config.Membership) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := int64(m.clock.Now())
+	if m.state == nil {
+		state, err := membership.New(set.Options())
+		if err != nil {
+			return err
+		}
+		m.state = state
+		if set.Snapshot != "" {
+			m.load(now, set.Snapshot)
+		}
+	} else {
+		change, err := m.state.Retune(now, set.Options())
+		if err != nil {
+			return err
+		}
+		m.tell(change)
+	}
+	m.set = set
+	for name, r := range m.running {
+		if !slices.ContainsFunc(set.Sources, func(s config.MemberSource) bool { return same(s, r.set) }) {
+			r.stop()
+			delete(m.running, name)
+		}
+	}
+	for _, s := range set.Sources {
+		if _, runs := m.running[s.Name]; runs || s.Kind == "discovery" {
+			continue
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		if err := m.start(ctx, s); err != nil {
+			stop()
+			return err
+		}
+		m.running[s.Name] = running{s, stop}
+	}
+	m.wake()
+	return nil
+}
+
+// same tells whether two sources ask alike; rights and times of the merging may differ.
+func same(a, b config.MemberSource) bool {
+	word := func(s config.MemberSource) string {
+		shard := -1
+		if s.Shard != nil {
+			shard = *s.Shard
+		}
+		s.May, s.GoodS, s.Shard = nil, 0, nil
+		return fmt.Sprintf("%+v %d", s, shard)
+	}
+	return word(a) == word(b)
+}
+
+// start asks a source from now on.
+func (m *Members) start(ctx context.Context, s config.MemberSource) error {
+	switch s.Kind {
+	case "dns":
+		r, err := srv.NewResolver(s.Resolver())
+		if err != nil {
+			return err
+		}
+		w := &srv.Watcher{Resolver: r, Name: s.SRV, Facts: s.Facts()}
+		go w.Run(ctx, func(n srv.News) { m.heard(ctx, s.Name, n) })
+	case "file":
+		go m.poll(ctx, s)
+	}
+	return nil
+}
+
+// heard takes what DNS said.
+func (m *Members) heard(ctx context.Context, name string, n srv.News) {
+	for _, fault := range n.Faults {
+		m.log.Warn("entry left out", "source", name, "reason", fault)
+	}
+	if n.Err != nil {
+		m.fail(ctx, name, n.Err)
+		return
+	}
+	a := membership.Answered{Asked: int64(m.clock.Now()) - time.Since(n.Asked).Microseconds(), Whole: true}
+	for _, e := range n.Entries {
+		a.Entries = append(a.Entries, membership.Entry{Name: e.Target, Address: e.Address, Zone: e.Zone, Kind: e.Kind, Shard: e.Shard, Share: e.Share,
+			Part: max(0.1, float64(e.Weight)), Priority: int(e.Priority), Born: membership.Unknown})
+	}
+	m.answer(ctx, name, a)
+}
+
+// poll reads a file whenever it changes.
+func (m *Members) poll(ctx context.Context, s config.MemberSource) {
+	var seen time.Time
+	var size int64
+	tick := time.NewTicker(filePoll)
+	defer tick.Stop()
+	for {
+		if info, err := os.Stat(s.Path); err != nil {
+			m.fail(ctx, s.Name, err)
+		} else if !info.ModTime().Equal(seen) || info.Size() != size {
+			asked := int64(m.clock.Now())
+			entries, err := config.LoadNodes(s.Path)
+			if err != nil {
+				m.fail(ctx, s.Name, err)
+			} else {
+				seen, size = info.ModTime(), info.Size()
+				m.answer(ctx, s.Name, membership.Answered{Asked: asked, Whole: true, Entries: entries})
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// Known takes the list that was held before the start, which stands until all sources have answered.
+func (m *Members) Known(l broker.Listed) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tell(m.state.Restore(int64(m.clock.Now()), "known", entriesOf(l)))
+}
+
+func entriesOf(l broker.Listed) []membership.Entry {
+	var all []membership.Entry
+	for _, n := range l.Nodes {
+		all = append(all, membership.Entry{Name: n.Node, Address: n.Address, Zone: n.Zone, Kind: n.Kind, Shard: n.Shard, Share: n.Weight,
+			State: membership.Health(n.State), Born: int64(n.Born)})
+	}
+	return all
+}
+
+// Discovery takes what discovery's watch posts, in place of the core. Where discovery is no source its word does not count.
+func (m *Members) Discovery(e broker.Event) {
+	l, is := e.(broker.Listed)
+	if !is {
+		return
+	}
+	name := ""
+	m.mu.Lock()
+	for _, s := range m.set.Sources {
+		if s.Kind == "discovery" {
+			name = s.Name
+		}
+	}
+	m.mu.Unlock()
+	if name == "" {
+		return
+	}
+	m.answer(context.Background(), name, membership.Answered{Asked: int64(m.clock.Now()), Whole: l.Kind != logic.ListChanges, Entries: entriesOf(l)})
+}
+
+func (m *Members) answer(ctx context.Context, name string, a membership.Answered) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if src, known := m.state.SourceOf(name); known && ctx.Err() == nil {
+		a.Source = src
+		m.reduce(a)
+	}
+}
+
+func (m *Members) fail(ctx context.Context, name string, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if src, known := m.state.SourceOf(name); known && ctx.Err() == nil {
+		m.log.Warn("source silent", "source", name, "reason", err)
+		m.reduce(membership.Failed{Source: src, Reason: err.Error()})
+	}
+}
+
+func (m *Members) reduce(e membership.Event) {
+	if m.closed {
+		return
+	}
+	m.tell(m.state.Reduce(int64(m.clock.Now()), e))
+	m.wake()
+}
+
+// tell posts changes to the core: the first as a whole list, so that it replaces what was held before the start.
+func (m *Members) tell(change membership.Change) {
+	if len(change.Nodes) == 0 {
+		return
+	}
+	m.version++
+	e := broker.Listed{Kind: logic.ListChanges, Version: m.version}
+	if m.version == 1 {
+		e.Kind = logic.ListFull
+	}
+	for _, n := range change.Nodes {
+		e.Nodes = append(e.Nodes, broker.Node{NodeInfo: logic.NodeInfo{Node: n.Name, Zone: n.Zone, Kind: n.Kind, Shard: n.Shard, State: logic.NodeState(n.State),
+			Weight: n.Share, Part: n.Part, Priority: n.Priority}, Address: n.Address, Born: broker.Micros(n.Born)})
+	}
+	m.post(e)
+	if m.snapshot != nil {
+		m.snapshot.later()
+	}
+}
+
+// wake has Reduce called when the state wants it.
+func (m *Members) wake() {
+	if m.timer != nil {
+		m.timer.Stop()
+	}
+	if at, any := m.state.Next(); any && !m.closed {
+		m.timer = time.AfterFunc((broker.Micros(at) - m.clock.Now()).Duration(), func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.reduce(nil)
+		})
+	}
+}
+
+// Close ends all sources, and writes the snapshot if one is owed.
+func (m *Members) Close() {
+	m.mu.Lock()
+	m.closed = true
+	if m.timer != nil {
+		m.timer.Stop()
+	}
+	for _, r := range m.running {
+		r.stop()
+	}
+	snap := m.snapshot
+	m.mu.Unlock()
+	if snap != nil {
+		snap.close()
+	}
+}
+
+// Figures count per source, for console and sinks.
+func (m *Members) Figures() []broker.Figure {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.state == nil {
+		return nil
+	}
+	var all []broker.Figure
+	for _, s := range m.state.Sources(int64(m.clock.Now())) {
+		at := "source." + s.Name + "."
+		all = append(all, broker.Figure{Name: at + "held", Value: uint64(s.Held)}, broker.Figure{Name: at + "suspect", Value: uint64(s.Suspects)},
+			broker.Figure{Name: at + "answers", Value: s.Answers, Counter: true}, broker.Figure{Name: at + "failures", Value: s.Failures, Counter: true},
+			broker.Figure{Name: at + "refused", Value: s.Refused, Counter: true})
+		if s.Age >= 0 {
+			all = append(all, broker.Figure{Name: at + "age_s", Value: uint64(s.Age / time.Second)})
+		}
+	}
+	return all
+}
+
+// Text is the merged list for people: each node, who holds it, and why it is listed as it is; then the sources.
+func (m *Members) Text() []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var b strings.Builder
+	table := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	if m.state == nil {
+		return []byte("discovery alone is followed\n")
+	}
+	nodes, holders := m.state.List()
+	now := int64(m.clock.Now())
+	fmt.Fprintln(table, "node\taddress\tshard\tzone\tstate\tpriority\tpart\tup s\theld by\twhy")
+	for i, n := range nodes {
+		up := "long"
+		if n.Born > 0 {
+			up = fmt.Sprint((now - n.Born) / 1e6)
+		}
+		fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\t%d\t%g\t%s\t%s\t%s\n", n.Name, n.Address, n.Shard, n.Zone, [...]string{"ready", "draining", "gone"}[n.State], n.Priority, n.Part, up,
+			strings.Join(holders[i], ","), n.Reason)
+	}
+	fmt.Fprintln(table, "\nsource\tholds\tsuspect\tlast answer\tanswers\tfailures\tnot believed\tlast fault")
+	for _, s := range m.state.Sources(now) {
+		age := "never"
+		if s.Age >= 0 {
+			age = s.Age.Round(100*time.Millisecond).String() + " ago"
+		}
+		fmt.Fprintf(table, "%s\t%d\t%d\t%s\t%d\t%d\t%d\t%s\n", s.Name, s.Held, s.Suspects, age, s.Answers, s.Failures, s.Refused, s.Reason)
+	}
+	table.Flush()
+	return []byte(b.String())
+}
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -140,7 +140,7 @@
 				s.tell(r.opt.Name, figures, at, total)
 			}
 		}
-		taken.Clear()
+		taken.Clear(runtime.Gosched)
 	}
 	defer func() {
 		for _, s := range r.all() {
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -380,7 +380,7 @@
 	}
 	r.Observe([]telemetry.Fact{{Kind: telemetry.RequestEnded, Class: "read"}, {Kind: telemetry.AttemptEnded, Class: "read"}})
 	up := telemetry.NewRollup()
-	up.Add(r.Cut(nil))
+	up.Add(r.Cut(nil), func() {})
 	lists = listsOf([]broker.Figure{{Name: "taken", Counter: true}, {Name: "open"}}, up, telemetry.NewSummarizer())
 	for _, l := range lists {
 		if sources[l.Type] != len(l.Values) {
@@ -404,7 +404,7 @@
 		for range 10 {
 			r.Observe([]telemetry.Fact{{Kind: telemetry.RequestEnded, Class: "read", Plan: "gold", Volume: fmt.Sprint("v", i%4), Whole: 1000}})
 		}
-		up.Add(r.Cut(nil))
+		up.Add(r.Cut(nil), func() {})
 	}
 	sums, timed, volumes := map[telemetry.Dimension]uint64{}, uint64(0), 0
 	total := telemetry.NewSummarizer()
@@ -447,11 +447,11 @@
 				}
 				b.StartTimer()
 				spent = r.Cut(spent)
-				up.Add(spent)
+				up.Add(spent, func() {})
 				if _, err := t.encode("n1", nil, up, 1, sum); err != nil {
 					b.Fatal(err)
 				}
-				spent.Clear()
+				spent.Clear(func() {})
 			}
 		})
 	}
--- a/internal/report/words.go
+++ b/internal/report/words.go
@@ -56,9 +56,12 @@
 func carbon(g config.Graphite) encoder {
 	return func(name string, figures []broker.Figure, rows *telemetry.Rollup, stamp int64, sum *telemetry.Summarizer) ([][]byte, error) {
 		prefix := string(graphite.AppendName([]byte(g.Prefix+"."), name))
-		points := make([]graphite.Point, 0, 2*telemetry.DefaultMaxSeries)
+		w := graphite.NewPlaintext(prefix, g.Naming(), stamp, g.Transport == "udp")
+		if g.Protocol == "pickle" {
+			w = graphite.NewPickle(prefix, g.Naming(), stamp)
+		}
 		for _, f := range figures {
-			points = append(points, graphite.Point{Path: figurePath(f.Name), Value: f.Value})
+			w.Add(graphite.Point{Path: figurePath(f.Name), Value: f.Value})
 		}
 		rows.Tell(func(row *telemetry.Row) {
 			runtime.Gosched() // on one core a request must not wait until all are worded
@@ -68,7 +71,7 @@
 				if row.Dimension == telemetry.All {
 					p = graphite.Path{Words: allWords, Last: last}
 				}
-				points = append(points, graphite.Point{Path: p, Value: value})
+				w.Add(graphite.Point{Path: p, Value: value})
 			}
 			for i, n := range row.Counts {
 				add(telemetry.CountNames[i], n)
@@ -81,10 +84,7 @@
 				}
 			}
 		})
-		if g.Protocol == "pickle" {
-			return graphite.Pickle(points, prefix, g.Naming(), stamp), nil
-		}
-		return graphite.Plaintext(points, prefix, g.Naming(), stamp, g.Transport == "udp"), nil
+		return w.Frames(), nil
 	}
 }
 
--- a/logic/api.go
+++ b/logic/api.go
@@ -235,6 +235,9 @@
 	State   NodeState
 	Weight  float64
 	UpSince Time // when it last started, 0 for long ago
+
+	Priority int     // of the nodes of a shard, lower goes first while it has room
+	Part     float64 // of the load, against others of its priority; 0 counts as 1
 }
 
 // Load is a node's report on itself; fields the node does not report are negative.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -651,7 +651,7 @@
 func (g *Gateway) pick(s *shard, r *request) *node {
 	var best *node
 	for _, n := range s.nodes {
-		if n.state == Ready && (best == nil || n.out < best.out) && g.hasRoom(n, r) && inScope(r, n) &&
+		if n.state == Ready && (best == nil || n.before(best)) && g.hasRoom(n, r) && inScope(r, n) &&
 			g.coldRoom(n, r.Units) {
 			best = n
 		}
--- a/telemetry/buckets.go
+++ b/telemetry/buckets.go
@@ -17,9 +17,10 @@
 // Buckets counts times of one interval, in µs. It is HdrHistogram's layout in 32-bit counts: one index is worked out for a
 // time and serves the series of all dimensions, and a histogram takes 2.8 KB where the library's own takes 17.
 type Buckets struct {
-	counts [slots]uint32
-	n      uint64
-	most   int64
+	counts    [slots]uint32
+	n         uint64
+	most      int64
+	low, high int // the buckets in use lie within them: reading and clearing need not look at all
 }
 
 // slotOf is the bucket of a time, which must lie within 0 and maxMicros.
@@ -35,6 +36,10 @@
 }
 
 func (b *Buckets) add(slot int, micros int64) {
+	if b.n == 0 {
+		b.low, b.high = slot, slot
+	}
+	b.low, b.high = min(b.low, slot), max(b.high, slot)
 	b.counts[slot]++
 	b.n++
 	b.most = max(b.most, micros)
@@ -42,13 +47,28 @@
 
 // merge adds what other counted.
 func (b *Buckets) merge(other *Buckets) {
-	for i, n := range other.counts {
-		b.counts[i] += n
+	if other.n == 0 {
+		return
+	}
+	if b.n == 0 {
+		b.low, b.high = other.low, other.high
+	}
+	b.low, b.high = min(b.low, other.low), max(b.high, other.high)
+	for i := other.low; i <= other.high; i++ {
+		b.counts[i] += other.counts[i]
 	}
 	b.n += other.n
 	b.most = max(b.most, other.most)
 }
 
+// reset empties b.
+func (b *Buckets) reset() {
+	if b.n > 0 {
+		clear(b.counts[b.low : b.high+1])
+	}
+	b.n, b.most = 0, 0
+}
+
 // Summary is what is told of the times of one interval. Times are in µs.
 type Summary struct {
 	Count                    uint64
@@ -69,8 +89,8 @@
 		return Summary{}
 	}
 	s.scratch.Reset()
-	for slot, n := range b.counts {
-		if n > 0 {
+	for slot := b.low; slot <= b.high; slot++ {
+		if n := b.counts[slot]; n > 0 {
 			s.scratch.RecordValues(min(middleOf(slot), b.most), int64(n)) // within range by slotOf
 		}
 	}
--- a/telemetry/registry.go
+++ b/telemetry/registry.go
@@ -387,14 +387,16 @@
 // Cut is all rows at one moment. The sums of Counts over the rows of each dimension are equal.
 type Cut struct{ Rows []Row }
 
-// Clear empties the times of a cut that its reader is done with. It is the reader's work: it takes longer than the cut.
-func (c *Cut) Clear() {
+// Clear empties the times of a cut that its reader is done with. It is the reader's work: it takes longer than the cut. pause
+// is called between rows.
+func (c *Cut) Clear(pause func()) {
 	for _, row := range c.Rows {
 		for _, b := range row.Times {
 			if b != nil {
-				*b = Buckets{}
+				b.reset()
 			}
 		}
+		pause()
 	}
 }
 
--- a/telemetry/registry_test.go
+++ b/telemetry/registry_test.go
@@ -78,7 +78,7 @@
 			}
 			spent = r.Cut(spent)
 			judge(t, r, spent, want)
-			spent.Clear()
+			spent.Clear(func() {})
 		}
 	}
 }
--- a/telemetry/rollup.go
+++ b/telemetry/rollup.go
@@ -16,9 +16,10 @@
 // NewRollup returns an empty rollup.
 func NewRollup() *Rollup { return &Rollup{rows: map[rowKey]*Row{}} }
 
-// Add takes a cut, of which it keeps nothing.
-func (r *Rollup) Add(cut *Cut) {
+// Add takes a cut, of which it keeps nothing. pause is called between rows.
+func (r *Rollup) Add(cut *Cut, pause func()) {
 	for _, row := range cut.Rows {
+		pause()
 		key := rowKey{row.Dimension, row.Name, row.Special}
 		held := r.rows[key]
 		if held == nil {
@@ -54,7 +55,7 @@
 	if last := len(r.scratch) - 1; last >= 0 {
 		b := r.scratch[last]
 		r.scratch = r.scratch[:last]
-		*b = Buckets{}
+		b.reset()
 		return b
 	}
 	return new(Buckets)
