--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -125,6 +125,17 @@
 		{`[sftp]`, "[telemetry]\nmax_series = 100\n[sftp]", "telemetry.max_series"},
 		{`[sftp]`, "[telemetry]\nmax_bytes = 100\n[sftp]", "telemetry.max_bytes"},
 		{`[sftp]`, "[telemetry]\nidle_intervals = -1\n[sftp]", "telemetry.idle_intervals"},
+		{`[sftp]`, "[membership]\nsuspect_s = -1\n[sftp]", "membership.suspect_s"},
+		{`[sftp]`, "[membership]\nsnapshot = \"x\"\n[sftp]", "membership.snapshot"},
+		{`[sftp]`, "[[membership.source]]\nkind = \"odd\"\n[sftp]", "membership.source[0].kind"},
+		{`[sftp]`, "[[membership.source]]\nkind = \"dns\"\n[sftp]", "membership.source[0].srv"},
+		{`[sftp]`, "[[membership.source]]\nkind = \"dns\"\nsrv = \"s\"\nresolvers = [\"x\"]\n[sftp]", "membership.source[0].resolvers[0]"},
+		{`[sftp]`, "[[membership.source]]\nkind = \"dns\"\nsrv = \"s\"\nresolvers = [\"1.1.1.1:53\"]\n[sftp]", "membership.source[0].pattern"},
+		{`[sftp]`, "[[membership.source]]\nkind = \"dns\"\nsrv = \"s\"\nresolvers = [\"1.1.1.1:53\"]\npattern = \"(?P<odd>x)\"\n[sftp]", "membership.source[0].pattern"},
+		{`[sftp]`, "[[membership.source]]\nkind = \"file\"\npath = \"/nowhere\"\n[sftp]", "membership.source[0].path"},
+		{`[sftp]`, "[[membership.source]]\nkind = \"discovery\"\nmay = [\"fly\"]\n[sftp]", "membership.source[0].may"},
+		{`[sftp]`, "[[membership.source]]\nkind = \"discovery\"\n[[membership.source]]\nkind = \"discovery\"\nname = \"b\"\n[sftp]", "membership.source"},
+		{`[sftp]`, "[[membership.source]]\nkind = \"discovery\"\ngood_s = -1\n[sftp]", "membership.source[0].good_s"},
 		{`[sftp.command]`, "node_port = 70000\n[sftp.command]", "sftp.node_port"},
 	} {
 		text := siteText
