Record the module's decisions over seeded streams, as a measure for what is to be rebuilt

Need: indexes are to replace scans without changing a decision.

20 streams of 6 s (1 to 60 nodes, surges, drains, replaced nodes, new settings, restarts, all kinds of classes) react to the module's actions; a hash of all actions is compared with the recorded one.

--- /dev/null
+++ b/logic/decisions_test.go
@@ -0,0 +1,208 @@
+package logic_test
+
+import (
+	"bufio"
+	"container/heap"
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"junctionwharf/logic"
+)
+
+// record has the decisions written anew: only where a change of them is meant, and the commit says so.
+var record = flag.Bool("record", false, "record the decisions of this version")
+
+const decisionSeeds = 20
+
+// decisionsOf plays a seeded stream against a gateway and returns a hash of all its actions. The stream reacts to the
+// actions as a deployment would: nodes of drawn speeds with pauses, full rooms and cuts; surges of some volumes; drains, replaced
+// nodes, new settings, peers' messages, clients that leave, and restarts.
+func decisionsOf(t testing.TB, seed uint64) (hash uint64, sends, refusals int) {
+	rng := rand.New(rand.NewPCG(seed, 0xdec1))
+	set := plain()
+	if seed%2 == 1 {
+		set = hostileSettings(rng) // all kinds of classes, limits, budgets
+	}
+	set.Ordinal, set.Subscribe = 0, false
+	set.Hosts, set.Bounds.Peers, set.Bounds.RetryAfter, set.Bounds.Cancel = 1+rng.IntN(4), true, rng.IntN(2) == 0, true
+	sum := fnv.New64a()
+	var q fleetQueue
+	var now logic.Time = 100 * second
+	count, id := 0, uint64(0)
+	later := func(after time.Duration, e logic.Event) {
+		count++
+		heap.Push(&q, fleetEvent{now + after, count, 0, e})
+	}
+	shards := 1 + rng.IntN(30)
+	nodes := make([]logic.NodeInfo, min(60, shards+rng.IntN(shards+1)))
+	speed, freeAt := map[string]time.Duration{}, map[string]logic.Time{}
+	name := 0
+	fresh := func(shard int) logic.NodeInfo {
+		name++
+		n := logic.NodeInfo{Node: fmt.Sprint("n", name), Shard: shard, Zone: string(rune('a' + rng.IntN(2)))}
+		speed[n.Node] = time.Duration(1+rng.IntN(20)) * ms
+		return n
+	}
+	for i := range nodes {
+		nodes[i] = fresh(i % shards)
+	}
+	var g *logic.Gateway
+	begin := func() {
+		var err error
+		if g, err = logic.New(set, seed); err != nil {
+			t.Fatal(err)
+		}
+		q = nil
+		later(0, logic.NodeList{Kind: logic.ListFull, Version: 1, Nodes: append([]logic.NodeInfo(nil), nodes...)})
+	}
+	begin()
+	open := map[uint64]time.Duration{}
+	attempts := map[uint64]int{}
+	step := func(events ...logic.Event) {
+		for _, action := range g.Step(now, events) {
+			fmt.Fprintf(sum, "%d %T %+v\n", now, action, action)
+			switch a := action.(type) {
+			case logic.SetTimer:
+				later(a.After, logic.Timer{Token: a.Token})
+			case logic.Refuse:
+				refusals++
+				delete(open, a.ID)
+			case logic.Fail:
+				delete(open, a.ID)
+			case logic.Send:
+				sends++
+				freeAt[a.Node] = max(freeAt[a.Node], now) + time.Duration(float64(speed[a.Node])*(0.5+rng.Float64()))
+				if rng.IntN(200) == 0 {
+					freeAt[a.Node] += 200 * ms
+				}
+				outcome := logic.Success
+				switch rng.IntN(60) {
+				case 0:
+					outcome = logic.Overloaded
+				case 1:
+					outcome = logic.Unreachable
+				case 2:
+					outcome = logic.Broken
+				}
+				took := freeAt[a.Node] - now
+				if a.Timeout > 0 && took > a.Timeout {
+					took, outcome = a.Timeout, logic.TimedOut
+				}
+				_, waits := open[a.ID]
+				if outcome == logic.Success {
+					delete(open, a.ID)
+				}
+				later(took, logic.AttemptEnded{ID: a.ID, Attempt: attempts[a.ID], Node: a.Node, Outcome: outcome, Took: took,
+					Finished: outcome == logic.Success || !waits, Used: rng.IntN(200), Load: logic.NoLoad})
+				attempts[a.ID]++
+			case logic.Tell:
+				if rng.IntN(2) == 0 {
+					later(time.Duration(rng.IntN(20))*ms, logic.PeerMessage{From: (set.Ordinal + 1) % set.Hosts, Data: a.Data})
+				}
+			}
+		}
+	}
+	surge, surgeTill := 0, now
+	rate := 20 * float64(len(nodes))
+	next := now
+	for end := now + 6*second; now < end; {
+		if len(q) > 0 && q[0].at <= next {
+			now = q[0].at
+			var events []logic.Event
+			for len(q) > 0 && q[0].at <= now {
+				events = append(events, heap.Pop(&q).(fleetEvent).event)
+			}
+			step(events...)
+			continue
+		}
+		now = next
+		if now >= surgeTill && rng.IntN(400) == 0 {
+			surge, surgeTill = rng.IntN(40), now+time.Duration(rng.IntN(1500))*ms
+		}
+		pace := rate
+		if now < surgeTill {
+			pace *= 4
+		}
+		next = now + time.Duration(rng.ExpFloat64()/pace*float64(second))
+		switch k := rng.IntN(2000); {
+		case k == 0: // a node drains, and another takes its place
+			i := rng.IntN(len(nodes))
+			old := nodes[i]
+			old.State = logic.Draining
+			nodes[i] = fresh(old.Shard)
+			nodes[i].UpSince = now
+			gone := old
+			gone.State = logic.Gone
+			later(time.Duration(rng.IntN(2000))*ms, logic.NodeList{Kind: logic.ListChanges, Nodes: []logic.NodeInfo{gone}})
+			step(logic.NodeList{Kind: logic.ListChanges, Nodes: []logic.NodeInfo{old, nodes[i]}})
+		case k == 1:
+			step(logic.NodeList{Kind: logic.ListFull, Nodes: append([]logic.NodeInfo(nil), nodes...)})
+		case k == 2:
+			set.Plans[0].Reserve = 1 + float64(rng.IntN(30))
+			step(logic.Retuned{Settings: set})
+		case k == 3 && seed%5 == 0:
+			begin()
+			clear(open)
+		case k < 40:
+			for one := range open { // the lowest id, whatever the map's order
+				for other := range open {
+					one = min(one, other)
+				}
+				delete(open, one)
+				step(logic.ClientGone{ID: one})
+				break
+			}
+		default:
+			id++
+			volume := rng.IntN(40)
+			if now < surgeTill && rng.IntN(3) > 0 {
+				volume = surge
+			}
+			class := set.Classes[rng.IntN(len(set.Classes))]
+			open[id] = class.Deadline
+			step(logic.Request{ID: id, Class: class.Name, Plan: set.Plans[volume%len(set.Plans)].Name, Volume: fmt.Sprint("v", volume), Key: fmt.Sprint("k", rng.IntN(500)),
+				Units: float64(1 + rng.IntN(8)), Shard: rng.IntN(shards), Hosts: 1 + volume%set.Hosts, Remaining: class.Deadline, Retry: rng.IntN(20) == 0})
+		}
+	}
+	return sum.Sum64(), sends, refusals
+}
+
+// The decisions are those that were recorded: a change that is meant to leave them alone does.
+func TestDecisions(t *testing.T) {
+	path := filepath.Join("testdata", "decisions.txt")
+	var lines []string
+	for seed := range uint64(decisionSeeds) {
+		hash, sends, refusals := decisionsOf(t, seed)
+		if sends < 100 {
+			t.Errorf("seed %d: %d sends", seed, sends)
+		}
+		lines = append(lines, fmt.Sprintf("%d %016x %d %d", seed, hash, sends, refusals))
+	}
+	if *record {
+		if err := os.MkdirAll("testdata", 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	scan := bufio.NewScanner(file)
+	for i := 0; scan.Scan(); i++ {
+		if scan.Text() != lines[i] {
+			t.Errorf("seed, hash, sends, refusals: %s, recorded %s", lines[i], scan.Text())
+		}
+	}
+}
