Take a turn's cost off the fleet: waiting shards listed, lists by difference

Cause: each turn counted all nodes for two figures and looked at every shard; a whole list searched itself for each node it held, and each node that left went through all open requests and all shards.

Nodes are counted every 25 ms and with each list; only shards that hold requests are visited, in the same order; a list is compared by a map, and what it ends is halted in one pass.

--- /dev/null
+++ b/broker/bench_test.go
@@ -0,0 +1,63 @@
+package broker
+
+import (
+	"fmt"
+	"testing"
+
+	"junctionwharf/logic"
+)
+
+// settled returns a state that knows so many nodes, each with a shard of its own, and holds so many requests that no node can
+// take.
+func settled(b *testing.B, nodes, held, volumes int) (*State, []Node) {
+	b.Helper()
+	s, err := NewState(logic.Settings{Hosts: 1, MeanUnits: 2, MaxUnits: 8,
+		Classes: []logic.Class{{Name: "read", Aim: 1e9 * 60, Deadline: 2e9 * 60, Worth: 1}},
+		Plans:   []logic.Plan{{Name: "plan", Rate: 1e6, Reserve: 1e6, Weight: 1, Price: 1}}, Bounds: logic.Bounds{MaxAttempts: 3}}, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var list []Node
+	for i := range nodes {
+		list = append(list, Node{NodeInfo: logic.NodeInfo{Node: fmt.Sprint("n", i), Shard: i}, Address: fmt.Sprint("10.0.0.1:", i+1)})
+	}
+	s.Reduce(Second, []Event{Listed{Kind: logic.ListFull, Version: 1, Nodes: list}})
+	return s, list
+}
+
+// BenchmarkTurn is a turn with an arrival and one with its ending.
+func BenchmarkTurn(b *testing.B) {
+	for _, nodes := range []int{10, 100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
+			s, _ := settled(b, nodes, 0, 1)
+			now, id := 2*Second, uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				now += 10
+				req := &Request{Class: "read", Plan: "plan", Volume: "v", Units: 1, Shard: int(id) % nodes, Hosts: 1, Wait: 60 * Second}
+				for _, e := range s.Reduce(now, []Event{Arrived{ID: id, Request: req}}) {
+					if start, is := e.(Start); is {
+						s.Reduce(now, []Event{Ended{ID: start.ID, Attempt: start.Number, Result: Result{Load: logic.NoLoad}}})
+					}
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkList is a whole list of which one node has changed.
+func BenchmarkList(b *testing.B) {
+	for _, nodes := range []int{10, 100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
+			s, list := settled(b, nodes, 0, 1)
+			now := 2 * Second
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now += 10
+				list[nodes/2].Weight = float64(i)
+				s.Reduce(now, []Event{Listed{Kind: logic.ListFull, Version: uint64(i), Nodes: list}})
+			}
+		})
+	}
+}
--- a/broker/loop.go
+++ b/broker/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -62,6 +63,7 @@
 	ids       atomic.Uint64
 	clients   map[uint64]client // of the loop's own goroutine, as is handles
 	handles   map[attemptKey]Handle
+	countAt   Micros // when nodes are counted again
 
 	mu     sync.Mutex
 	inbox  []Event
@@ -190,9 +192,7 @@
 			l.count(e)
 		}
 		effects := l.state.Reduce(now, events)
-		listed, down := l.state.gateway.Nodes()
-		l.Figures.listed.Store(int64(listed))
-		l.Figures.down.Store(int64(down))
+		l.countNodes(now, events)
 		events = nil
 		for _, effect := range effects {
 			if e := l.run(effect, now); e != nil {
@@ -204,6 +204,20 @@
 	}
 }
 
+// countEach is how often the nodes that are avoided are counted: it takes a look at each node.
+const countEach = Second / 40
+
+// countNodes keeps the figures of the list: at once when it changes, else now and then.
+func (l *Loop) countNodes(now Micros, events []Event) {
+	if now < l.countAt && !slices.ContainsFunc(events, func(e Event) bool { _, is := e.(Listed); return is }) {
+		return
+	}
+	l.countAt = now + countEach
+	listed, down := l.state.gateway.Nodes()
+	l.Figures.listed.Store(int64(listed))
+	l.Figures.down.Store(int64(down))
+}
+
 func (l *Loop) count(event Event) {
 	switch e := event.(type) {
 	case Arrived:
--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -293,8 +293,10 @@
 }
 
 func (s *State) list(e Listed) {
-	infos := make([]logic.NodeInfo, 0, len(e.Nodes))
+	infos, here := make([]logic.NodeInfo, 0, len(e.Nodes)), make(map[string]bool, len(e.Nodes))
+	leaving := map[string]bool{}
 	for _, n := range e.Nodes {
+		here[n.Node] = true
 		if n.Address != "" {
 			s.nodes[n.Node] = n.Address
 		}
@@ -302,7 +304,9 @@
 			s.facts = append(s.facts, telemetry.Fact{Kind: telemetry.NodeListed, Node: n.Node})
 		}
 		s.shards[n.Node] = n.Shard
-		s.leave(n.Node, n.State != logic.Ready)
+		if s.leave(n.Node, n.State != logic.Ready) {
+			leaving[n.Node] = true
+		}
 		if n.State == logic.Gone {
 			s.lose(n.Node)
 		}
@@ -311,25 +315,27 @@
 	}
 	if e.Kind != logic.ListChanges {
 		for name := range s.shards {
-			if !slices.ContainsFunc(e.Nodes, func(n Node) bool { return n.Node == name }) {
-				s.leave(name, true)
+			if !here[name] {
+				if s.leave(name, true) {
+					leaving[name] = true
+				}
 				s.lose(name)
 			}
 		}
 	}
+	s.halt(leaving)
 	s.tell(logic.NodeList{Kind: e.Kind, Version: e.Version, Nodes: infos})
 }
 
-// leave notes whether a node drains or is gone. It guards the rule on drains against attempts of several
-// messages, which would go on sending to such a node: they are halted at once, while the gateway may still
-// find them another node in time.
-func (s *State) leave(node string, leaving bool) {
-	if leaving && !s.leaving[node] {
-		s.halt(node)
+// leave notes whether a node drains or is gone, and tells whether it is news that it does.
+func (s *State) leave(node string, leaving bool) (news bool) {
+	news = leaving && !s.leaving[node]
+	if news {
 		s.facts = append(s.facts, telemetry.Fact{Kind: telemetry.NodeLeaving, Node: node})
 		s.do(CloseIdle{Address: s.nodes[node]})
 	}
 	s.leaving[node] = leaving
+	return news
 }
 
 // lose forgets a node that is gone: each that replaces one comes under a new name, and the process may run for
@@ -342,12 +348,22 @@
 	delete(s.leaving, node)
 }
 
-func (s *State) halt(node string) {
-	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
-		if r := s.entries[id]; r.out && r.node == node && !r.stopped {
-			s.do(Halt{ID: id, Number: r.attempts - 1})
+// halt guards the rule on drains against attempts of several messages, which would go on sending to nodes that leave: they
+// are halted at once, while the gateway may still find them another node in time.
+func (s *State) halt(leaving map[string]bool) {
+	if len(leaving) == 0 {
+		return
+	}
+	var ids []uint64
+	for id, r := range s.entries {
+		if r.out && leaving[r.node] && !r.stopped {
+			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		s.do(Halt{ID: id, Number: s.entries[id].attempts - 1})
+	}
 }
 
 // end tells the gateway of an attempt's one outcome and passes a served answer on.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -62,6 +62,7 @@
 	nodeList      []*node // nodes in the order in which they were first seen
 	shards        map[int]*shard
 	shardIDs      []int
+	waiting       []*shard // those that may hold requests, by id
 	turns         map[string]*turn
 	byID          map[uint32]*volume
 	kept          map[uint32][]news // what peers told of the volumes this host keeps
@@ -362,16 +363,19 @@
 // news of peers gets old. A node that is gone is kept while attempts are out there, a shard while a node that
 // comes new may be measured by what the last one served.
 func (g *Gateway) forget() {
+	listed := len(g.nodeList)
 	g.nodeList = slices.DeleteFunc(g.nodeList, func(n *node) bool {
-		if n.state != Gone || len(n.flight) > 0 {
-			return false
-		}
-		delete(g.nodes, n.Node)
-		for _, s := range g.shards {
-			s.nodes = slices.DeleteFunc(s.nodes, func(other *node) bool { return other == n })
+		over := n.state == Gone && len(n.flight) == 0
+		if over {
+			delete(g.nodes, n.Node)
 		}
-		return true
+		return over
 	})
+	for _, id := range g.shardIDs {
+		if s := g.shards[id]; len(g.nodeList) < listed {
+			s.nodes = slices.DeleteFunc(s.nodes, func(n *node) bool { return g.nodes[n.Node] != n })
+		}
+	}
 	g.shardIDs = slices.DeleteFunc(g.shardIDs, func(id int) bool {
 		s := g.shards[id]
 		fresh := s.servedAt > 0 && g.now-s.servedAt <= 4*g.set.Rules.ColdTime+g.aim
@@ -505,6 +509,7 @@
 	id       int
 	nodes    []*node
 	held     []*request
+	waits    bool    // it stands among the waiting
 	served   float64 // units a second that warm nodes served this host, in the mean over ColdTime
 	servedAt Time
 }
@@ -529,6 +534,11 @@
 	at, _ := slices.BinarySearchFunc(s.held, r, earlier)
 	s.held = slices.Insert(s.held, at, r)
 	r.lane = s
+	if !s.waits {
+		s.waits = true
+		at, _ := slices.BinarySearchFunc(g.waiting, id, byShard)
+		g.waiting = slices.Insert(g.waiting, at, s)
+	}
 }
 
 func earlier(a, b *request) int { return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.ID, b.ID)) }
@@ -572,13 +582,14 @@
 }
 
 func (g *Gateway) dispatchAll() {
-	for _, id := range g.shardIDs {
-		s := g.shards[id]
+	g.waiting = slices.DeleteFunc(g.waiting, func(s *shard) bool {
 		if len(s.held) > 0 {
 			g.dispatch(s)
 			g.giveUpLate(s)
 		}
-	}
+		s.waits = len(s.held) > 0
+		return !s.waits
+	})
 }
 
 // shed guards against overload of one node, from a surge, slowness or lost room: where earliest due
