--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -23,6 +21,7 @@
 	"junctionwharf/internal/logs"
 	"junctionwharf/internal/report"
 	"junctionwharf/internal/resp"
+	"junctionwharf/internal/standin"
 	"junctionwharf/logic"
 )
 
@@ -77,46 +76,20 @@
 			io.WriteString(conn, "*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n")
 		}
 	}()
-	seen := false
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if seen {
-			<-r.Context().Done()
-			return
-		}
-		seen = true
-		fmt.Fprintf(w, `{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"block":0,"health":"SERVING","share":1}]}`, node.Addr())
-	}))
-	defer discovery.Close()
+	discovery := serveList(t, standin.Host{Host: "a", Dial: node.Addr().String(), Health: "SERVING", Share: 1})
 	address, files := free(t), free(t)
-	carbon, figures := listen(t), make(chan string, 1)
-	go func() {
-		for {
-			conn, err := carbon.Accept()
-			if err != nil {
-				return
-			}
-			for text, in := "", bufio.NewReader(conn); ; {
-				line, err := in.ReadString('\n')
-				if err != nil {
-					break
-				}
-				if text += line; strings.HasPrefix(line, "wharf.n1.telemetry.graphite.redials") { // the last of the broker's own
-					if strings.Contains(text, "wharf.n1.taken 1 ") {
-						figures <- text
-						return
-					}
-					text = ""
-				}
-			}
-		}
-	}()
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"settings":%s}`, address, discovery.Listener.Addr(), settingsText)
+	carbon, err := standin.NewCarbon("127.0.0.1:0", false, standin.NewPoints(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer carbon.Close()
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"settings":%s}`, address, discovery.Address(), settingsText)
 	c, err := config.Parse([]byte(text), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
 	c.Site.SFTP.Listen, c.Site.SFTP.Connections = files, 4
-	c.Site.Graphite = config.Graphite{Receiver: config.Receiver{Address: carbon.Addr().String(), IntervalS: 1, QueueBytes: 1 << 20}, Prefix: "wharf", Transport: "tcp"}
+	c.Site.Graphite = config.Graphite{Receiver: config.Receiver{Address: carbon.Address(), IntervalS: 1, QueueBytes: 1 << 20}, Prefix: "wharf", Transport: "tcp"}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- Serve(ctx, c, logs.Discard(), nil, nil) }()
@@ -141,8 +114,13 @@
 	if _, err := io.ReadFull(fileConn, version); err != nil || string(version) != "\x00\x00\x00\x05\x02\x00\x00\x00\x03" {
 		t.Errorf("%q, %v", version, err)
 	}
-	if text := <-figures; !strings.Contains(text, "wharf.n1.inflight 1 ") || !strings.Contains(text, "wharf.n1.backend_calls 1 ") {
-		t.Error(text)
+	late := make(chan struct{})
+	timer := time.AfterFunc(10*time.Second, func() { close(late) })
+	defer timer.Stop()
+	if !carbon.Await(late, func(latest map[string]standin.Point, _ []string) bool {
+		return latest["wharf.n1.taken"].Value == 1 && latest["wharf.n1.inflight"].Value == 1 && latest["wharf.n1.backend_calls"].Value == 1
+	}) {
+		t.Errorf("%v", carbon.Latest())
 	}
 	stop()
 	close(release)
@@ -156,6 +134,22 @@
 	if _, err := net.Dial("tcp", address); err == nil {
 		t.Error("it still listens")
 	}
+	if !carbon.Await(late, func(latest map[string]standin.Point, _ []string) bool {
+		return latest["wharf.n1.all.served"].Value == 1
+	}) {
+		t.Errorf("the last interval was not flushed: %v", carbon.Latest()["wharf.n1.all.served"])
+	}
+}
+
+// serveList starts a stand-in for discovery.
+func serveList(t *testing.T, hosts ...standin.Host) *standin.Discovery {
+	t.Helper()
+	d, err := standin.NewDiscovery("127.0.0.1:0", hosts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return d
 }
 
 // SIGHUP must neither end the program nor a connection of either front: it moves discovery.
@@ -181,15 +175,7 @@
 				}()
 			}
 		}()
-		service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Query().Get("index") != "" {
-				<-r.Context().Done()
-				return
-			}
-			fmt.Fprintf(w, `{"seq":%d,"whole":true,"hosts":[{"host":"n%d","dial":%q,"block":0,"health":"SERVING","share":1}]}`, i+1, i, node.Addr())
-		}))
-		t.Cleanup(service.Close)
-		services[i] = service.Listener.Addr().String()
+		services[i] = serveList(t, standin.Host{Host: fmt.Sprint("n", i), Dial: node.Addr().String(), Health: "SERVING", Share: 1}).Address()
 	}
 	dir, address, files := t.TempDir(), free(t), free(t)
 	write := func(name, text string) string {
@@ -289,19 +275,11 @@
 			}()
 		}
 	}()
-	list := fmt.Sprintf(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":%q,"block":0,"health":"SERVING","share":1}]}`, node.Addr())
-	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("index") != "" {
-			<-r.Context().Done()
-			return
-		}
-		io.WriteString(w, list)
-	}))
-	defer service.CloseClientConnections()
+	service := serveList(t, standin.Host{Host: "a", Dial: node.Addr().String(), Health: "SERVING", Share: 1})
 	address, files := free(t), free(t)
 	start := func() (door string, stop func(), ended chan error) {
 		door = free(t)
-		text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"console":%q,"settings":%s}`, address, service.Listener.Addr(), door, settingsText)
+		text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"console":%q,"settings":%s}`, address, service.Address(), door, settingsText)
 		c, err := config.Parse([]byte(text), func(string) string { return "" })
 		if err != nil {
 			t.Fatal(err)
