Hold deadlines and timers in a hierarchical timing wheel

Need: each request put two values on a heap, and its deadline stayed there until it was due, long after its answer.

--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -1,13 +1,13 @@
 package broker
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"slices"
 
 	"junctionwharf/logic"
 	"junctionwharf/telemetry"
+	"junctionwharf/wheel"
 )
 
 // Event is something that happened; State.Reduce takes it.
@@ -147,6 +147,8 @@
 	stopping logic.Outcome // why the attempt out was stopped, if stopped
 	stopped  bool
 	answered bool
+	overdue  wheel.Handle // alarms that wait for it
+	timeout  wheel.Handle
 }
 
 // State is all that the broker knows. It does no I/O and reads no clock.
@@ -156,7 +158,7 @@
 	nodes   map[string]string // addresses by name
 	shards  map[string]int
 	leaving map[string]bool // nodes that were told to be draining or gone
-	alarms  alarms
+	alarms  wheel.Wheel[alarm]
 	now     Micros
 	news    []logic.Event // what the gateway is told next
 	effects []Effect
@@ -185,8 +187,8 @@
 	for _, e := range events {
 		s.take(e)
 	}
-	for len(s.alarms) > 0 && s.alarms[0].at <= now {
-		s.ring(heap.Pop(&s.alarms).(alarm))
+	for a, _, due := s.alarms.Pop(int64(now)); due; a, _, due = s.alarms.Pop(int64(now)) {
+		s.ring(a)
 	}
 	for i := 0; i == 0 || len(s.news) > 0 && i < rounds; i++ {
 		news := s.news
@@ -206,10 +208,8 @@
 	if len(s.news) > 0 {
 		return s.now, true
 	}
-	if len(s.alarms) == 0 {
-		return 0, false
-	}
-	return s.alarms[0].at, true
+	next, any := s.alarms.Next()
+	return Micros(next), any
 }
 
 // Open tells how many requests still wait for their final answer.
@@ -223,9 +223,12 @@
 	return open
 }
 
-func (s *State) do(e Effect)            { s.effects = append(s.effects, e) }
-func (s *State) tell(e logic.Event)     { s.news = append(s.news, e) }
-func (s *State) wake(a alarm)           { heap.Push(&s.alarms, a) }
+func (s *State) do(e Effect)        { s.effects = append(s.effects, e) }
+func (s *State) tell(e logic.Event) { s.news = append(s.news, e) }
+
+// wake sets an alarm.
+func (s *State) wake(at Micros, a alarm) wheel.Handle { return s.alarms.Set(int64(at), a) }
+
 func (s *State) log(f string, a ...any) { s.do(Log{fmt.Sprintf(f, a...)}) }
 
 func (s *State) take(event Event) {
@@ -287,7 +290,7 @@
 func (s *State) arrive(id uint64, req *Request) {
 	r := &entry{req: req, arrived: s.now, deadline: s.now + max(0, req.Wait)}
 	s.entries[id] = r
-	s.wake(alarm{at: r.deadline, kind: overdue, id: id})
+	r.overdue = s.wake(r.deadline, alarm{kind: overdue, id: id})
 	s.tell(logic.Request{ID: id, Class: req.Class, Plan: req.Plan, Key: req.Key, Remaining: req.Wait.Duration(),
 		Volume: req.Volume, Units: req.Units, Shard: req.Shard, Hosts: req.Hosts, Retry: req.Retry, Write: req.Write})
 }
@@ -429,6 +432,8 @@
 
 func (s *State) forget(id uint64, r *entry) {
 	if r.answered && !r.out {
+		s.alarms.Cancel(r.overdue)
+		s.alarms.Cancel(r.timeout)
 		delete(s.entries, id)
 	}
 }
@@ -454,7 +459,7 @@
 		}
 	case r.out:
 		s.stop(a.id, r, logic.TimedOut)
-		s.wake(alarm{at: s.now + grace, kind: overdue, id: a.id})
+		r.overdue = s.wake(s.now+grace, alarm{kind: overdue, id: a.id})
 	case !r.answered:
 		// Guards against a gateway that holds a request past its client's patience.
 		s.answer(a.id, r, Final{Verdict: Failed})
@@ -483,7 +488,7 @@
 	case logic.Tell:
 		s.do(Tell{Peer: a.Peer, Data: a.Data})
 	case logic.SetTimer:
-		s.wake(alarm{at: s.now + MicrosOf(a.After), kind: timer, id: a.Token})
+		s.wake(s.now+MicrosOf(a.After), alarm{kind: timer, id: a.Token})
 	case logic.CloseIdle:
 		s.do(CloseIdle{Address: s.nodes[a.Node]})
 	case logic.Log:
@@ -521,7 +526,8 @@
 	wait := r.deadline - s.now
 	if a.Timeout > 0 && MicrosOf(a.Timeout) < wait {
 		wait = MicrosOf(a.Timeout)
-		s.wake(alarm{at: s.now + wait, kind: timeout, id: a.ID, attempt: r.attempts - 1})
+		s.alarms.Cancel(r.timeout)
+		r.timeout = s.wake(s.now+wait, alarm{kind: timeout, id: a.ID, attempt: r.attempts - 1})
 	}
 	r.out, r.node, r.sentAt = true, a.Node, s.now
 	if r.begunAt == 0 {
@@ -542,21 +548,7 @@
 )
 
 type alarm struct {
-	at      Micros
 	kind    alarmKind
 	id      uint64 // a request's id, or a timer's token
 	attempt int
 }
-
-type alarms []alarm
-
-func (h alarms) Len() int           { return len(h) }
-func (h alarms) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h alarms) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *alarms) Push(x any)        { *h = append(*h, x.(alarm)) }
-func (h *alarms) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
