--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -161,6 +161,7 @@
 	alarms  wheel.Wheel[alarm]
 	now     Micros
 	news    []logic.Event // what the gateway is told next
+	spare   []logic.Event // memory for it
 	effects []Effect
 	facts   []telemetry.Fact
 	giving  map[uint64]telemetry.Fact // requests whose Lasting value is on its way to the client
@@ -179,9 +180,12 @@
 // rounds bounds how often the gateway may act on the news of its own actions within one turn.
 const rounds = 8
 
-// Reduce takes the events of one turn of the loop and returns what is to be done, in order.
+// Reduce takes the events of one turn of the loop and returns what is to be done, in order. The slice is good until the next
+// Reduce.
 func (s *State) Reduce(now Micros, events []Event) []Effect {
-	s.now, s.effects = now, nil
+	s.now = now
+	clear(s.effects)
+	s.effects = s.effects[:0]
 	clear(s.facts)
 	s.facts = s.facts[:0]
 	for _, e := range events {
@@ -192,10 +196,12 @@
 	}
 	for i := 0; i == 0 || len(s.news) > 0 && i < rounds; i++ {
 		news := s.news
-		s.news = nil
+		s.news, s.spare = s.spare[:0], nil
 		for _, action := range s.gateway.Step(now.Duration(), news) {
 			s.act(action)
 		}
+		clear(news)
+		s.spare = news[:0]
 	}
 	return s.effects
 }
