--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -256,14 +257,23 @@
 	behind := time.Since(began)
 	to := number % len(r.opt.Addresses)
 	v := Lost
-	if c, err := r.take(to); err == nil {
+	for again := true; again; {
+		again = false
+		c, err := r.take(to)
+		if err != nil {
+			break
+		}
 		if v, err = c.ask(r.traffic, a, number); err == nil {
+			c.used = true
 			r.mu.Lock()
 			r.idle[to] = append(r.idle[to], c)
 			r.mu.Unlock()
-		} else {
-			c.conn.Close()
+			break
 		}
+		c.conn.Close()
+		// Between requests a broker may close a connection; a request that crosses the close is sent once more, as the
+		// platform's clients do.
+		again = c.used && errors.Is(err, io.EOF)
 	}
 	took := time.Since(began)
 	r.mu.Lock()
@@ -300,6 +310,7 @@
 	conn net.Conn
 	in   *bufio.Reader
 	out  []byte
+	used bool // it has had an answer
 }
 
 func (c *client) ask(t Traffic, a Arrival, number int) (Verdict, error) {
