--- a/broker/figures_test.go
+++ b/broker/figures_test.go
@@ -8,7 +8,7 @@
 )
 
 // Classes are counted without a lock, and those that vanish stay.
-func TestFigures(t *testing.T) {
+func TestFiguresOfClasses(t *testing.T) {
 	var f Figures
 	f.list([]logic.Class{{Name: "read"}})
 	f.list([]logic.Class{{Name: "write"}})
