--- a/broker/figures_test.go
+++ b/broker/figures_test.go
@@ -1,7 +1,6 @@
 package broker
 
 import (
-	"fmt"
 	"testing"
 
 	"junctionwharf/logic"
@@ -18,7 +17,7 @@
 	for _, figure := range f.Read() {
 		counts[figure.Name] = figure.Value
 	}
-	if counts["success.read"] != 1 || counts["busy.new"] != 1 || fmt.Sprint(len(f.all())) != "3" {
+	if counts["success.read"] != 1 || counts["busy.new"] != 1 || len(f.all()) != 3 {
 		t.Errorf("%v", counts)
 	}
 }
--- a/cmd/junctionwharf/main.go
+++ b/cmd/junctionwharf/main.go
@@ -129,11 +129,9 @@
 	if err := level.UnmarshalText([]byte(cmd.String("log-level"))); err != nil {
 		return nil, fmt.Errorf("--log-level: %w", err)
 	}
-	info, err := os.Stderr.Stat()
-	log, err2 := logs.New(os.Stderr, logs.Options{Name: name, Format: cmd.String("log-format"), Level: level,
-		Color: err == nil && info.Mode()&os.ModeCharDevice != 0})
-	if err2 != nil {
-		return nil, fmt.Errorf("--log-format: %w", err2)
+	log, err := logs.New(os.Stderr, logs.Options{Name: name, Format: cmd.String("log-format"), Level: level, Color: logs.Terminal(os.Stderr)})
+	if err != nil {
+		return nil, fmt.Errorf("--log-format: %w", err)
 	}
 	return log, nil
 }
--- a/cmd/wharflab/demo.go
+++ b/cmd/wharflab/demo.go
@@ -95,7 +95,7 @@
 		return err
 	}
 
-	log, err := logs.New(os.Stderr, logs.Options{Name: c.Name, Color: terminal(os.Stderr)})
+	log, err := logs.New(os.Stderr, logs.Options{Name: c.Name, Color: logs.Terminal(os.Stderr)})
 	if err != nil {
 		return err
 	}
--- a/cmd/wharflab/listen.go
+++ b/cmd/wharflab/listen.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"junctionwharf/internal/collectd"
+	"junctionwharf/internal/logs"
 	"junctionwharf/internal/standin"
 )
 
@@ -130,7 +131,7 @@
 				}
 				told = len(notices)
 			}
-			if terminal(os.Stderr) {
+			if logs.Terminal(os.Stderr) {
 				fmt.Fprintf(os.Stderr, "\r%d points, %d series, %d faults ", points.Taken(), len(points.Latest()), faults)
 			}
 		}
--- a/cmd/wharflab/main.go
+++ b/cmd/wharflab/main.go
@@ -32,9 +32,3 @@
 		os.Exit(1)
 	}
 }
-
-// terminal tells whether a file is one: progress is shown there alone.
-func terminal(f *os.File) bool {
-	info, err := f.Stat()
-	return err == nil && info.Mode()&os.ModeCharDevice != 0
-}
--- a/cmd/wharflab/sinks.go
+++ b/cmd/wharflab/sinks.go
@@ -20,6 +20,7 @@
 	"github.com/urfave/cli/v3"
 
 	"junctionwharf/internal/load"
+	"junctionwharf/internal/logs"
 	"junctionwharf/internal/standin"
 )
 
@@ -241,7 +242,7 @@
 	var runs []run
 	for round := range rounds {
 		for i, v := range random.Perm(len(variants)) {
-			if terminal(os.Stderr) {
+			if logs.Terminal(os.Stderr) {
 				fmt.Fprintf(os.Stderr, "\rround %d of %d, run %d of %d ", round+1, rounds, i+1, len(variants))
 			}
 			r, err := f.play(ctx, cmd, round, variants[v])
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -131,7 +131,7 @@
 		if back {
 			r.opt.Log.Warn("clock stepped back")
 		}
-		figures = append(figures, r.own()...)
+		figures = append(figures, r.Figures()...)
 		for _, s := range r.all() {
 			s.gather(taken, base)
 			if final || s.due() {
@@ -292,9 +292,7 @@
 }
 
 // Figures are what the reporter tells of itself, for the operators' console too. They are empty while no sink is on.
-func (r *Reporter) Figures() []broker.Figure { return r.own() }
-
-func (r *Reporter) own() []broker.Figure {
+func (r *Reporter) Figures() []broker.Figure {
 	r.mu.Lock()
 	sinks, rows, swaps := r.sinks, r.rows, r.swaps
 	r.mu.Unlock()
--- a/logic/held.go
+++ b/logic/held.go
@@ -177,7 +177,7 @@
 
 // still tells whether another look at what is held would move nothing.
 func (s *shard) still(g *Gateway) bool {
-	return !s.moved && s.inTime(g, s.service()) && s.alike(g) && !slices.ContainsFunc(s.nodes, func(n *node) bool { return g.now < n.restTill })
+	return !s.moved && s.inTime(g, s.service()) && s.alike(g)
 }
 
 // settle notes a look at a shard that held so many requests before: one that moved something is followed by another.
--- a/telemetry/registry.go
+++ b/telemetry/registry.go
@@ -497,12 +497,9 @@
 // a row keeps it for a while, and no more than a quarter of the rows change hands at once.
 func (r *Registry) choose() {
 	clear(r.invited)
-	for _, e := range r.volumes {
-		e.gone = e.idle >= r.opt.Idle
-	}
 	leaving := 0
 	for _, e := range r.volumes {
-		if e.gone {
+		if e.gone = e.idle >= r.opt.Idle; e.gone {
 			leaving++
 		}
 	}
