Add wharflab curve: offered against served, refused and closed, version by version

Need: overload over sockets was measured by hand. Change: curve starts stand-ins and brokers of several versions in turn and tells what each made of each rate; the load tool tells a bare close from no answer, and the latency of refusals apart.

--- a/cmd/wharflab/load.go
+++ b/cmd/wharflab/load.go
@@ -155,10 +155,10 @@
 
 func printResult(w io.Writer, r *load.Result) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "\tsent\tserved\tbusy\tfailed\tlost\tp50 ms\tp90\tp99\tp99.9\tmax\t")
+	fmt.Fprintln(table, "\tsent\tserved\tbusy\tfailed\tlost\tclosed\tp50 ms\tp90\tp99\tp99.9\tmax\t")
 	tallies(r, func(group, name string, t *load.Tally) {
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t", strings.TrimSpace(group+" "+name), t.Sent(), t.Counts[load.Served], t.Counts[load.Busy],
-			t.Counts[load.Failed], t.Counts[load.Lost])
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t", strings.TrimSpace(group+" "+name), t.Sent(), t.Counts[load.Served], t.Counts[load.Busy],
+			t.Counts[load.Failed], t.Counts[load.Lost], t.Counts[load.Closed])
 		for _, p := range []float64{50, 90, 99, 99.9, 100} {
 			fmt.Fprintf(table, "%.1f\t", float64(t.Latency.ValueAtPercentile(p))/1000)
 		}
@@ -179,6 +179,7 @@
 	Busy    int    `json:"busy"`
 	Failed  int    `json:"failed"`
 	Lost    int    `json:"lost"`
+	Closed  int    `json:"closed"`
 	P50US   int64  `json:"p50_us"`
 	P90US   int64  `json:"p90_us"`
 	P99US   int64  `json:"p99_us"`
@@ -199,7 +200,7 @@
 	tallies(r, func(group, name string, t *load.Tally) {
 		h := t.Latency
 		out.Tallies = append(out.Tallies, tallyJSON{group, name, t.Sent(), t.Counts[load.Served], t.Counts[load.Busy], t.Counts[load.Failed],
-			t.Counts[load.Lost], h.ValueAtPercentile(50), h.ValueAtPercentile(90), h.ValueAtPercentile(99), h.ValueAtPercentile(99.9),
+			t.Counts[load.Lost], t.Counts[load.Closed], h.ValueAtPercentile(50), h.ValueAtPercentile(90), h.ValueAtPercentile(99), h.ValueAtPercentile(99.9),
 			h.Max(), int64(h.Mean()), int64(h.StdDev())})
 	})
 	encoder := json.NewEncoder(w)
--- a/cmd/wharflab/main.go
+++ b/cmd/wharflab/main.go
@@ -25,6 +25,7 @@
 			sinksCommand(),
 			dnsCommand(),
 			drainsCommand(),
+			curveCommand(),
 		},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
--- a/cmd/wharflab/sinks.go
+++ b/cmd/wharflab/sinks.go
@@ -56,10 +56,13 @@
 	carbon    *standin.Carbon
 	collectd  *standin.Collectd
 	dead      string // an address where nothing listens
+	cores     int    // of the broker, as are its sockets
+	sockets   int
 }
 
-func newFleet(program string, nodes int) (f *fleet, err error) {
-	f = &fleet{program: program}
+// newFleet starts nodes whose commands take so long for each unit.
+func newFleet(program string, nodes int, unit time.Duration) (f *fleet, err error) {
+	f = &fleet{program: program, cores: 1, sockets: 4096}
 	defer func() {
 		if err != nil {
 			f.close()
@@ -71,7 +74,7 @@
 	var hosts []standin.Host
 	for i := range nodes {
 		n, err := standin.NewNode("127.0.0.1:0", fmt.Sprintf("node-%d", i), i, 8, 64, func(units float64) time.Duration {
-			return time.Duration(units * float64(time.Millisecond))
+			return time.Duration(units * float64(unit))
 		})
 		if err != nil {
 			return nil, err
@@ -132,7 +135,7 @@
 	settings := strings.NewReplacer(`"nominal":6.7`, `"nominal":67`, `"nominal":13`, `"nominal":130`, `"nominal":27`, `"nominal":270`,
 		`"floorRate":3.4`, `"floorRate":34`, `"floorRate":13`, `"floorRate":130`, `"floorRate":32`, `"floorRate":320`).Replace(fmt.Sprintf(demoSettings, len(f.nodes)))
 	text, err := json.Marshal(map[string]any{"name": "n1", "listen": address, "discovery": f.discovery.Address(),
-		"limits": map[string]any{"cores": 1, "memory_mb": 256, "sockets": 4096}, "settings": json.RawMessage(settings)})
+		"limits": map[string]any{"cores": f.cores, "memory_mb": 256, "sockets": f.sockets}, "settings": json.RawMessage(settings)})
 	if err != nil {
 		return nil, err
 	}
@@ -141,9 +144,13 @@
 	if err := errors.Join(os.WriteFile(config, text, 0o600), os.WriteFile(site, []byte(sinks), 0o600)); err != nil {
 		return nil, err
 	}
-	r := &running{address: address, command: exec.Command(f.program, "serve", "--site", site, "--log-level", "error"), ended: make(chan error, 1)}
+	args := []string{"serve"}
+	if graphite != "" || collectd != "" {
+		args = append(args, "--site", site)
+	}
+	r := &running{address: address, command: exec.Command(f.program, args...), ended: make(chan error, 1)}
 	r.command.Env = append(os.Environ(), "BALANCER_CONFIG="+config, "TMPDIR="+f.dir)
-	r.command.Stderr = os.Stderr
+	r.command.Stderr = &quiet{} // earlier versions have no flag for it
 	if err := r.command.Start(); err != nil {
 		return nil, err
 	}
@@ -151,6 +158,18 @@
 	return r, awaitPong(ctx, address, r.ended)
 }
 
+// quiet passes on what a broker logs of errors.
+type quiet struct{}
+
+func (q *quiet) Write(p []byte) (int, error) {
+	for line := range strings.Lines(string(p)) {
+		if strings.Contains(line, "ERR") || strings.Contains(line, "panic") {
+			os.Stderr.WriteString(line)
+		}
+	}
+	return len(p), nil
+}
+
 // kill ends the process at once.
 func (r *running) kill() {
 	r.command.Process.Kill()
@@ -173,11 +192,11 @@
 	return 0
 }
 
-func (f *fleet) traffic(cmd *cli.Command, seed uint64) (load.Traffic, error) {
+func (f *fleet) traffic(cmd *cli.Command, rate float64, seed uint64) (load.Traffic, error) {
 	kinds := []load.Kind{{Class: "lesson-read", Share: 55, Deadline: 750 * time.Millisecond}, {Class: "record-write", Share: 30, Write: true, Deadline: 1200 * time.Millisecond},
 		{Class: "bulk-export", Share: 15, Deadline: 2500 * time.Millisecond}}
 	t := load.Traffic{Kinds: kinds, Plans: []string{"basico", "padrao", "completo"}, Volumes: cmd.Int("volumes"), Skew: 1.1, Shards: len(f.nodes), MaxUnits: 3, Hosts: 1,
-		Rate: cmd.Float("rate"), Length: cmd.Duration("for"), Seed: seed}
+		Rate: rate, Length: cmd.Duration("for"), Seed: seed}
 	return t, t.Check()
 }
 
@@ -211,7 +230,7 @@
 	if err != nil {
 		return run{}, err
 	}
-	t, err := f.traffic(cmd, uint64(cmd.Uint("seed"))+uint64(round))
+	t, err := f.traffic(cmd, cmd.Float("rate"), uint64(cmd.Uint("seed"))+uint64(round))
 	if err != nil {
 		return run{}, err
 	}
@@ -222,7 +241,7 @@
 	}
 	h, c := result.All.Latency, result.All.Counts
 	return run{round, variant, float64(h.ValueAtPercentile(50)), float64(h.ValueAtPercentile(99)), float64(h.ValueAtPercentile(99.9)),
-		c[load.Served], c[load.Busy], c[load.Failed], c[load.Lost], r.peak()}, ctx.Err()
+		c[load.Served], c[load.Busy], c[load.Failed], c[load.Lost] + c[load.Closed], r.peak()}, ctx.Err()
 }
 
 func measureSinks(ctx context.Context, cmd *cli.Command) error {
@@ -230,7 +249,7 @@
 	if rounds < 2 || rounds > 1000 {
 		return fmt.Errorf("--rounds: %d is not within 2 to 1000", rounds)
 	}
-	f, err := newFleet(cmd.String("broker"), cmd.Int("nodes"))
+	f, err := newFleet(cmd.String("broker"), cmd.Int("nodes"), time.Millisecond)
 	if err != nil {
 		return err
 	}
@@ -336,7 +355,7 @@
 	if err != nil {
 		return err
 	}
-	t, err := f.traffic(cmd, uint64(cmd.Uint("seed")))
+	t, err := f.traffic(cmd, cmd.Float("rate"), uint64(cmd.Uint("seed")))
 	if err != nil {
 		r.kill()
 		return err
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -13,6 +13,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -110,16 +111,18 @@
 // Verdict is what a client made of an answer.
 type Verdict int
 
-// The verdicts. Lost has no whole answer: the connection ended, or the client gave up well after its deadline.
+// The verdicts. Lost and Closed have no whole answer: the client found no connection or gave up well after its deadline, or
+// its connection was closed behind the request that it had sent whole.
 const (
 	Served Verdict = iota
 	Busy
 	Failed
 	Lost
+	Closed
 	verdicts
 )
 
-var verdictNames = [verdicts]string{"served", "busy", "failed", "lost"}
+var verdictNames = [verdicts]string{"served", "busy", "failed", "lost", "closed"}
 
 func (v Verdict) String() string { return verdictNames[v] }
 
@@ -128,17 +131,24 @@
 type Tally struct {
 	Counts  [verdicts]int
 	Latency *hdrhistogram.Histogram
+	Refused *hdrhistogram.Histogram // of these, what was refused
 }
 
 // mostMicros bounds what a histogram holds: 100 s.
 const mostMicros = 100_000_000
 
-func newTally() *Tally { return &Tally{Latency: hdrhistogram.New(1, mostMicros, 3)} }
+func newTally() *Tally {
+	return &Tally{Latency: hdrhistogram.New(1, mostMicros, 3), Refused: hdrhistogram.New(1, mostMicros, 3)}
+}
 
 func (t *Tally) add(v Verdict, took time.Duration) {
 	t.Counts[v]++
-	if v != Lost {
-		t.Latency.RecordValue(max(1, min(took.Microseconds(), mostMicros)))
+	micros := max(1, min(took.Microseconds(), mostMicros))
+	if v < Lost {
+		t.Latency.RecordValue(micros)
+	}
+	if v == Busy {
+		t.Refused.RecordValue(micros)
 	}
 }
 
@@ -274,6 +284,9 @@
 		// Between requests a broker may close a connection; a request that crosses the close is sent once more, as the
 		// platform's clients do.
 		again = c.used && errors.Is(err, io.EOF)
+		if v == Lost && !again && !errors.Is(err, os.ErrDeadlineExceeded) {
+			v = Closed
+		}
 	}
 	took := time.Since(began)
 	r.mu.Lock()
@@ -282,7 +295,7 @@
 	r.result.All.add(v, took)
 	r.result.ByKind[a.Kind].add(v, took)
 	r.result.ByPlan[a.Plan].add(v, took)
-	if v != Lost {
+	if v < Lost {
 		r.result.Interval[int(a.At/time.Second)].RecordValue(max(1, min(took.Microseconds(), mostMicros)))
 	}
 }
