Look only at what came since, and end a look where no node has room

Need: with paced nodes each step went through all that was held, 37% of the processor under overload; a tick sorted all that was held in a slice, quadratic in its number.

Change: a look after an arrival goes through that arrival alone where nothing else can have moved; a look ends where no node has room, whatever is sent; the least worthy are found by a heap. The door's refusals take no slot and no id, and are written by the reader; idle connections stay while the door is shut; wharflab curve tells dials and refusals of the door.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -39,6 +39,8 @@
 	less     = 0.9  // of what came in, while the lag is above its target
 	more     = 1.02 // of the allowance, while it is below
 	fewest   = 4.0  // a window, so that the lag goes on being seen
+	least    = 0.3  // of the most that lately came in: where refusals alone keep the broker busy, fewer would not help
+	fading   = 1e-3 // of that most, a window
 	hops     = 6    // queues like the loop's that a request stands in: client, loop, node, node, loop, client
 	openRoom = 0.9  // of MostOpen, from where on only those within their reserve come in
 	calm     = 20   // windows with room for all after which the door stands open
@@ -88,6 +90,7 @@
 	allowed  float64 // a window, while it is shut
 	marginal int     // the rank that is let in by part
 	part     float64 // of it
+	best     float64 // the most that came in lately in a window without overload
 	owed     float64 // of it, by the requests so far
 	quiet    int     // windows in which all would have come in
 	excess   float64 // offered for each one let in, smoothed
@@ -259,12 +262,17 @@
 	over := d.set.Target > 0 && d.lags > 0 && d.lag > d.set.Target
 	came := d.came
 	d.lag, d.lags, d.came = 0, 0, 0
+	d.best *= 1 - fading
+	if !over {
+		d.best += 0.1 * max(0, float64(came)-d.best)
+	}
+	floor := max(fewest, least*d.best)
 	d.excess += 0.25 * (float64(total+1)/float64(came+1) - d.excess)
 	switch {
 	case over && !d.shut:
-		d.shut, d.allowed, d.quiet, d.owed = true, max(fewest, less*float64(came)), 0, 0
+		d.shut, d.allowed, d.quiet, d.owed = true, max(floor, less*float64(came)), 0, 0
 	case over:
-		d.allowed = max(fewest, less*min(d.allowed, float64(came)))
+		d.allowed = max(floor, less*min(d.allowed, float64(came)))
 	case d.shut:
 		d.allowed = d.allowed*more + 1
 	}
--- a/broker/loop.go
+++ b/broker/loop.go
@@ -68,6 +68,8 @@
 	countAt   Micros // when nodes are counted again
 	refused   []telemetry.Fact
 
+	overloaded atomic.Bool
+
 	mu     sync.Mutex
 	inbox  []Event
 	calls  []func()
@@ -93,57 +95,53 @@
 // Submit takes a request and returns its id. reply is called once with the final answer, unless Leave comes before; it must
 // not block.
 func (l *Loop) Submit(req *Request, reply func(Final)) uint64 {
-	id, refused := l.Enter(req, reply)
-	if refused != nil {
+	if refused := l.Ask(req); refused != nil {
 		l.Do(func() { reply(*refused) })
+		return 0
 	}
-	return id
+	return l.Enter(req, reply)
 }
 
-// Enter is Submit, but for what the door refuses: that answer is returned at once, and reply is not called.
-func (l *Loop) Enter(req *Request, reply func(Final)) (id uint64, refused *Final) {
+// Ask has the door decide on a request. What it refuses has its final answer, which is returned, and must not be entered;
+// nil lets it in.
+func (l *Loop) Ask(req *Request) *Final {
+	if l.outside.Door == nil {
+		return nil
+	}
+	asked := admission.Request{Class: req.Class, Plan: req.Plan, Volume: req.Volume, Units: req.Units, Hosts: req.Hosts, Wait: int64(req.Wait)}
+	now, open := int64(l.clock.Now()), l.Open()
 	l.mu.Lock()
-	if l.outside.Door != nil {
-		why, after := l.outside.Door.Ask(int64(l.clock.Now()), l.Open(), &admission.Request{Class: req.Class, Plan: req.Plan, Volume: req.Volume,
-			Units: req.Units, Hosts: req.Hosts, Wait: int64(req.Wait)})
-		if why != admission.None {
-			l.turnAway(req)
-			l.mu.Unlock()
-			return 0, &Final{Verdict: Refused, After: Micros(after)}
-		}
+	why, after := l.outside.Door.Ask(now, open, &asked)
+	if why != admission.None && len(l.turned) < mostTurned && l.outside.Observe != nil {
+		l.turned = append(l.turned, telemetry.Fact{Kind: telemetry.RequestEnded, End: telemetry.Busy, Class: req.Class, Plan: req.Plan,
+			Volume: req.Volume, Units: req.Units})
 	}
-	id = l.ids.Add(1)
-	l.Figures.open.Add(1)
-	l.added[id] = client{req.Class, reply}
-	l.put(Arrived{ID: id, Request: req})
 	l.mu.Unlock()
-	l.wake()
-	return id, nil
-}
-
-// Lagged tells the door, now and then, for how long whatever could run waited for a processor meanwhile. The loop's own
-// queue says less: Go runs next what was woken last, which may be the loop, while hundreds wait to read what has come.
-func (l *Loop) Lagged(waited Micros) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.outside.Door != nil {
-		l.outside.Door.Lag(int64(l.clock.Now()), int64(max(waited, l.lag)))
+	if why == admission.None {
+		return nil
 	}
-	l.lag = 0
+	l.Figures.taken.Add(1)
+	l.Figures.turned.Add(1)
+	l.Figures.ended(req.Class, Refused)
+	return &Final{Verdict: Refused, After: Micros(after)}
 }
 
+// Overloaded tells whether the door refuses requests by rank.
+func (l *Loop) Overloaded() bool { return l.overloaded.Load() }
+
 // mostTurned bounds the facts of refusals that wait for the loop; figures count the others too.
 const mostTurned = 1 << 12
 
-// turnAway counts a request that the door refused; the caller holds l.mu.
-func (l *Loop) turnAway(req *Request) {
-	l.Figures.taken.Add(1)
-	l.Figures.turned.Add(1)
-	l.Figures.ended(req.Class, Refused)
-	if len(l.turned) < mostTurned && l.outside.Observe != nil {
-		l.turned = append(l.turned, telemetry.Fact{Kind: telemetry.RequestEnded, End: telemetry.Busy, Class: req.Class, Plan: req.Plan,
-			Volume: req.Volume, Units: req.Units})
-	}
+// Enter is Submit for a request that the door has let in.
+func (l *Loop) Enter(req *Request, reply func(Final)) uint64 {
+	id := l.ids.Add(1)
+	l.Figures.open.Add(1)
+	l.mu.Lock()
+	l.added[id] = client{req.Class, reply}
+	l.put(Arrived{ID: id, Request: req})
+	l.mu.Unlock()
+	l.wake()
+	return id
 }
 
 // put queues an event; the caller holds l.mu.
@@ -157,6 +155,18 @@
 	l.inbox = append(l.inbox, e)
 }
 
+// Lagged tells the door, now and then, for how long whatever could run waited for a processor meanwhile. The loop's own
+// queue says less: Go runs next what was woken last, which may be the loop, while hundreds wait to read what has come.
+func (l *Loop) Lagged(waited Micros) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.outside.Door != nil {
+		l.outside.Door.Lag(int64(l.clock.Now()), int64(max(waited, l.lag)))
+		l.overloaded.Store(l.outside.Door.Shut())
+	}
+	l.lag = 0
+}
+
 // Leave tells that the client of a request no longer waits.
 func (l *Loop) Leave(id uint64) { l.Post(Left{ID: id}) }
 
--- a/cmd/wharflab/curve.go
+++ b/cmd/wharflab/curve.go
@@ -56,6 +56,8 @@
 	BusyP99 int64   `json:"busy_p99_us"`
 	Behind  int64   `json:"behind_us"` // the latest that a client sent: beyond a few ms the clients, or their connections, were the limit
 	PeakKB  int64   `json:"peak_kib"`
+	Door    float64 `json:"door_refused"` // of Busy, as the broker counts
+	Dials   int     `json:"dials"`
 }
 
 func measureCurve(ctx context.Context, cmd *cli.Command) error {
@@ -121,6 +123,7 @@
 		return point{}, err
 	}
 	result, err := load.Run(ctx, t, load.Options{Addresses: []string{r.address}, Connections: cmd.Int("connections")})
+	figures := r.figures()
 	r.kill()
 	if err := errors.Join(err, ctx.Err()); err != nil {
 		return point{}, err
@@ -128,16 +131,16 @@
 	all := result.All
 	return point{Rate: rate, Sent: all.Sent(), Served: all.Counts[load.Served], Busy: all.Counts[load.Busy], Failed: all.Counts[load.Failed],
 		Lost: all.Counts[load.Lost], Closed: all.Counts[load.Closed], P50: all.Latency.ValueAtPercentile(50), P99: all.Latency.ValueAtPercentile(99),
-		BusyP99: all.Refused.ValueAtPercentile(99), Behind: result.Behind.Microseconds(), PeakKB: r.peak()}, nil
+		BusyP99: all.Refused.ValueAtPercentile(99), Behind: result.Behind.Microseconds(), PeakKB: r.peak(), Door: figures["door_refused"], Dials: result.Dials}, nil
 }
 
 func printCurve(w io.Writer, points []point, length time.Duration) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "rate\tversion\tserved/s\trefused\tfailed\tlost\tclosed\tp50 ms\tp99\tp99 of refusals\tsent late, ms\tpeak MiB\t")
+	fmt.Fprintln(table, "rate\tversion\tserved/s\trefused\tat the door\tfailed\tlost\tclosed\tp50 ms\tp99\tp99 of refusals\tsent late, ms\tdials\tpeak MiB\t")
 	for _, p := range points {
 		ms := func(us int64) float64 { return float64(us) / 1000 }
-		fmt.Fprintf(table, "%.0f\t%s\t%.0f\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t\n", p.Rate, p.Broker, float64(p.Served)/length.Seconds(), p.Busy, p.Failed,
-			p.Lost, p.Closed, ms(p.P50), ms(p.P99), ms(p.BusyP99), ms(p.Behind), p.PeakKB>>10)
+		fmt.Fprintf(table, "%.0f\t%s\t%.0f\t%d\t%.0f\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t%d\t\n", p.Rate, p.Broker, float64(p.Served)/length.Seconds(), p.Busy, p.Door, p.Failed,
+			p.Lost, p.Closed, ms(p.P50), ms(p.P99), ms(p.BusyP99), ms(p.Behind), p.Dials, p.PeakKB>>10)
 	}
 	return table.Flush()
 }
--- a/cmd/wharflab/sinks.go
+++ b/cmd/wharflab/sinks.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -8,10 +9,12 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"text/tabwriter"
@@ -123,6 +126,7 @@
 // running is a broker in a process of its own.
 type running struct {
 	address string
+	console string
 	command *exec.Cmd
 	ended   chan error
 }
@@ -135,7 +139,11 @@
 	}
 	settings := strings.NewReplacer(`"nominal":6.7`, `"nominal":67`, `"nominal":13`, `"nominal":130`, `"nominal":27`, `"nominal":270`,
 		`"floorRate":3.4`, `"floorRate":34`, `"floorRate":13`, `"floorRate":130`, `"floorRate":32`, `"floorRate":320`).Replace(fmt.Sprintf(demoSettings, len(f.nodes)))
-	text, err := json.Marshal(map[string]any{"name": "n1", "listen": address, "discovery": f.discovery.Address(),
+	console, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	text, err := json.Marshal(map[string]any{"name": "n1", "listen": address, "console": console, "discovery": f.discovery.Address(),
 		"limits": map[string]any{"cores": f.cores, "memory_mb": 256, "sockets": f.sockets}, "settings": json.RawMessage(settings)})
 	if err != nil {
 		return nil, err
@@ -151,7 +159,7 @@
 	} else if graphite != "" || collectd != "" {
 		args = append(args, "--site", site)
 	}
-	r := &running{address: address, command: exec.Command(f.program, args...), ended: make(chan error, 1)}
+	r := &running{address: address, console: console, command: exec.Command(f.program, args...), ended: make(chan error, 1)}
 	r.command.Env = append(os.Environ(), "BALANCER_CONFIG="+config, "TMPDIR="+f.dir)
 	r.command.Stderr = &quiet{} // earlier versions have no flag for it
 	if err := r.command.Start(); err != nil {
@@ -173,6 +181,26 @@
 	return len(p), nil
 }
 
+// figures reads the console's figures.
+func (r *running) figures() map[string]float64 {
+	figures := map[string]float64{}
+	conn, err := net.DialTimeout("tcp", r.console, time.Second)
+	if err != nil {
+		return figures
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(2 * time.Second))
+	io.WriteString(conn, "vars\n")
+	for lines := bufio.NewScanner(conn); lines.Scan(); {
+		name, rest, _ := strings.Cut(lines.Text(), ":")
+		text, _, _ := strings.Cut(rest, "|")
+		if value, err := strconv.ParseFloat(text, 64); err == nil {
+			figures[strings.TrimPrefix(name, "edge_balancer.")] = value
+		}
+	}
+	return figures
+}
+
 // kill ends the process at once.
 func (r *running) kill() {
 	r.command.Process.Kill()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,7 +20,7 @@
 type Guest interface {
 	Wake()                         // has it look whether it should go on
 	Look() (Status, time.Duration) // tells what it does, and for how long it has been idle
-	End()                          // ends the connection, soon: it does not block
+	End() bool                     // ends the connection, soon, unless something has come by now; it does not block
 }
 
 // Status is what a guest does.
@@ -133,13 +133,18 @@
 }
 
 // Asked notes that a request of a guest came, which is the last to give way from now on.
-func (h *Hall) Asked(g Guest) {
+// While there is too much to do no idle one ends for it: it costs more to take a connection than to keep it.
+func (h *Hall) Asked(g Guest, overloaded bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if p := h.places[g]; p != nil && p.in != nil {
-		h.put(p, &h.known)
-		if h.known.Len() > h.easy {
-			h.end(h.idlest(looksAsked, easyTime))
+		if p.in == &h.known {
+			h.known.MoveToBack(p.at)
+		} else {
+			h.put(p, &h.known)
+		}
+		if h.known.Len() > h.easy && !overloaded {
+			h.endIdlest(looksAsked, easyTime)
 		}
 	}
 }
@@ -192,12 +197,7 @@
 // time to; else the idlest that has asked; else the first that stands half way in its first command. It guards the
 // usual clients, slow ones among them, against crowds. The caller holds h.mu.
 func (h *Hall) giveWay() {
-	for _, p := range []*place{h.first(&h.polite, Idle), h.first(&h.fresh, Idle), h.idlest(looksFull, 0), h.first(&h.fresh, HalfWay)} {
-		if p != nil {
-			h.end(p)
-			return
-		}
-	}
+	_ = h.end(h.first(&h.polite, Idle)) || h.end(h.first(&h.fresh, Idle)) || h.endIdlest(looksFull, 0) || h.end(h.first(&h.fresh, HalfWay))
 }
 
 // first returns the first guest of a list with a status, nil for none. One that has just come gets its time to ask.
@@ -214,24 +214,26 @@
 	return nil
 }
 
-// idlest returns the guest that has been idle for longest among the first so many of those that have asked, nil for none that was so
-// for the least time. Others go to the end of the list.
-func (h *Hall) idlest(looks int, least time.Duration) *place {
+// endIdlest ends the guest that has been idle for longest among the first so many of those that have asked, if one was so for the
+// least time, and tells whether it did. Others go to the end of the list.
+func (h *Hall) endIdlest(looks int, least time.Duration) bool {
 	for range min(looks, h.known.Len()) {
 		p := h.known.Front().Value.(*place)
-		if status, idle := p.guest.Look(); status == Idle && idle >= least {
-			return p
+		if status, idle := p.guest.Look(); status == Idle && idle >= least && h.end(p) {
+			return true
 		}
 		h.known.MoveToBack(p.at)
 	}
-	return nil
+	return false
 }
 
-func (h *Hall) end(p *place) {
-	if p != nil {
-		h.put(p, nil) // it counts as a guest until it leaves
-		p.guest.End()
+// end ends a guest unless it is nil, or has just sent something.
+func (h *Hall) end(p *place) bool {
+	if p == nil || !p.guest.End() {
+		return false
 	}
+	h.put(p, nil) // it counts as a guest until it leaves
+	return true
 }
 
 // Clients tells how many connections are open.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -12,11 +12,12 @@
 	woken, ended int
 	status       Status
 	idle         time.Duration
+	speaks       bool // something has come by now
 }
 
-func (g *guest) Wake()        { g.woken++ }
+func (g *guest) Wake()                         { g.woken++ }
 func (g *guest) Look() (Status, time.Duration) { return g.status, g.idle }
-func (g *guest) End()         { g.ended++ }
+func (g *guest) End() bool                     { g.ended++; return !g.speaks }
 
 // enter adds guests that came a second ago; those that have asked did so in this order.
 func enter(h *Hall, asked bool, guests ...*guest) {
@@ -25,7 +26,7 @@
 		h.Enter(g)
 		h.places[g].since = time.Now().Add(-time.Second)
 		if asked {
-			h.Asked(g)
+			h.Asked(g, false)
 		}
 	}
 }
@@ -37,7 +38,7 @@
 	busy, old, young := &guest{status: Busy}, &guest{status: Idle}, &guest{status: Idle}
 	slow, mute, mute2, fresh := &guest{status: HalfWay}, &guest{status: Idle}, &guest{status: Idle}, &guest{status: Idle}
 	enter(h, true, busy, young, old)
-	h.Asked(young) // again
+	h.Asked(young, false) // again
 	polite := &guest{status: Idle}
 	enter(h, false, slow, mute, mute2, polite, fresh)
 	h.places[fresh].since = time.Now()
@@ -97,8 +98,8 @@
 	h.room.TryTake()
 	h.Enter(counted)
 	for _, g := range guests {
-		h.Asked(g)
-		h.Asked(counted)
+		h.Asked(g, false)
+		h.Asked(counted, false)
 	}
 	if looks > 2*len(guests) {
 		t.Errorf("%d looks at one guest", looks)
@@ -110,7 +111,7 @@
 	}
 	guests[7].status, guests[7].idle = Idle, easyTime
 	for range len(guests) {
-		h.Asked(guests[1])
+		h.Asked(guests[1], false)
 	}
 	if guests[7].ended != 1 {
 		t.Error("an idle one among busy ones is never found")
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -178,10 +178,10 @@
 	slots   []*slot
 	room    *sync.Cond
 	used    time.Time // when the last answer went out
-	fresh   bool // it came while others leave and has had no request
-	writing bool // an answer is being written
-	direct  bool // by the reader
-	ended   bool // nothing more is read; what is owed is still written unless gone
+	fresh   bool      // it came while others leave and has had no request
+	writing bool      // an answer is being written
+	direct  bool      // by the reader
+	ended   bool      // nothing more is read; what is owed is still written unless gone
 	gone    bool
 	parting bool // the client was told of the end; nothing more is taken
 
@@ -189,13 +189,14 @@
 }
 
 type slot struct {
-	id    uint64 // of the request in the core, 0 for none
-	name  string // its client's id for it
-	ready bool
-	last  bool // the connection ends after it
-	size  int  // of the budget
-	text  net.Buffers
-	long  *stream // the value that follows text, nil for none
+	id      uint64 // of the request in the core, 0 for none
+	name    string // its client's id for it
+	ready   bool
+	refusal bool // of the door's
+	last    bool // the connection ends after it
+	size    int  // of the budget
+	text    net.Buffers
+	long    *stream // the value that follows text, nil for none
 }
 
 // Wake implements front.Guest.
@@ -217,20 +218,22 @@
 	case c.guard == nil:
 		return front.Idle, time.Since(used)
 	}
-	phase := c.guard.phase.Load()
-	switch {
-	case phase == working, !pool.Silent(c.guard.Conn): // what has come, and was not read, may be a request
-		return front.Busy, 0
-	case phase == resting:
+	switch c.guard.phase.Load() {
+	case resting:
 		return front.Idle, time.Since(used)
+	case halfWay:
+		return front.HalfWay, 0
 	}
-	return front.HalfWay, 0
+	return front.Busy, 0
 }
 
 // End implements front.Guest. It guards a request that crosses the end of its connection: were it met by a reset, its client
 // could not tell that it was never taken. So the client reads an end of file, behind a refusal if a part of a request has
 // come, and what it sends meanwhile is read and dropped.
-func (c *client) End() {
+func (c *client) End() bool {
+	if c.guard != nil && !pool.Silent(c.guard.Conn) { // what has come, and was not read, may be a request
+		return false
+	}
 	var half interface{ CloseWrite() error }
 	if c.guard != nil {
 		half, _ = c.guard.Conn.(interface{ CloseWrite() error })
@@ -238,7 +241,7 @@
 	if half == nil {
 		c.conn.Close()
 		c.Wake()
-		return
+		return true
 	}
 	c.mu.Lock()
 	c.parting = true
@@ -249,6 +252,7 @@
 	}
 	half.CloseWrite()
 	c.guard.part()
+	return true
 }
 
 // stopPanic guards the process against a fault met by one connection.
@@ -319,6 +323,9 @@
 		c.refuse(err)
 		return false
 	}
+	if refused := c.front.loop.Ask(req); refused != nil {
+		return c.turnAway(refused)
+	}
 	s := &slot{size: len(cmd.Raw), name: string(cmd.Args[2])}
 	if err := c.front.enter(s.name); err != nil {
 		c.refuse(err)
@@ -329,7 +336,7 @@
 		c.front.leave(s.name)
 		return false
 	}
-	id, refused := c.front.loop.Enter(req, func(final broker.Final) {
+	id := c.front.loop.Enter(req, func(final broker.Final) {
 		c.front.leave(s.name)
 		text := answer(final)
 		value, _ := final.Value.([]byte)
@@ -344,31 +351,24 @@
 		c.mu.Unlock()
 		c.Wake()
 	})
-	if refused != nil {
-		c.front.leave(s.name)
-		return c.turnAway(s, answer(*refused))
-	}
 	c.mu.Lock()
 	s.id = id
 	c.mu.Unlock()
 	return true
 }
 
-// turnAway answers what the door refused: from here where nothing else is owed, which spares the broker that has too much to
-// do the turn to the writer. It tells whether the connection is of further use.
-func (c *client) turnAway(s *slot, text net.Buffers) bool {
+// turnAway answers what the door refused: from here where nothing else is owed, which spares a broker that has too much to do
+// the way through the writer. It tells whether the connection is of further use.
+func (c *client) turnAway(final *broker.Final) bool {
 	c.mu.Lock()
-	s.ready, s.text = true, text
-	if len(c.slots) != 1 || c.slots[0] != s || c.writing || c.released {
+	if len(c.slots) > 0 || c.writing || c.parting || c.released {
 		c.mu.Unlock()
-		c.Wake()
-		return true
+		return c.push(&slot{ready: true, refusal: true, text: answer(*final)})
 	}
-	c.slots = c.slots[1:]
-	c.writing, c.direct = true, true
+	c.writing, c.direct, c.fresh = true, true, false
 	c.mu.Unlock()
-	err := writeAll(c.socket(), text)
-	c.front.budget.Give(s.size)
+	c.front.Asked(c, c.front.loop.Overloaded())
+	_, err := c.socket().Write(answer(*final)[0])
 	c.mu.Lock()
 	c.writing, c.direct, c.used = false, false, time.Now()
 	c.mu.Unlock()
@@ -400,10 +400,10 @@
 	}
 	c.fresh = false
 	c.mu.Unlock()
-	if s.name == "" {
+	if s.name == "" && !s.refusal {
 		c.front.Greeted(c)
 	} else {
-		c.front.Asked(c)
+		c.front.Asked(c, c.front.loop.Overloaded())
 	}
 	if s.ready {
 		c.Wake()
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -399,8 +399,8 @@
 // asked is a guest that keeps the hall's lock while it is asked.
 type asked struct{ began, end chan struct{} }
 
-func (a *asked) Wake() {}
-func (a *asked) End()  {}
+func (a *asked) Wake()     {}
+func (a *asked) End() bool { return true }
 func (a *asked) Look() (front.Status, time.Duration) {
 	a.began <- struct{}{}
 	<-a.end
@@ -412,7 +412,7 @@
 	f := NewFront(nil, Terms{}, 0, 1, 1, logs.Discard())
 	a := &asked{make(chan struct{}), make(chan struct{})}
 	f.Enter(a)
-	f.Asked(a)
+	f.Asked(a, false)
 	go f.Accept(nil) // no room: it asks, and never comes to accept
 	<-a.began
 	c := &client{front: f}
--- a/internal/sftp/front.go
+++ b/internal/sftp/front.go
@@ -126,7 +126,7 @@
 }
 
 // End implements front.Guest.
-func (s *session) End() { s.conn.Close() }
+func (s *session) End() bool { return s.conn.Close() == nil }
 
 // stopPanic guards the process against a fault met by one connection.
 func (s *session) stopPanic() {
@@ -149,7 +149,7 @@
 	for {
 		p, err := s.next(in)
 		if err == nil {
-			s.front.Asked(s)
+			s.front.Asked(s, false)
 			err = s.take(p)
 		}
 		if err != nil {
--- a/logic/held.go
+++ b/logic/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"slices"
 	"time"
 )
@@ -11,8 +12,9 @@
 	id       int
 	nodes    []*node
 	held     []*request
-	waits    bool    // it stands among the waiting
-	served   float64 // units a second that warm nodes served this host, in the mean over ColdTime
+	fresh    []*request // those that came since the last look, in the same order
+	waits    bool       // it stands among the waiting
+	served   float64    // units a second that warm nodes served this host, in the mean over ColdTime
 	servedAt Time
 
 	// Where the last look moved nothing, another is spared until something happened that could: at the shard itself
@@ -110,7 +112,18 @@
 	s.held = slices.Insert(s.held, at, r)
 	r.lane = s
 	s.count(g, r)
-	s.touch(g)
+	at, _ = slices.BinarySearchFunc(s.fresh, r, earlier)
+	s.fresh = slices.Insert(s.fresh, at, r)
+	s.wake(g)
+}
+
+// among is what a look must go through: all that is held, or only what came since the last look if that moved nothing and
+// nothing happened since that could move what it saw.
+func (s *shard) among(g *Gateway) *[]*request {
+	if !s.moved && s.inTime(g, s.service()) && s.alike(g) {
+		return &s.fresh
+	}
+	return &s.held
 }
 
 func (s *shard) drop(r *request) {
@@ -121,6 +134,9 @@
 	if at >= 0 {
 		s.held = slices.Delete(s.held, at, at+1)
 	}
+	if at = slices.Index(s.fresh, r); at >= 0 {
+		s.fresh = slices.Delete(s.fresh, at, at+1)
+	}
 	if r.fickle {
 		s.fickle--
 	}
@@ -137,8 +153,8 @@
 	s.wakeAt = min(s.wakeAt, r.due-time.Duration(s.took*float64(time.Second))-time.Microsecond, r.deadline-2*g.tick)
 }
 
-// fresh brings what is known of all that are held up to date.
-func (s *shard) fresh(g *Gateway) {
+// recount brings what is known of all that are held up to date.
+func (s *shard) recount(g *Gateway) {
 	if took := s.service(); s.seen != g.stirred+1 || s.took != took {
 		s.seen, s.took, s.wakeAt, s.fickle = g.stirred+1, took, 1<<63-1, 0
 		for _, r := range s.held {
@@ -163,10 +179,35 @@
 // alike tells whether the shard's nodes have room for all that is held or for none of it: no request is bound to some of
 // them, none of them is paced or cold.
 func (s *shard) alike(g *Gateway) bool {
-	s.fresh(g)
+	s.recount(g)
 	return s.fickle == 0 && !slices.ContainsFunc(s.nodes, func(n *node) bool { return n.young || n.bound < 1 || n.jammed(g) })
 }
 
+// packed tells whether none of the shard's nodes has room, whatever is to be sent: each has out what its bound allows, rests, or
+// is paced and was sent to too lately even for what counts most.
+func (s *shard) packed(g *Gateway) bool {
+	return !slices.ContainsFunc(s.nodes, func(n *node) bool {
+		return n.state == Ready && g.now >= n.restTill && float64(n.out) < max(1, math.Floor(n.bound)) && len(n.flight) < 2*boundMost &&
+			(n.bound >= 1 || (g.now-n.pacedAt).Seconds()*g.mostPart() >= n.took/n.bound)
+	})
+}
+
+// mostPart is the largest part of its worth that a request may be due.
+func (g *Gateway) mostPart() float64 { return max(1, g.set.SpareWorth, g.set.ShareWorth) }
+
+// byWorth is a heap of requests, the least worthy in front. In a queue of thousands an ordered slice made a tick take seconds.
+type byWorth []*request
+
+func (h byWorth) Len() int           { return len(h) }
+func (h byWorth) Less(i, j int) bool { return leastWorthy(h[i], h[j]) < 0 }
+func (h byWorth) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *byWorth) Push(x any)        { *h = append(*h, x.(*request)) }
+func (h *byWorth) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
 // touch tells that something happened at the shard which may move what it holds.
 func (s *shard) touch(g *Gateway) {
 	s.moved = true
@@ -177,11 +218,13 @@
 
 // still tells whether another look at what is held would move nothing.
 func (s *shard) still(g *Gateway) bool {
-	return !s.moved && s.inTime(g, s.service()) && s.alike(g)
+	return !s.moved && len(s.fresh) == 0 && s.inTime(g, s.service()) && s.alike(g)
 }
 
 // settle notes a look at a shard that held so many requests before: one that moved something is followed by another.
 func (s *shard) settle(g *Gateway, before int) {
+	clear(s.fresh)
+	s.fresh = s.fresh[:0]
 	s.moved = len(s.held) != before || slices.ContainsFunc(s.nodes, func(n *node) bool { return g.now < n.restTill })
-	s.fresh(g)
+	s.recount(g)
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
@@ -558,7 +559,7 @@
 	g.waiting = slices.DeleteFunc(g.waiting, func(s *shard) bool {
 		if len(s.held) > 0 && !s.still(g) {
 			before := len(s.held)
-			g.dispatch(s)
+			g.dispatch(s, s.among(g))
 			g.giveUpLate(s)
 			s.settle(g, before)
 		}
@@ -576,16 +577,15 @@
 		return
 	}
 	unit := n.took / max(1, g.set.MeanUnits) / n.bound
-	wait, kept := n.took, []*request{}
+	wait, kept := n.took, byWorth{}
 	for _, r := range s.held {
 		r.shed = false
-		at, _ := slices.BinarySearchFunc(kept, r, leastWorthy)
-		kept = slices.Insert(kept, at, r)
+		heap.Push(&kept, r)
 		wait += r.Units * unit
 		for len(kept) > 0 && wait > (r.due-g.now).Seconds() {
-			kept[0].shed = true
-			wait -= kept[0].Units * unit
-			kept = kept[1:]
+			least := heap.Pop(&kept).(*request)
+			least.shed = true
+			wait -= least.Units * unit
 		}
 	}
 }
@@ -601,14 +601,14 @@
 	return nil
 }
 
-// dispatch sends what may leave, each time earliest due first: paid requests, then unpaid ones into
-// debt, then those that were shed.
-func (g *Gateway) dispatch(s *shard) {
+// dispatch sends what may leave of those held, each time earliest due first: paid requests, then unpaid
+// ones into debt, then those that were shed.
+func (g *Gateway) dispatch(s *shard, among *[]*request) {
 	for pass := range 3 {
-		for i := 0; i < len(s.held); {
-			r, n := s.held[i], (*node)(nil)
+		for i := 0; i < len(*among); {
+			r, n := (*among)[i], (*node)(nil)
 			if r.shed == (pass == 2) && g.pays(r, pass > 0) {
-				if n = g.pick(s, r); n == nil && s.alike(g) {
+				if n = g.pick(s, r); n == nil && (s.alike(g) || s.packed(g)) {
 					return // nor will any other find room
 				}
 			}
