Judge the door's lag by what work waits for a processor; recover at once after a hiccup

Need: one stall of 30 ms shut the door to its floor for a second, and 5 ms of lag are reached only when each request waits 30 ms at nodes: while the run queue is never empty, Go looks for answers every 10 ms alone.

Change: cuts follow each other after three windows and from what was allowed, the way back is quick up to near the last cut; the broker's own waits are taken out of the time at a node; more garbage is let stand where memory is plenty.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -36,8 +36,11 @@
 
 // The pace of a step.
 const (
-	less     = 0.9  // of what came in, while the lag is above its target
-	more     = 1.02 // of the allowance, while it is below
+	less     = 0.85 // of the allowance, while the lag is above its target
+	rest     = 3    // windows after that before it is cut again: what waits has to be done first
+	more     = 1.01 // of the allowance, while the lag is below
+	back     = 1.15 // instead, up to near where it was cut: a hiccup must not cost long
+	near     = 0.85 // of that
 	fewest   = 4.0  // a window, so that the lag goes on being seen
 	least    = 0.3  // of the most that lately came in: where refusals alone keep the broker busy, fewer would not help
 	fading   = 1e-3 // of that most, a window
@@ -90,6 +93,9 @@
 	allowed  float64 // a window, while it is shut
 	marginal int     // the rank that is let in by part
 	part     float64 // of it
+	usual    float64 // that came in, in the mean over windows
+	cutAt    float64 // what was allowed when it was last cut
+	rests    int     // windows until it may be cut again
 	best     float64 // the most that came in lately in a window without overload
 	owed     float64 // of it, by the requests so far
 	quiet    int     // windows in which all would have come in
@@ -267,12 +273,20 @@
 		d.best += 0.1 * max(0, float64(came)-d.best)
 	}
 	floor := max(fewest, least*d.best)
+	if d.usual += 0.1 * (float64(came) - d.usual); d.rests > 0 {
+		d.rests--
+	}
 	d.excess += 0.25 * (float64(total+1)/float64(came+1) - d.excess)
 	switch {
 	case over && !d.shut:
-		d.shut, d.allowed, d.quiet, d.owed = true, max(floor, less*float64(came)), 0, 0
+		d.shut, d.quiet, d.owed, d.rests, d.cutAt = true, 0, 0, rest, d.usual
+		d.allowed = max(floor, less*d.usual)
+	case over && d.rests == 0:
+		d.rests, d.cutAt = rest, d.allowed
+		d.allowed = max(floor, less*d.allowed)
 	case over:
-		d.allowed = max(floor, less*min(d.allowed, float64(came)))
+	case d.shut && d.allowed < near*d.cutAt:
+		d.allowed *= back
 	case d.shut:
 		d.allowed = d.allowed*more + 1
 	}
--- a/broker/loop.go
+++ b/broker/loop.go
@@ -165,6 +165,7 @@
 		l.overloaded.Store(l.outside.Door.Shut())
 	}
 	l.lag = 0
+	l.put(Lagged{Waited: waited})
 }
 
 // Leave tells that the client of a request no longer waits.
--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -60,6 +60,8 @@
 		ID    uint64
 		Whole bool
 	}
+	// Lagged tells how long whatever could run in this process has lately waited for a processor, in the mean.
+	Lagged struct{ Waited Micros }
 	// Ending tells that the process ends: what is owed is to be answered now.
 	Ending struct{}
 )
@@ -81,6 +83,7 @@
 func (Retuned) event() {}
 func (Shared) event()  {}
 func (Given) event()   {}
+func (Lagged) event()  {}
 func (Ending) event()  {}
 
 // Effect is something that the reducer wants done.
@@ -164,6 +167,7 @@
 	spare   []logic.Event // memory for it
 	effects []Effect
 	facts   []telemetry.Fact
+	lag     Micros                    // how long work waits for a processor here
 	giving  map[uint64]telemetry.Fact // requests whose Lasting value is on its way to the client
 }
 
@@ -274,6 +278,8 @@
 		s.tell(logic.Retuned{Settings: e.Settings})
 	case Shared:
 		s.tell(logic.Shared{Processes: e.Processes})
+	case Lagged:
+		s.lag += (e.Waited - s.lag) / 4
 	case Ending:
 		s.endAll()
 	}
@@ -386,11 +392,18 @@
 		s.drop(result.Value)
 	}
 	s.tell(logic.AttemptEnded{ID: id, Attempt: r.attempts - 1, Node: r.node, Outcome: outcome,
-		Took: (s.now - r.sentAt).Duration(), Finished: r.answered, Used: result.Used, Elsewhere: result.Elsewhere,
+		Took: s.atNode(s.now - r.sentAt).Duration(), Finished: r.answered, Used: result.Used, Elsewhere: result.Elsewhere,
 		Load: result.Load})
 	s.forget(id, r)
 }
 
+// ownHops is how often an attempt waits for a processor here: to be written, for its answer to be seen, read, and taken.
+const ownHops = 4
+
+// atNode takes out of an attempt's time what this process itself let it wait. It guards sound nodes against being thought
+// slow, and sent less, where the broker has too much to do.
+func (s *State) atNode(took Micros) Micros { return max(took/10, took-ownHops*s.lag) }
+
 // drop guards what a value holds, such as a node's connection, where nobody takes it.
 func (s *State) drop(value any) {
 	if value != nil {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -36,6 +36,8 @@
 	memoryPart   = 0.6 // of the memory limit for Go's heap: the rest is for stacks, sockets and the runtime
 	clientMemory = 0.2 // of the limit for requests and answers that wait
 	gcPercent    = 100 // the live heap is small: more would let it grow through the first hours of a small machine
+	gcPlenty     = 400 // with memory to spare: a collection takes a part of the processor for as long as there are connections
+	plentyMB     = 128
 	spareSockets = 40  // for all that is neither a client nor a node
 	nodePart     = 4   // a quarter of the sockets goes to nodes
 	easyPart     = 4   // beyond a quarter of the sockets idle clients end: they may hold a third, used or not
@@ -60,7 +62,11 @@
 // configuration again.
 func Serve(ctx context.Context, c *config.Config, log *slog.Logger, reload <-chan os.Signal, load func() (*config.Config, error)) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
-	debug.SetGCPercent(gcPercent)
+	if c.Limits.MemoryMB >= plentyMB {
+		debug.SetGCPercent(gcPlenty)
+	} else {
+		debug.SetGCPercent(gcPercent)
+	}
 
 	state, err := broker.NewState(c.Settings.Logic, c.Seed)
 	if err != nil {
