Shut the door on a lag that lasts, not on one window

Need: at 9,000 a second, which one core serves, 15% were refused for single windows of a collection or a crowd of new connections.

Change: both this window's lag and the mean over windows must be above the target.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -37,7 +37,7 @@
 // The pace of a step.
 const (
 	less     = 0.85 // of the allowance, while the lag is above its target
-	rest     = 3    // windows after that before it is cut again: what waits has to be done first
+	rest     = 4    // windows after that before it is cut again: what waits has to be done first
 	more     = 1.01 // of the allowance, while the lag is below
 	back     = 1.15 // instead, up to near where it was cut: a hiccup must not cost long
 	near     = 0.85 // of that
@@ -265,7 +265,7 @@
 	} else if total == 0 {
 		d.smoothed /= 2 // nothing came, nothing waited
 	}
-	over := d.set.Target > 0 && d.lags > 0 && d.lag > d.set.Target
+	over := d.set.Target > 0 && d.lags > 0 && min(d.lag, d.smoothed) > d.set.Target
 	came := d.came
 	d.lag, d.lags, d.came = 0, 0, 0
 	d.best *= 1 - fading
