Pass by volumes that can't pay once a tick, not in each look; test the hard cases of queues

Need: where one volume without tokens fills a queue, each freed place went through all of it; 100,000 requests due at once were moved away from a slice's front one by one.

Change: between two ticks levels only fall, so each pass begins behind those that could not pay, with those that came since; the front of a queue leaves without a move; the least worthy of a queue mostly need no heap.

--- a/logic/held.go
+++ b/logic/held.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
 	"slices"
@@ -13,8 +14,12 @@
 	nodes    []*node
 	held     []*request
 	fresh    []*request // those that came since the last look, in the same order
-	waits    bool       // it stands among the waiting
-	served   float64    // units a second that warm nodes served this host, in the mean over ColdTime
+	late     []*request // and since marks were set
+	marks    [3]mark    // of each pass
+	marked   uint64     // Gateway.stirred when they were set, plus 1
+	way      look
+	waits    bool    // it stands among the waiting
+	served   float64 // units a second that warm nodes served this host, in the mean over ColdTime
 	servedAt Time
 
 	// Where the last look moved nothing, another is spared until something happened that could: at the shard itself
@@ -108,34 +113,109 @@
 
 // hold keeps a request until it is sent or given up.
 func (s *shard) hold(g *Gateway, r *request) {
-	at, _ := slices.BinarySearchFunc(s.held, r, earlier)
-	s.held = slices.Insert(s.held, at, r)
+	s.held, s.fresh, s.late = insert(s.held, r), insert(s.fresh, r), insert(s.late, r)
 	r.lane = s
 	s.count(g, r)
-	at, _ = slices.BinarySearchFunc(s.fresh, r, earlier)
-	s.fresh = slices.Insert(s.fresh, at, r)
 	s.wake(g)
 }
 
-// among is what a look must go through: all that is held, or only what came since the last look if that moved nothing and
-// nothing happened since that could move what it saw.
-func (s *shard) among(g *Gateway) *[]*request {
-	if !s.moved && s.inTime(g, s.service()) && s.alike(g) {
-		return &s.fresh
+// look is one way through what a shard holds, earliest due first, in up to three passes with rules of their own. Between two
+// points at which all shards are stirred the levels of volumes only fall: who could not pay, still can't. So each pass
+// begins behind those that it passed by before, and with those that came there since.
+type look struct {
+	s      *shard
+	only   bool // those that came since the last look
+	pass   int
+	late   bool // among those that came before the mark
+	i      int
+	stayed bool // one that could pay was passed by
+}
+
+// mark is a place in the order of what is held: all before it could not pay, but for those that came since.
+type mark struct {
+	due Time
+	id  uint64
+}
+
+func (m mark) compare(r *request) int {
+	return cmp.Or(cmp.Compare(r.due, m.due), cmp.Compare(r.ID, m.id))
+}
+
+func atMark(r *request, m mark) int { return m.compare(r) }
+
+// look begins a look, at all that is held or, if the last one moved nothing and nothing happened since that could move what
+// it saw, at what came since.
+func (s *shard) look(g *Gateway) *look {
+	s.way = look{s: s, only: !g.plain && !s.moved && s.inTime(g, s.service()) && s.alike(g)}
+	if !s.way.only && (s.marked != g.stirred+1 || s.fickle > 0 || g.plain) {
+		s.marked, s.marks = g.stirred+1, [3]mark{}
+		clear(s.late)
+		s.late = s.late[:0]
 	}
-	return &s.held
+	return &s.way
 }
 
-func (s *shard) drop(r *request) {
-	at, found := slices.BinarySearchFunc(s.held, r, earlier)
-	if !found || s.held[at] != r {
-		at = slices.Index(s.held, r)
+func (l *look) begin() { l.late, l.i, l.stayed = !l.only, 0, false }
+
+// now is the request that is looked at, nil behind the last. It is gone through skip, stay, or by being dropped.
+func (l *look) now() *request {
+	s := l.s
+	list := s.held
+	switch {
+	case l.only:
+		list = s.fresh
+	case l.late:
+		if l.i < len(s.late) && s.marks[l.pass].compare(s.late[l.i]) < 0 {
+			return s.late[l.i]
+		}
+		l.late = false
+		l.i, _ = slices.BinarySearchFunc(s.held, s.marks[l.pass], atMark)
+	}
+	if l.i < len(list) {
+		return list[l.i]
+	}
+	return nil
+}
+
+// skip passes by one that can't pay in this pass.
+func (l *look) skip(r *request) {
+	l.i++
+	if !l.only && !l.late && !l.stayed {
+		l.s.marks[l.pass] = mark{r.due, r.ID + 1}
+	}
+}
+
+// stay passes by one that can pay, and found no node.
+func (l *look) stay() {
+	l.i++
+	l.stayed = l.stayed || !l.late
+}
+
+// insert and remove keep a list in the order of what is held.
+func insert(list []*request, r *request) []*request {
+	at, _ := slices.BinarySearchFunc(list, r, earlier)
+	return slices.Insert(list, at, r)
+}
+
+func remove(list []*request, r *request) []*request {
+	at, found := slices.BinarySearchFunc(list, r, earlier)
+	switch {
+	case !found:
+		return list
+	case at == 0: // most leave in front; all of a long queue may at once
+		list[0] = nil
+		return list[1:]
 	}
-	if at >= 0 {
-		s.held = slices.Delete(s.held, at, at+1)
+	return slices.Delete(list, at, at+1)
+}
+
+func (s *shard) drop(r *request) {
+	s.held = remove(s.held, r)
+	if len(s.fresh) > 0 {
+		s.fresh = remove(s.fresh, r)
 	}
-	if at = slices.Index(s.fresh, r); at >= 0 {
-		s.fresh = slices.Delete(s.fresh, at, at+1)
+	if len(s.late) > 0 {
+		s.late = remove(s.late, r)
 	}
 	if r.fickle {
 		s.fickle--
@@ -218,7 +298,7 @@
 
 // still tells whether another look at what is held would move nothing.
 func (s *shard) still(g *Gateway) bool {
-	return !s.moved && len(s.fresh) == 0 && s.inTime(g, s.service()) && s.alike(g)
+	return !g.plain && !s.moved && len(s.fresh) == 0 && s.inTime(g, s.service()) && s.alike(g)
 }
 
 // settle notes a look at a shard that held so many requests before: one that moved something is followed by another.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -65,6 +65,7 @@
 	shardIDs      []int
 	waiting       []*shard // those to be looked at, by id
 	asleep        sleepers // those that only time can move
+	plain         bool     // each look goes through all that is held, as a reference for tests
 	stirred, woke uint64   // what may move held requests of any shard, and the last that woke all
 	turns         map[string]*turn
 	byID          map[uint32]*volume
@@ -559,7 +560,7 @@
 	g.waiting = slices.DeleteFunc(g.waiting, func(s *shard) bool {
 		if len(s.held) > 0 && !s.still(g) {
 			before := len(s.held)
-			g.dispatch(s, s.among(g))
+			g.dispatch(s, s.look(g))
 			g.giveUpLate(s)
 			s.settle(g, before)
 		}
@@ -579,7 +580,10 @@
 	unit := n.took / max(1, g.set.MeanUnits) / n.bound
 	wait, kept := n.took, byWorth{}
 	for _, r := range s.held {
-		r.shed = false
+		late := wait+r.Units*unit > (r.due - g.now).Seconds()
+		if r.shed = late && (len(kept) == 0 || leastWorthy(r, kept[0]) < 0); r.shed {
+			continue
+		}
 		heap.Push(&kept, r)
 		wait += r.Units * unit
 		for len(kept) > 0 && wait > (r.due-g.now).Seconds() {
@@ -603,20 +607,19 @@
 
 // dispatch sends what may leave of those held, each time earliest due first: paid requests, then unpaid
 // ones into debt, then those that were shed.
-func (g *Gateway) dispatch(s *shard, among *[]*request) {
-	for pass := range 3 {
-		for i := 0; i < len(*among); {
-			r, n := (*among)[i], (*node)(nil)
-			if r.shed == (pass == 2) && g.pays(r, pass > 0) {
-				if n = g.pick(s, r); n == nil && (s.alike(g) || s.packed(g)) {
-					return // nor will any other find room
-				}
-			}
-			if n != nil {
+func (g *Gateway) dispatch(s *shard, l *look) {
+	for l.pass = range 3 {
+		l.begin()
+		for r := l.now(); r != nil; r = l.now() {
+			if r.shed != (l.pass == 2) || !g.pays(r, l.pass > 0) {
+				l.skip(r)
+			} else if n := g.pick(s, r); n != nil {
 				s.drop(r)
 				g.send(r, n)
+			} else if s.alike(g) || s.packed(g) {
+				return // nor will any other find room
 			} else {
-				i++
+				l.stay()
 			}
 		}
 	}
