Take lists by marks instead of maps, and wake only shards that hold requests

Change: a node carries the number of the list that named it last; the broker keeps one map of nodes instead of three; shards that hold requests stand in a list of their own. What is given up next is looked for anew after a look for it, so that a request with little time does not have each later look go through all.

--- a/broker/bench_test.go
+++ b/broker/bench_test.go
@@ -88,3 +88,105 @@
 		}
 	}
 }
+
+// BenchmarkVolumes is a turn with an arrival and its ending at a node that has room again, while so many requests wait of volumes that
+// can't pay: one volume holds nine of ten, so many others the rest.
+func BenchmarkVolumes(b *testing.B) {
+	for _, held := range []int{10, 1000, 10_000, 100_000} {
+		for _, volumes := range []int{10, 1000, 100_000} {
+			b.Run(fmt.Sprintf("held=%d/volumes=%d", held, volumes), func(b *testing.B) {
+				s, err := NewState(logic.Settings{Hosts: 1, MeanUnits: 2, MaxUnits: 8, Classes: []logic.Class{{Name: "read", Aim: 1e9 * 600, Deadline: 2e9 * 600, Worth: 1}},
+					Plans: []logic.Plan{{Name: "poor", Rate: 0.001, Weight: 1, Price: 1}, {Name: "plan", Rate: 1e6, Reserve: 1e6, Weight: 1, Price: 1}}, Bounds: logic.Bounds{MaxAttempts: 3}}, 1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				var list []Node
+				for i := range 10 {
+					list = append(list, Node{NodeInfo: logic.NodeInfo{Node: fmt.Sprint("n", i), Shard: i}, Address: fmt.Sprint("10.0.0.1:", i+1)})
+				}
+				s.Reduce(Second, []Event{Listed{Kind: logic.ListFull, Version: 1, Nodes: list}})
+				var arrivals []Event
+				for i := range volumes { // each volume goes into its debt, so that what follows waits
+					arrivals = append(arrivals, Arrived{ID: uint64(1<<41 + i), Request: &Request{Class: "read", Plan: "poor", Volume: fmt.Sprint("v", i), Units: 8, Shard: i % 10, Hosts: 1, Wait: 600 * Second}})
+				}
+				for i := range held {
+					volume := 0
+					if i%10 == 0 {
+						volume = i % volumes
+					}
+					arrivals = append(arrivals, Arrived{ID: uint64(1<<42 + i), Request: &Request{Class: "read", Plan: "poor", Volume: fmt.Sprint("v", volume), Units: 8, Shard: i % 10, Hosts: 1, Wait: 600 * Second}})
+				}
+				end := func(now Micros, effects []Effect) {
+					var ended []Event
+					for _, e := range effects {
+						if start, is := e.(Start); is {
+							ended = append(ended, Ended{ID: start.ID, Attempt: start.Number, Result: Result{Load: logic.NoLoad}})
+						}
+					}
+					for len(ended) > 0 {
+						effects, ended = s.Reduce(now, ended), nil
+						for _, e := range effects {
+							if start, is := e.(Start); is {
+								ended = append(ended, Ended{ID: start.ID, Attempt: start.Number, Result: Result{Load: logic.NoLoad}})
+							}
+						}
+					}
+				}
+				end(Second+1, s.Reduce(Second+1, arrivals))
+				if waits := s.Open(); waits < held/2 {
+					b.Fatalf("%d wait", waits)
+				}
+				now, id := 2*Second, uint64(0)
+				b.ReportAllocs()
+				for b.Loop() {
+					id++
+					now += 10
+					end(now, s.Reduce(now, []Event{Arrived{ID: id, Request: &Request{Class: "read", Plan: "plan", Volume: "rich", Units: 1, Shard: int(id) % 10, Hosts: 1, Wait: 600 * Second}}}))
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkNews is a list's first coming whole, its replacement by as many others, and one change.
+func BenchmarkNews(b *testing.B) {
+	const nodes = 10_000
+	all := func(prefix string) (list []Node) {
+		for i := range nodes {
+			list = append(list, Node{NodeInfo: logic.NodeInfo{Node: fmt.Sprint(prefix, i), Shard: i}, Address: fmt.Sprint("10.0.0.1:", i+1)})
+		}
+		return list
+	}
+	old, other := all("a"), all("b")
+	b.Run("first", func(b *testing.B) {
+		for b.Loop() {
+			b.StopTimer()
+			s, err := NewState(logic.Settings{Hosts: 1, MeanUnits: 2, MaxUnits: 8, Classes: []logic.Class{{Name: "read", Aim: 1e9 * 60, Deadline: 2e9 * 60, Worth: 1}},
+				Plans: []logic.Plan{{Name: "plan", Rate: 1e6, Reserve: 1e6, Weight: 1, Price: 1}}}, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.StartTimer()
+			s.Reduce(2*Second, []Event{Listed{Kind: logic.ListFull, Version: 2, Nodes: old}})
+		}
+	})
+	b.Run("replaced", func(b *testing.B) {
+		for b.Loop() {
+			b.StopTimer()
+			s, _ := settled(b, 1, 0, 1)
+			s.Reduce(2*Second, []Event{Listed{Kind: logic.ListFull, Version: 2, Nodes: old}})
+			b.StartTimer()
+			s.Reduce(3*Second, []Event{Listed{Kind: logic.ListFull, Version: 3, Nodes: other}})
+		}
+	})
+	b.Run("change", func(b *testing.B) {
+		s, _ := settled(b, 1, 0, 1)
+		s.Reduce(2*Second, []Event{Listed{Kind: logic.ListFull, Version: 2, Nodes: old}})
+		now := 3 * Second
+		for i := 0; b.Loop(); i++ {
+			now += 10
+			old[7].Weight = float64(i)
+			s.Reduce(now, []Event{Listed{Kind: logic.ListChanges, Version: uint64(i + 3), Nodes: old[7:8]}})
+		}
+	})
+}
--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -154,13 +154,20 @@
 	timeout  wheel.Handle
 }
 
+// listing is what the list says of a node.
+type listing struct {
+	address string // empty until one was told
+	shard   int
+	leaving bool   // it was told to be draining or gone
+	listed  uint64 // State.lists when a list last named it
+}
+
 // State is all that the broker knows. It does no I/O and reads no clock.
 type State struct {
 	gateway *logic.Gateway
 	entries map[uint64]*entry
-	nodes   map[string]string // addresses by name
-	shards  map[string]int
-	leaving map[string]bool // nodes that were told to be draining or gone
+	nodes   map[string]*listing // by name
+	lists   uint64              // how many were taken
 	alarms  wheel.Wheel[alarm]
 	now     Micros
 	news    []logic.Event // what the gateway is told next
@@ -177,8 +184,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &State{gateway: gateway, entries: map[uint64]*entry{}, nodes: map[string]string{},
-		shards: map[string]int{}, leaving: map[string]bool{}, giving: map[uint64]telemetry.Fact{}}, nil
+	return &State{gateway: gateway, entries: map[uint64]*entry{}, nodes: map[string]*listing{},
+		giving: map[uint64]telemetry.Fact{}}, nil
 }
 
 // rounds bounds how often the gateway may act on the news of its own actions within one turn.
@@ -308,33 +315,45 @@
 }
 
 func (s *State) list(e Listed) {
-	infos, here := make([]logic.NodeInfo, 0, len(e.Nodes)), make(map[string]bool, len(e.Nodes))
-	leaving := map[string]bool{}
-	for _, n := range e.Nodes {
-		here[n.Node] = true
-		if n.Address != "" {
-			s.nodes[n.Node] = n.Address
+	s.lists++
+	infos := make([]logic.NodeInfo, 0, len(e.Nodes))
+	var leaving map[string]bool
+	leave := func(name string, node *listing, now bool) {
+		if now && !node.leaving {
+			if leaving == nil {
+				leaving = map[string]bool{}
+			}
+			leaving[name] = true
+			s.facts = append(s.facts, telemetry.Fact{Kind: telemetry.NodeLeaving, Node: name})
+			s.do(CloseIdle{Address: node.address})
 		}
-		if _, listed := s.shards[n.Node]; !listed {
+		node.leaving = now
+	}
+	for i := range e.Nodes {
+		n := &e.Nodes[i]
+		node := s.nodes[n.Node]
+		if node == nil {
+			node = &listing{}
+			s.nodes[n.Node] = node
 			s.facts = append(s.facts, telemetry.Fact{Kind: telemetry.NodeListed, Node: n.Node})
 		}
-		s.shards[n.Node] = n.Shard
-		if s.leave(n.Node, n.State != logic.Ready) {
-			leaving[n.Node] = true
+		if n.Address != "" {
+			node.address = n.Address
 		}
+		node.shard, node.listed = n.Shard, s.lists
+		leave(n.Node, node, n.State != logic.Ready)
 		if n.State == logic.Gone {
-			s.lose(n.Node)
+			s.lose(n.Node, node)
 		}
-		n.UpSince = n.Born.Duration()
-		infos = append(infos, n.NodeInfo)
+		info := n.NodeInfo
+		info.UpSince = n.Born.Duration()
+		infos = append(infos, info)
 	}
 	if e.Kind != logic.ListChanges {
-		for name := range s.shards {
-			if !here[name] {
-				if s.leave(name, true) {
-					leaving[name] = true
-				}
-				s.lose(name)
+		for name, node := range s.nodes {
+			if node.listed != s.lists {
+				leave(name, node, true)
+				s.lose(name, node)
 			}
 		}
 	}
@@ -342,25 +361,20 @@
 	s.tell(logic.NodeList{Kind: e.Kind, Version: e.Version, Nodes: infos})
 }
 
-// leave notes whether a node drains or is gone, and tells whether it is news that it does.
-func (s *State) leave(node string, leaving bool) (news bool) {
-	news = leaving && !s.leaving[node]
-	if news {
-		s.facts = append(s.facts, telemetry.Fact{Kind: telemetry.NodeLeaving, Node: node})
-		s.do(CloseIdle{Address: s.nodes[node]})
-	}
-	s.leaving[node] = leaving
-	return news
-}
-
 // lose forgets a node that is gone: each that replaces one comes under a new name, and the process may run for
 // months.
-func (s *State) lose(node string) {
-	s.do(CloseIdle{Address: s.nodes[node]})
-	s.facts = append(s.facts, telemetry.Fact{Kind: telemetry.NodeUnlisted, Node: node})
-	delete(s.nodes, node)
-	delete(s.shards, node)
-	delete(s.leaving, node)
+func (s *State) lose(name string, node *listing) {
+	s.do(CloseIdle{Address: node.address})
+	s.facts = append(s.facts, telemetry.Fact{Kind: telemetry.NodeUnlisted, Node: name})
+	delete(s.nodes, name)
+}
+
+// address is where a node is reached, empty for one that is not known.
+func (s *State) address(node string) string {
+	if n := s.nodes[node]; n != nil {
+		return n.address
+	}
+	return ""
 }
 
 // halt guards the rule on drains against attempts of several messages, which would go on sending to nodes that leave: they
@@ -503,13 +517,13 @@
 			s.stop(a.ID, r, logic.Withdrawn)
 		}
 	case logic.Probe:
-		s.do(Probe{Node: a.Node, Address: s.nodes[a.Node]})
+		s.do(Probe{Node: a.Node, Address: s.address(a.Node)})
 	case logic.Tell:
 		s.do(Tell{Peer: a.Peer, Data: a.Data})
 	case logic.SetTimer:
 		s.wake(s.now+MicrosOf(a.After), alarm{kind: timer, id: a.Token})
 	case logic.CloseIdle:
-		s.do(CloseIdle{Address: s.nodes[a.Node]})
+		s.do(CloseIdle{Address: s.address(a.Node)})
 	case logic.Log:
 		s.do(Log{a.Text})
 	case logic.Watch, logic.FetchList: // discovery is always watched
@@ -534,10 +548,12 @@
 		return
 	}
 	r.attempts++
-	address := s.nodes[a.Node]
-	shard, known := s.shards[a.Node]
-	if r.out || r.answered || s.now >= r.deadline || a.Timeout < 0 || !known || address == "" ||
-		r.req.Shard >= 0 && shard != r.req.Shard {
+	address, node := "", s.nodes[a.Node]
+	if node != nil {
+		address = node.address
+	}
+	if r.out || r.answered || s.now >= r.deadline || a.Timeout < 0 || address == "" ||
+		r.req.Shard >= 0 && node.shard != r.req.Shard {
 		s.tell(logic.AttemptEnded{ID: a.ID, Attempt: r.attempts - 1, Node: a.Node, Outcome: logic.Void,
 			Finished: r.answered, Load: logic.NoLoad})
 		return
--- a/broker/reducer_test.go
+++ b/broker/reducer_test.go
@@ -205,8 +205,8 @@
 		r.turn(Listed{Kind: logic.ListChanges, Version: uint64(i + 2), Nodes: []Node{old, young}})
 	}
 	r.turn(Listed{Kind: logic.ListFull, Version: 300, Nodes: []Node{node("n2", 1, logic.Ready)}})
-	if len(r.state.nodes) != 1 || len(r.state.shards) != 1 || len(r.state.leaving) != 1 {
-		t.Errorf("kept %d, %d, %d", len(r.state.nodes), len(r.state.shards), len(r.state.leaving))
+	if len(r.state.nodes) != 1 {
+		t.Errorf("kept %d", len(r.state.nodes))
 	}
 	closed := 0
 	for _, e := range r.effects {
--- a/logic/held.go
+++ b/logic/held.go
@@ -19,6 +19,7 @@
 	marked   uint64     // Gateway.stirred when they were set, plus 1
 	way      look
 	waits    bool    // it stands among the waiting
+	holds    bool    // and among the holding
 	served   float64 // units a second that warm nodes served this host, in the mean over ColdTime
 	servedAt Time
 
@@ -56,12 +57,13 @@
 	if g.woke != g.stirred+1 {
 		g.woke = g.stirred + 1
 		g.waiting = g.waiting[:0]
-		for _, id := range g.shardIDs {
-			s := g.shards[id]
-			if s.waits = len(s.held) > 0; s.waits {
+		g.holding = slices.DeleteFunc(g.holding, func(s *shard) bool {
+			s.holds = len(s.held) > 0
+			if s.waits = s.holds; s.waits {
 				g.waiting = append(g.waiting, s)
 			}
-		}
+			return !s.holds
+		})
 	}
 	for len(g.asleep) > 0 && g.asleep[0].at <= g.now {
 		e := heap.Pop(&g.asleep).(sleeper)
@@ -113,6 +115,11 @@
 
 // hold keeps a request until it is sent or given up.
 func (s *shard) hold(g *Gateway, r *request) {
+	if !s.holds {
+		s.holds = true
+		at, _ := slices.BinarySearchFunc(g.holding, s.id, byShard)
+		g.holding = slices.Insert(g.holding, at, s)
+	}
 	s.held, s.fresh, s.late = insert(s.held, r), insert(s.fresh, r), insert(s.late, r)
 	r.lane = s
 	s.count(g, r)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,6 +64,7 @@
 	shards        map[int]*shard
 	shardIDs      []int
 	waiting       []*shard // those to be looked at, by id
+	holding       []*shard // those that hold requests, by id, and some that did
 	asleep        sleepers // those that only time can move
 	plain         bool     // each look goes through all that is held, as a reference for tests
 	stirred, woke uint64   // what may move held requests of any shard, and the last that woke all
@@ -358,8 +359,8 @@
 		g.findLost(n)
 		g.judge(n)
 	}
-	for _, id := range g.shardIDs {
-		g.shed(g.shards[id])
+	for _, s := range g.holding {
+		g.shed(s)
 	}
 	g.trimBudget()
 	g.forget()
@@ -448,6 +449,7 @@
 	savedAt  Time
 	flight   []*request // attempts out, in the order sent
 	home     *shard     // among whose nodes it stands
+	listed   uint64     // Gateway.stirred when a list last named it
 }
 
 // silent tells whether a node with work out has said nothing for long, be it dead, cut off or stuck.
@@ -689,6 +691,7 @@
 	if s.inTime(g, service) {
 		return
 	}
+	s.seen = 0 // the next to be given up is looked for anew
 	for i := 0; i < len(s.held); {
 		r := s.held[i]
 		if service <= (r.due-g.now).Seconds() && g.now+2*g.tick < r.deadline {
@@ -995,13 +998,14 @@
 	g.stirred++
 	first := !g.listed
 	g.listed = g.listed || len(e.Nodes) > 0
-	seen := map[string]bool{}
 	for _, info := range e.Nodes {
-		seen[info.Node] = true
 		g.takeNode(info, e.Kind, first)
 	}
+	if e.Kind == ListChanges {
+		return
+	}
 	for _, n := range g.nodeList {
-		if e.Kind != ListChanges && !seen[n.Node] {
+		if n.listed != g.stirred {
 			n.state = Gone
 		}
 	}
@@ -1030,7 +1034,7 @@
 			n.savedAt -= g.set.Rules.FallTime
 		}
 	}
-	n.NodeInfo, n.state = info, info.State
+	n.NodeInfo, n.state, n.listed = info, info.State, g.stirred
 	if info.State != Ready {
 		g.log("node leaves", "%s", info.Node)
 	}
