--- a/broker/loop_test.go
+++ b/broker/loop_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"junctionwharf/admission"
 	"junctionwharf/internal/logs"
 	"junctionwharf/logic"
+	"junctionwharf/telemetry"
 )
 
 // faulty panics at its first attempt and serves the others.
@@ -123,3 +125,69 @@
 		}
 	}
 }
+
+// What the door refuses has one answer, through Submit as through Ask, is counted, told to telemetry, and never reaches the module; the door
+// follows new settings, and opens when the lag is over.
+func TestDoor(t *testing.T) {
+	state, err := NewState(testSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	facts := make(chan telemetry.Fact, 8)
+	door := admission.New(admission.Settings{MostOpen: 1}, testSettings())
+	loop := NewLoop(state, NewClock(), local{}, Outside{Door: door, Observe: func(all []telemetry.Fact) {
+		for _, f := range all {
+			if f.Kind == telemetry.RequestEnded {
+				facts <- f
+			}
+		}
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	loop.Post(Listed{Kind: logic.ListFull, Nodes: []Node{node("n1", 0, logic.Ready)}})
+	req := request("read", 1) // of a shard without a node: it waits
+	finals := make(chan Final, 2)
+	if loop.Ask(req) != nil {
+		t.Fatal("refused while there is room")
+	}
+	id := loop.Enter(req, func(f Final) { finals <- f })
+	if f := loop.Ask(request("read", 0)); f == nil || f.Verdict != Refused || f.After != 150_000 {
+		t.Fatalf("%+v", f)
+	}
+	loop.Submit(request("write", 0), func(f Final) { finals <- f })
+	go loop.Run(ctx)
+	if f := <-finals; f.Verdict != Refused || f.After != 150_000 {
+		t.Errorf("%+v", f)
+	}
+	for range 2 {
+		if f := <-facts; f.End != telemetry.Busy {
+			t.Errorf("%+v", f)
+		}
+	}
+	figures := map[string]uint64{}
+	for _, f := range loop.Figures.Read() {
+		figures[f.Name] = f.Value
+	}
+	if figures["door_refused"] != 2 || figures["busy.read"] != 1 || figures["busy.write"] != 1 || figures["inflight"] != 1 {
+		t.Errorf("%v", figures)
+	}
+	loop.Leave(id)
+}
+
+// The broker's own waits are not the node's time: a busy broker must not think sound nodes slow.
+func TestOwnWaits(t *testing.T) {
+	r := newRig(t)
+	for _, c := range []struct{ lag, took, want Micros }{{0, 9000, 9000}, {1000, 9000, 5000}, {8000, 9000, 900}} {
+		r.state.lag = c.lag
+		if got := r.state.atNode(c.took); got != c.want {
+			t.Errorf("a lag of %d, %d us: %d", c.lag, c.took, got)
+		}
+	}
+	r.state.lag = 0
+	for range 40 {
+		r.turn(Lagged{Waited: 2000})
+	}
+	if r.state.lag < 1900 || r.state.lag > 2000 {
+		t.Errorf("a lag of %d us", r.state.lag)
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -122,6 +122,8 @@
 		{`[sftp]`, "[graphite]\nprotocol = \"pickle\"\ntransport = \"udp\"\n[sftp]", "graphite.transport"},
 		{`[sftp]`, "[graphite]\nqueue_bytes = 1\n[sftp]", "graphite.queue_bytes"},
 		{`[sftp]`, "[graphite]\ninterval = 1\n[sftp]", "graphite.interval"},
+		{`[sftp]`, "[admission]\nlag_ms = -1\n[sftp]", "admission.lag_ms"},
+		{`[sftp]`, "[admission]\nmost_open = -1\n[sftp]", "admission.most_open"},
 		{`[sftp]`, "[telemetry]\nmax_series = 100\n[sftp]", "telemetry.max_series"},
 		{`[sftp]`, "[telemetry]\nmax_bytes = 100\n[sftp]", "telemetry.max_bytes"},
 		{`[sftp]`, "[telemetry]\nidle_intervals = -1\n[sftp]", "telemetry.idle_intervals"},
