Use the memory of queues, actions and entries again

Need: a turn with an arrival and its ending allocated 9 times, and a queue of one afresh for each request.

Change: an emptied queue keeps its memory; Step's actions are good until the next Step; entries are used again, which nothing that comes late can meet, since ids do not come again.

--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -166,6 +166,7 @@
 type State struct {
 	gateway *logic.Gateway
 	entries map[uint64]*entry
+	free    []*entry            // that are over, for requests to come
 	nodes   map[string]*listing // by name
 	lists   uint64              // how many were taken
 	alarms  wheel.Wheel[alarm]
@@ -307,7 +308,13 @@
 }
 
 func (s *State) arrive(id uint64, req *Request) {
-	r := &entry{req: req, arrived: s.now, deadline: s.now + max(0, req.Wait)}
+	var r *entry
+	if last := len(s.free) - 1; last >= 0 {
+		r, s.free = s.free[last], s.free[:last]
+	} else {
+		r = &entry{}
+	}
+	*r = entry{req: req, arrived: s.now, deadline: s.now + max(0, req.Wait)}
 	s.entries[id] = r
 	r.overdue = s.wake(r.deadline, alarm{kind: overdue, id: id})
 	s.tell(logic.Request{ID: id, Class: req.Class, Plan: req.Plan, Key: req.Key, Remaining: req.Wait.Duration(),
@@ -468,9 +475,16 @@
 		s.alarms.Cancel(r.overdue)
 		s.alarms.Cancel(r.timeout)
 		delete(s.entries, id)
+		if len(s.free) < mostFree { // events name it by its id, which does not come again: none can meet its next use
+			*r = entry{}
+			s.free = append(s.free, r)
+		}
 	}
 }
 
+// mostFree bounds the entries that are kept for later requests.
+const mostFree = 1 << 12
+
 // stop ends the attempt that is out.
 func (s *State) stop(id uint64, r *entry, why logic.Outcome) {
 	if r.out && !r.stopped {
--- a/logic/held.go
+++ b/logic/held.go
@@ -209,6 +209,9 @@
 	switch {
 	case !found:
 		return list
+	case len(list) == 1:
+		list[0] = nil
+		return list[:0] // its memory is for the next
 	case at == 0: // most leave in front; all of a long queue may at once
 		list[0] = nil
 		return list[1:]
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -162,9 +162,11 @@
 
 // ---- events
 
-// Step takes the events of one point of the clock and returns what is to be done.
+// Step takes the events of one point of the clock and returns what is to be done. The slice is good until
+// the next Step.
 func (g *Gateway) Step(now Time, events []Event) []Action {
-	g.now, g.out = now, nil
+	clear(g.out)
+	g.now, g.out = now, g.out[:0]
 	if !g.started {
 		g.started, g.lastTick = true, now
 		g.act(SetTimer{Token: timerTick, After: g.tick})
