Bound a turn's events, and have the front wait while the loop is far behind

Need: what was read and not yet decided had no bound but connections times their pipelines, 262,144 requests; and deadlines waited for all of it.

Change: a turn takes 4,096 events at the most; with 16,384 waiting the clients' front reads no further request, holding no lock. TestBoundedTurn: none is lost, in order, and the end of the loop lets waiting fronts go; TestReplaceAll: 10,000 nodes replaced in one list.

--- a/broker/loop.go
+++ b/broker/loop.go
@@ -74,6 +74,8 @@
 	inbox  []Event
 	calls  []func()
 	added  map[uint64]client // of the requests in inbox
+	room   *sync.Cond        // told when inbox has become shorter
+	ended  bool              // it turns no more
 	since  Micros            // when the first event in inbox came
 	lag    Micros            // the longest that one waited since Lagged
 	turned []telemetry.Fact  // what the door refused
@@ -88,6 +90,7 @@
 	l := &Loop{state: state, clock: clock, transport: transport, outside: outside,
 		clients: map[uint64]client{}, handles: map[attemptKey]Handle{}, added: map[uint64]client{},
 		notify: make(chan struct{}, 1)}
+	l.room = sync.NewCond(&l.mu)
 	l.Figures.list(state.gateway.Classes())
 	return l
 }
@@ -197,26 +200,51 @@
 	l.wake()
 }
 
-// collect takes what came since the last turn, in memory that it gets back.
-func (l *Loop) collect(now Micros, spare []Event) ([]Event, []func()) {
+// mostEvents bounds a turn: deadlines and timers are looked at between turns, and what came later waits.
+const mostEvents = 1 << 12
+
+// mostQueued bounds the events that wait for a turn before a front reads no further request.
+const mostQueued = 4 * mostEvents
+
+// Room waits while the loop is far behind. Fronts call it before they take a request, holding no lock: so what is read and
+// not yet decided is bounded, whatever clients send.
+func (l *Loop) Room() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.inbox) >= mostQueued && !l.ended {
+		l.room.Wait()
+	}
+}
+
+// collect takes what came since the last turn, up to the bound, in memory that it gets back. more tells that events are left.
+func (l *Loop) collect(now Micros, spare []Event) (events []Event, calls []func(), more bool) {
 	clear(spare)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.inbox) > 0 {
 		l.lag = max(l.lag, now-l.since)
 	}
-	events, calls := l.inbox, l.calls
+	events, calls = l.inbox, l.calls
 	l.inbox, l.calls = spare[:0], nil
+	if more = len(events) > mostEvents; more {
+		l.inbox = append(l.inbox, events[mostEvents:]...)
+		clear(events[mostEvents:])
+		events = events[:mostEvents]
+	}
+	if len(l.inbox) < mostQueued {
+		l.room.Broadcast()
+	}
 	l.refused, l.turned = l.turned, l.refused[:0]
 	for id, c := range l.added {
 		l.clients[id] = c
 	}
 	clear(l.added)
-	return events, calls
+	return events, calls, more
 }
 
 // Run turns until ctx ends.
 func (l *Loop) Run(ctx context.Context) {
+	defer l.end()
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	var events []Event
@@ -229,11 +257,15 @@
 		case <-alarm.C:
 		}
 		now := l.clock.Now()
-		events, calls = l.collect(now, events)
+		var more bool
+		events, calls, more = l.collect(now, events)
 		l.safeTurn(now, events)
 		for _, call := range calls {
 			l.safely(call)
 		}
+		if more {
+			l.wake()
+		}
 		wait := time.Hour
 		if at, any := l.state.Next(); any {
 			wait = (at - now).Duration()
@@ -242,6 +274,14 @@
 	}
 }
 
+// end lets those go that wait for room.
+func (l *Loop) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = true
+	l.room.Broadcast()
+}
+
 // safeTurn guards the requests that are open against a fault met by one event: the turn ends, and what it left
 // undone is answered by its deadline.
 func (l *Loop) safeTurn(now Micros, events []Event) {
--- a/broker/loop_test.go
+++ b/broker/loop_test.go
@@ -191,3 +191,82 @@
 		t.Errorf("a lag of %d us", r.state.lag)
 	}
 }
+
+// Far behind, the loop takes a bounded part of its events in a turn, in their order, and has fronts wait until there is room
+// again; none is lost. The end of the loop lets them go.
+func TestBoundedTurn(t *testing.T) {
+	state, err := NewState(testSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	loop := NewLoop(state, NewClock(), local{}, Outside{})
+	const requests = mostQueued + 10
+	finals := make(chan Final, requests)
+	for range requests {
+		req := request("read", 1) // of a shard without a node
+		loop.Enter(req, func(f Final) { finals <- f })
+	}
+	passed := make(chan bool, 1)
+	go func() { loop.Room(); passed <- true }()
+	for turn, left := 1, requests; left > 0; turn++ {
+		events, _, more := loop.collect(loop.clock.Now(), nil)
+		if want := min(left, mostEvents); len(events) != want || more != (left > mostEvents) {
+			t.Fatalf("turn %d: %d events, more %v", turn, len(events), more)
+		}
+		for i, e := range events {
+			if id := e.(Arrived).ID; id != uint64(requests-left+i+1) {
+				t.Fatalf("turn %d: event %d is of request %d", turn, i, id)
+			}
+		}
+		loop.turn(loop.clock.Now(), events)
+		left -= len(events)
+	}
+	<-passed
+	for range requests {
+		loop.Enter(request("read", 1), func(f Final) { finals <- f })
+	}
+	go func() { loop.Room(); passed <- true }()
+	loop.end()
+	<-passed
+}
+
+// 10,000 nodes are replaced by as many others in one list: each leaves once, is forgotten, and the new ones serve.
+func TestReplaceAll(t *testing.T) {
+	r := newRig(t)
+	list := func(prefix string) (nodes []Node) {
+		for i := range 10_000 {
+			nodes = append(nodes, node(fmt.Sprint(prefix, i), i, logic.Ready))
+		}
+		return nodes
+	}
+	r.turn(Listed{Kind: logic.ListFull, Version: 2, Nodes: list("a")})
+	r.turn(Arrived{ID: 1, Request: request("read", 5)})
+	r.effects = nil
+	r.turn(Listed{Kind: logic.ListFull, Version: 3, Nodes: list("b")})
+	if left := len(r.state.nodes); left != 10_000 {
+		t.Errorf("%d nodes are known", left)
+	}
+	leaving, halted := 0, 0
+	for _, f := range r.state.Facts() {
+		if f.Kind == telemetry.NodeLeaving {
+			leaving++
+		}
+	}
+	for _, e := range r.effects {
+		if _, is := e.(Halt); is {
+			halted++
+		}
+	}
+	if leaving != 10_000 || halted != 1 {
+		t.Errorf("%d leave, %d attempts are halted", leaving, halted)
+	}
+	r.now += Second
+	r.turn(Arrived{ID: 2, Request: request("read", 7)})
+	for range 400 { // the new nodes are cold, and save up
+		r.now += 5000
+		r.turn()
+	}
+	if last := r.starts[len(r.starts)-1]; last.ID != 2 || last.Attempt.Node != "b7" {
+		t.Errorf("%+v", last)
+	}
+}
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -323,6 +323,7 @@
 		c.refuse(err)
 		return false
 	}
+	c.front.loop.Room()
 	if refused := c.front.loop.Ask(req); refused != nil {
 		return c.turnAway(refused)
 	}
