Let the door open faster while the broker has plainly caught up

Need: after a hiccup of 30 ms the door took 25 windows to let all in again, with the lag at 40 us all along. Change: up to near the most that lately came in without overload the allowance grows by 5% a window while the lag is below an eighth of its target.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -41,6 +41,8 @@
 	more     = 1.01 // of the allowance, while the lag is below
 	back     = 1.15 // instead, up to near where it was cut: a hiccup must not cost long
 	near     = 0.85 // of that
+	brisk    = 1.05 // instead, while the lag is below a part of its target: the broker has caught up, and more
+	light    = 0.125
 	fewest   = 4.0  // a window, so that the lag goes on being seen
 	least    = 0.3  // of the most that lately came in: where refusals alone keep the broker busy, fewer would not help
 	fading   = 1e-3 // of that most, a window
@@ -265,6 +267,7 @@
 	} else if total == 0 {
 		d.smoothed /= 2 // nothing came, nothing waited
 	}
+	lag := d.lag
 	over := d.set.Target > 0 && d.lags > 0 && min(d.lag, d.smoothed) > d.set.Target
 	came := d.came
 	d.lag, d.lags, d.came = 0, 0, 0
@@ -287,6 +290,8 @@
 	case over:
 	case d.shut && d.allowed < near*d.cutAt:
 		d.allowed *= back
+	case d.shut && float64(lag) < light*float64(d.set.Target) && d.allowed < near*d.best:
+		d.allowed = d.allowed*brisk + 1
 	case d.shut:
 		d.allowed = d.allowed*more + 1
 	}
