Wake the loop for the news of its lag

Cause: Lagged was queued without a wake.

Change: it is posted like any event. TestOwnWaits fails without it. Run keeps no variables beyond a turn but the memory of its events.

--- a/broker/loop.go
+++ b/broker/loop.go
@@ -162,13 +162,13 @@
 // queue says less: Go runs next what was woken last, which may be the loop, while hundreds wait to read what has come.
 func (l *Loop) Lagged(waited Micros) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	if l.outside.Door != nil {
 		l.outside.Door.Lag(int64(l.clock.Now()), int64(max(waited, l.lag)))
 		l.overloaded.Store(l.outside.Door.Shut())
 	}
 	l.lag = 0
-	l.put(Lagged{Waited: waited})
+	l.mu.Unlock()
+	l.Post(Lagged{Waited: waited}) // which wakes an idle loop: else this would wait for the next event, and count as its lag
 }
 
 // Leave tells that the client of a request no longer waits.
@@ -248,7 +248,6 @@
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	var events []Event
-	var calls []func()
 	for {
 		select {
 		case <-ctx.Done():
@@ -257,8 +256,8 @@
 		case <-alarm.C:
 		}
 		now := l.clock.Now()
-		var more bool
-		events, calls, more = l.collect(now, events)
+		taken, calls, more := l.collect(now, events)
+		events = taken
 		l.safeTurn(now, events)
 		for _, call := range calls {
 			l.safely(call)
--- a/broker/loop_test.go
+++ b/broker/loop_test.go
@@ -184,6 +184,10 @@
 		}
 	}
 	r.state.lag = 0
+	loop := NewLoop(r.state, NewClock(), local{}, Outside{Door: admission.New(admission.Settings{Target: 1000}, testSettings())})
+	if loop.Lagged(0); len(loop.notify) != 1 { // guards an idle broker against the lag of the news of its lag
+		t.Error("an idle loop is not woken")
+	}
 	for range 40 {
 		r.turn(Lagged{Waited: 2000})
 	}
