--- a/admission/admission.go
+++ b/admission/admission.go
@@ -2,8 +2,8 @@
 // cheapest path there is, so that those who come in are served in time. It does no I/O and is handed the clock; it is not
 // safe for concurrent use.
 //
-// The sign of overload is the lag of the broker's loop: how long an event waits until it is taken. All work of a request
-// waits in queues as long as that one, several times. While the lag stays above its target the door lets fewer in from
+// The sign of overload is the broker's lag: how long what could run waits for a processor, or an event for the loop. A
+// request waits for as long several times. While the lag stays above its target the door lets fewer in from
 // window to window, and more again once it is below ("overload control for scaling WeChat microservices", Zhou et al.
 // 2018, does so by priorities; the pace is additive increase, multiplicative decrease). Who comes in goes by rank: a
 // volume within its reserve before any other, then by the worth of the class. Of the rank that is let in by part, an
@@ -95,11 +95,11 @@
 	allowed  float64 // a window, while it is shut
 	marginal int     // the rank that is let in by part
 	part     float64 // of it
+	owed     float64 // of it, by the requests so far
 	usual    float64 // that came in, in the mean over windows
 	cutAt    float64 // what was allowed when it was last cut
 	rests    int     // windows until it may be cut again
 	best     float64 // the most that came in lately in a window without overload
-	owed     float64 // of it, by the requests so far
 	quiet    int     // windows in which all would have come in
 	excess   float64 // offered for each one let in, smoothed
 }
@@ -239,7 +239,7 @@
 	return true
 }
 
-// Lag tells how long the event that waited longest in the loop's queue had waited when it was taken.
+// Lag tells for how long work has waited since the last call.
 func (d *Door) Lag(now, lag Micros) {
 	d.lags++
 	d.lag += (lag - d.lag) / Micros(d.lags)
@@ -267,9 +267,8 @@
 	} else if total == 0 {
 		d.smoothed /= 2 // nothing came, nothing waited
 	}
-	lag := d.lag
-	over := d.set.Target > 0 && d.lags > 0 && min(d.lag, d.smoothed) > d.set.Target
-	came := d.came
+	lag, came := d.lag, d.came
+	over := d.set.Target > 0 && d.lags > 0 && min(lag, d.smoothed) > d.set.Target
 	d.lag, d.lags, d.came = 0, 0, 0
 	d.best *= 1 - fading
 	if !over {
--- a/broker/bench_test.go
+++ b/broker/bench_test.go
@@ -3,20 +3,27 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"junctionwharf/logic"
 )
 
-// settled returns a state that knows so many nodes, each with a shard of its own, and holds so many requests that no node can
-// take.
-func settled(b *testing.B, nodes, held, volumes int) (*State, []Node) {
+// benchState returns a new state with a class of such an aim, a plan that pays for all, and further ones.
+func benchState(b *testing.B, aim time.Duration, plans ...logic.Plan) *State {
 	b.Helper()
-	s, err := NewState(logic.Settings{Hosts: 1, MeanUnits: 2, MaxUnits: 8,
-		Classes: []logic.Class{{Name: "read", Aim: 1e9 * 60, Deadline: 2e9 * 60, Worth: 1}},
-		Plans:   []logic.Plan{{Name: "plan", Rate: 1e6, Reserve: 1e6, Weight: 1, Price: 1}}, Bounds: logic.Bounds{MaxAttempts: 3}}, 1)
+	s, err := NewState(logic.Settings{Hosts: 1, MeanUnits: 2, MaxUnits: 8, Classes: []logic.Class{{Name: "read", Aim: aim, Deadline: 2 * aim, Worth: 1}},
+		Plans: append(plans, logic.Plan{Name: "plan", Rate: 1e6, Reserve: 1e6, Weight: 1, Price: 1}), Bounds: logic.Bounds{MaxAttempts: 3}}, 1)
 	if err != nil {
 		b.Fatal(err)
 	}
+	return s
+}
+
+// settled returns a state that knows so many nodes, each with a shard of its own, and holds so many requests that no node can
+// take.
+func settled(b *testing.B, nodes, held, volumes int) (*State, []Node) {
+	b.Helper()
+	s := benchState(b, time.Minute)
 	var list []Node
 	for i := range nodes {
 		list = append(list, Node{NodeInfo: logic.NodeInfo{Node: fmt.Sprint("n", i), Shard: i}, Address: fmt.Sprint("10.0.0.1:", i+1)})
@@ -95,11 +102,7 @@
 	for _, held := range []int{10, 1000, 10_000, 100_000} {
 		for _, volumes := range []int{10, 1000, 100_000} {
 			b.Run(fmt.Sprintf("held=%d/volumes=%d", held, volumes), func(b *testing.B) {
-				s, err := NewState(logic.Settings{Hosts: 1, MeanUnits: 2, MaxUnits: 8, Classes: []logic.Class{{Name: "read", Aim: 1e9 * 600, Deadline: 2e9 * 600, Worth: 1}},
-					Plans: []logic.Plan{{Name: "poor", Rate: 0.001, Weight: 1, Price: 1}, {Name: "plan", Rate: 1e6, Reserve: 1e6, Weight: 1, Price: 1}}, Bounds: logic.Bounds{MaxAttempts: 3}}, 1)
-				if err != nil {
-					b.Fatal(err)
-				}
+				s := benchState(b, 10*time.Minute, logic.Plan{Name: "poor", Rate: 0.001, Weight: 1, Price: 1})
 				var list []Node
 				for i := range 10 {
 					list = append(list, Node{NodeInfo: logic.NodeInfo{Node: fmt.Sprint("n", i), Shard: i}, Address: fmt.Sprint("10.0.0.1:", i+1)})
@@ -116,23 +119,18 @@
 					}
 					arrivals = append(arrivals, Arrived{ID: uint64(1<<42 + i), Request: &Request{Class: "read", Plan: "poor", Volume: fmt.Sprint("v", volume), Units: 8, Shard: i % 10, Hosts: 1, Wait: 600 * Second}})
 				}
-				end := func(now Micros, effects []Effect) {
-					var ended []Event
-					for _, e := range effects {
-						if start, is := e.(Start); is {
-							ended = append(ended, Ended{ID: start.ID, Attempt: start.Number, Result: Result{Load: logic.NoLoad}})
-						}
-					}
-					for len(ended) > 0 {
-						effects, ended = s.Reduce(now, ended), nil
+				end := func(now Micros, events []Event) { // and of each that is sent its ending
+					for len(events) > 0 {
+						effects := s.Reduce(now, events)
+						events = nil
 						for _, e := range effects {
 							if start, is := e.(Start); is {
-								ended = append(ended, Ended{ID: start.ID, Attempt: start.Number, Result: Result{Load: logic.NoLoad}})
+								events = append(events, Ended{ID: start.ID, Attempt: start.Number, Result: Result{Load: logic.NoLoad}})
 							}
 						}
 					}
 				}
-				end(Second+1, s.Reduce(Second+1, arrivals))
+				end(Second+1, arrivals)
 				if waits := s.Open(); waits < held/2 {
 					b.Fatalf("%d wait", waits)
 				}
@@ -141,7 +139,7 @@
 				for b.Loop() {
 					id++
 					now += 10
-					end(now, s.Reduce(now, []Event{Arrived{ID: id, Request: &Request{Class: "read", Plan: "plan", Volume: "rich", Units: 1, Shard: int(id) % 10, Hosts: 1, Wait: 600 * Second}}}))
+					end(now, []Event{Arrived{ID: id, Request: &Request{Class: "read", Plan: "plan", Volume: "rich", Units: 1, Shard: int(id) % 10, Hosts: 1, Wait: 600 * Second}}})
 				}
 			})
 		}
@@ -161,11 +159,7 @@
 	b.Run("first", func(b *testing.B) {
 		for b.Loop() {
 			b.StopTimer()
-			s, err := NewState(logic.Settings{Hosts: 1, MeanUnits: 2, MaxUnits: 8, Classes: []logic.Class{{Name: "read", Aim: 1e9 * 60, Deadline: 2e9 * 60, Worth: 1}},
-				Plans: []logic.Plan{{Name: "plan", Rate: 1e6, Reserve: 1e6, Weight: 1, Price: 1}}}, 1)
-			if err != nil {
-				b.Fatal(err)
-			}
+			s := benchState(b, time.Minute)
 			b.StartTimer()
 			s.Reduce(2*Second, []Event{Listed{Kind: logic.ListFull, Version: 2, Nodes: old}})
 		}
@@ -195,12 +189,11 @@
 func BenchmarkTick(b *testing.B) {
 	for _, c := range []struct{ nodes, held, volumes int }{{10, 10, 10}, {10, 10, 100_000}, {10, 10_000, 10}, {10, 100_000, 100_000}, {10_000, 10, 10}, {10_000, 100_000, 100_000}} {
 		b.Run(fmt.Sprintf("nodes=%d/held=%d/volumes=%d", c.nodes, c.held, c.volumes), func(b *testing.B) {
-			s, list := settled(b, c.nodes, c.held, c.volumes)
+			s, _ := settled(b, c.nodes, c.held, c.volumes)
 			var seen []Event
 			for i := range c.volumes { // volumes that were active
 				seen = append(seen, Arrived{ID: uint64(1<<43 + i), Request: &Request{Class: "read", Plan: "plan", Volume: fmt.Sprint("v", i), Units: 1, Shard: -1, Hosts: 1, Wait: 60 * Second}})
 			}
-			_ = list
 			s.Reduce(Second+2, seen)
 			for i := range c.volumes {
 				s.Reduce(Second+3, []Event{Left{ID: uint64(1<<43 + i)}})
--- a/cmd/wharflab/curve.go
+++ b/cmd/wharflab/curve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -101,12 +100,8 @@
 		}
 	}
 	clearProgress()
-	if err := writeTo(cmd.String("json"), func(w io.Writer) error {
-		encoder := json.NewEncoder(w)
-		encoder.SetIndent("", " ")
-		return encoder.Encode(points)
-	}); err != nil {
-		return fmt.Errorf("--json: %w", err)
+	if err := saveJSON(cmd, points); err != nil {
+		return err
 	}
 	return printCurve(os.Stdout, points, cmd.Duration("for"))
 }
--- a/cmd/wharflab/load.go
+++ b/cmd/wharflab/load.go
@@ -142,6 +142,19 @@
 	return file.Close()
 }
 
+// saveJSON writes a value where --json says.
+func saveJSON(cmd *cli.Command, value any) error {
+	err := writeTo(cmd.String("json"), func(w io.Writer) error {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", " ")
+		return encoder.Encode(value)
+	})
+	if err != nil {
+		return fmt.Errorf("--json: %w", err)
+	}
+	return nil
+}
+
 // tallies names the tallies of a result.
 func tallies(r *load.Result, each func(group, name string, t *load.Tally)) {
 	for i, t := range r.ByKind {
--- a/cmd/wharflab/sinks.go
+++ b/cmd/wharflab/sinks.go
@@ -303,12 +303,8 @@
 		}
 	}
 	clearProgress()
-	if err := writeTo(cmd.String("json"), func(w io.Writer) error {
-		encoder := json.NewEncoder(w)
-		encoder.SetIndent("", " ")
-		return encoder.Encode(runs)
-	}); err != nil {
-		return fmt.Errorf("--json: %w", err)
+	if err := saveJSON(cmd, runs); err != nil {
+		return err
 	}
 	return compareRuns(os.Stdout, runs, random)
 }
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -184,7 +184,6 @@
 	direct  bool      // by the reader
 	ended   bool      // nothing more is read; what is owed is still written unless gone
 	gone    bool
-	parting bool // the client was told of the end; nothing more is taken
 
 	released bool // the writer has ended and given all slots back
 }
@@ -248,15 +247,12 @@
 		c.Wake()
 		return true
 	}
-	c.mu.Lock()
-	c.parting = true
-	c.mu.Unlock()
+	c.guard.part()
 	if c.guard.phase.Load() == halfWay {
 		c.guard.SetWriteDeadline(time.Now().Add(time.Millisecond)) // no answer waits, so that there is room for a line
 		writeAll(c.guard.Conn, answer(broker.Final{Verdict: broker.Refused, After: c.front.terms.Load().After}))
 	}
 	half.CloseWrite()
-	c.guard.part()
 	return true
 }
 
@@ -291,11 +287,8 @@
 	}
 }
 
-func (c *client) parts() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.parting
-}
+// parts tells whether the client was told of the end; nothing more is taken.
+func (c *client) parts() bool { return c.guard != nil && c.guard.parting.Load() }
 
 // owed tells whether the client waits for an answer or takes one.
 func (c *client) owed() bool {
@@ -367,7 +360,7 @@
 // the way through the writer. It tells whether the connection is of further use.
 func (c *client) turnAway(final *broker.Final) bool {
 	c.mu.Lock()
-	if len(c.slots) > 0 || c.writing || c.parting || c.released {
+	if len(c.slots) > 0 || c.writing || c.parts() || c.released {
 		c.mu.Unlock()
 		return c.push(&slot{ready: true, refusal: true, text: answer(*final)})
 	}
@@ -398,7 +391,7 @@
 	for len(c.slots) >= maxPipeline && !c.released {
 		c.room.Wait()
 	}
-	released := c.released || c.parting
+	released := c.released || c.parts()
 	if released { // the writer has ended, so nobody would give the slot back
 		c.front.budget.Give(s.size)
 	} else {
--- a/logic/held.go
+++ b/logic/held.go
@@ -144,12 +144,10 @@
 	id  uint64
 }
 
-func (m mark) compare(r *request) int {
+func atMark(r *request, m mark) int {
 	return cmp.Or(cmp.Compare(r.due, m.due), cmp.Compare(r.ID, m.id))
 }
 
-func atMark(r *request, m mark) int { return m.compare(r) }
-
 // look begins a look, at all that is held or, if the last one moved nothing and nothing happened since that could move what
 // it saw, at what came since.
 func (s *shard) look(g *Gateway) *look {
@@ -172,7 +170,7 @@
 	case l.only:
 		list = s.fresh
 	case l.late:
-		if l.i < len(s.late) && s.marks[l.pass].compare(s.late[l.i]) < 0 {
+		if l.i < len(s.late) && atMark(s.late[l.i], s.marks[l.pass]) < 0 {
 			return s.late[l.i]
 		}
 		l.late = false
@@ -220,13 +218,7 @@
 }
 
 func (s *shard) drop(r *request) {
-	s.held = remove(s.held, r)
-	if len(s.fresh) > 0 {
-		s.fresh = remove(s.fresh, r)
-	}
-	if len(s.late) > 0 {
-		s.late = remove(s.late, r)
-	}
+	s.held, s.fresh, s.late = remove(s.held, r), remove(s.fresh, r), remove(s.late, r)
 	if r.fickle {
 		s.fickle--
 	}
