--- a/cmd/junctionwharf/main.go
+++ b/cmd/junctionwharf/main.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -29,6 +30,11 @@
 // flags name the file of what is off on the platform.
 var flags = []cli.Flag{&cli.StringFlag{Name: "site", Usage: "read the second front and the metrics from `FILE` (such as deploy/site.toml)"}}
 
+// serveFlags turn off what a platform may not give.
+var serveFlags = []cli.Flag{
+	&cli.BoolFlag{Name: "handover", Value: true, Usage: "meet a process that replaces this one over a Unix socket in $TMPDIR"},
+}
+
 var logFlags = []cli.Flag{
 	&cli.StringFlag{Name: "log-format", Value: "human", Usage: "`FORMAT` of the log: human or json"},
 	&cli.StringFlag{Name: "log-level", Value: "info", Usage: "least `LEVEL` that is logged: debug, info, warn or error"},
@@ -46,7 +52,7 @@
 		Name:  "junctionwharf",
 		Usage: "broker in front of storage nodes",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve until SIGTERM; SIGHUP rereads the configuration", Flags: append(logFlags, flags...), Action: serveCommand},
+			{Name: "serve", Usage: "serve until SIGTERM; SIGHUP rereads the configuration", Flags: slices.Concat(logFlags, flags, serveFlags), Action: serveCommand},
 			{Name: "check", Usage: "check the configuration and say what it holds", Flags: flags, Action: checkCommand},
 			{Name: "nodes", Usage: "print the list of storage nodes, from a running broker's console or else from its sources", Flags: flags, Action: nodesCommand},
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
@@ -79,6 +85,7 @@
 	if err != nil {
 		return err
 	}
+	c.NoHandover = !cmd.Bool("handover")
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	return daemon.Serve(ctx, c, log, reload, func() (*config.Config, error) { return load(cmd) })
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,6 +46,7 @@
 	Known      *discovery.List // nil if none is held
 	Settings   *Settings
 	Site       Site // all off unless a file says otherwise
+	NoHandover bool // no meeting of processes over a Unix socket: a platform that has none says so
 
 	keys keys // that the file holds
 }
--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -5,10 +5,12 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -434,3 +436,55 @@
 		t.Errorf("%+v, %v", site, err)
 	}
 }
+
+// lockedBuffer takes log lines from several goroutines.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// Where the platform has no Unix sockets the handover stays off: the broker serves, says so once, and leaves no socket.
+func TestServeWithoutHandover(t *testing.T) {
+	dir := t.TempDir()
+	t.Setenv("TMPDIR", dir)
+	discovery := serveList(t)
+	address := free(t)
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"settings":%s}`, address, discovery.Address(), settingsText)
+	c, err := config.Parse([]byte(text), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.NoHandover = true
+	var lines lockedBuffer
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- Serve(ctx, c, slog.New(slog.NewTextHandler(&lines, nil)), nil, nil) }()
+	conn := dial(t, address)
+	io.WriteString(conn, "*1\r\n$4\r\nPING\r\n")
+	if line, err := bufio.NewReader(conn).ReadString('\n'); line != "+PONG\r\n" {
+		t.Fatal(line, err)
+	}
+	if files, _ := filepath.Glob(filepath.Join(dir, "*.sock*")); len(files) > 0 {
+		t.Errorf("a socket was made: %v", files)
+	}
+	if !strings.Contains(lines.String(), "handover off") {
+		t.Errorf("the log does not say that the handover is off:\n%s", lines.String())
+	}
+	stop()
+	conn.Close()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/daemon/succeed.go
+++ b/internal/daemon/succeed.go
@@ -12,6 +12,10 @@
 // join meets the process that this one replaces, if there is one, and waits for a successor from then on. Without a
 // place to meet, the broker serves all the same: its clients count for more than a smooth replacing.
 func (s *service) join() {
+	if s.config.NoHandover {
+		s.log.Info("handover off", "reason", "--handover=false: a process that starts beside this one serves beside it and takes nothing over")
+		return
+	}
 	path := succession.Path(os.TempDir(), s.config.Listen)
 	office, met, err := succession.Open(path, succession.Side{Meet: s.meet, Take: s.take, Part: s.parted})
 	if err != nil {
