--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -85,11 +85,7 @@
 		t.Fatal(err)
 	}
 	defer carbon.Close()
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"settings":%s}`, address, discovery.Address(), settingsText)
-	c, err := config.Parse([]byte(text), func(string) string { return "" })
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := brokerConfig(t, address, discovery.Address())
 	c.Site.SFTP.Listen, c.Site.SFTP.Connections = files, 4
 	c.Site.Graphite = config.Graphite{Receiver: config.Receiver{Address: carbon.Address(), IntervalS: 1, QueueBytes: 1 << 20}, Prefix: "wharf", Transport: "tcp"}
 	ctx, stop := context.WithCancel(context.Background())
@@ -143,6 +139,16 @@
 	}
 }
 
+// brokerConfig is the configuration of one broker that listens at address and asks discovery there.
+func brokerConfig(t *testing.T, address, discovery string) *config.Config {
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"settings":%s}`, address, discovery, settingsText)
+	c, err := config.Parse([]byte(text), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
 // serveList starts a stand-in for discovery.
 func serveList(t *testing.T, hosts ...standin.Host) *standin.Discovery {
 	t.Helper()
@@ -461,11 +467,7 @@
 	t.Setenv("TMPDIR", dir)
 	discovery := serveList(t)
 	address := free(t)
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"settings":%s}`, address, discovery.Address(), settingsText)
-	c, err := config.Parse([]byte(text), func(string) string { return "" })
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := brokerConfig(t, address, discovery.Address())
 	c.NoHandover = true
 	var lines lockedBuffer
 	ctx, stop := context.WithCancel(context.Background())
