Spoil both ways of every link of the rig, and what discovery tells a broker

The rig broke answers of nodes alone. Now what brokers and clients send is delayed, lost, paced and cut too, datagrams come out of order, and discovery tells a broker nothing, too late, an empty list or one that contradicts the others'. Brokers restart in waves. An even draw, with which the worst second is compared, is the median of 41 and goes to nodes that serve in that second: one draw among all nodes scattered by a tenth and let the sound ones pay for the silent. A drain that discovery took back no longer counts.

--- a/internal/fleetrig/fleetrig_test.go
+++ b/internal/fleetrig/fleetrig_test.go
@@ -264,6 +264,85 @@
 	rig.served(t, 20, false) // no half answer is passed on
 }
 
+// Discovery tells one broker that there is no node, which binds it; another that two drain which the others hear to serve; and a third
+// all news late. Each keeps to what it was told, refuses at once what it has no node for, and serves again once it is over.
+func TestViewsThatContradict(t *testing.T) {
+	rig, ctx := started(t, Scenario{Brokers: 4, Node: Node{Count: 4}})
+	rig.served(t, 10, false)
+	for _, e := range []Event{{What: "empty", Brokers: []int{0}}, {What: "contradict", Brokers: []int{1}, Nodes: []int{0, 1}}, {What: "late", Brokers: []int{2}, MS: 300}} {
+		if err := rig.Strike(ctx, e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for rig.registry.toldLeaving("node-1", 1) == 0 {
+		if ctx.Err() != nil {
+			t.Fatal("the drain was never told")
+		}
+		rig.served(t, 1, false, 1, 2, 3)
+	}
+	for v := map[string]int{}; v["busy"] == 0; v = rig.Do(1, false, 0) {
+		if ctx.Err() != nil {
+			t.Fatal("the empty list was never told")
+		}
+	}
+	if v := rig.Do(20, true, 0); v["busy"] != 20 {
+		t.Errorf("without a node: %v", v)
+	}
+	rig.served(t, 20, false, 1, 2, 3)
+	rig.Counts()
+	rig.served(t, 20, false, 1)
+	if c := rig.Counts(); c[0]+c[1] > 0 || c[2]+c[3] < 20 {
+		t.Errorf("it was told that nodes 0 and 1 leave: %v", c)
+	}
+	rig.served(t, 30, false, 2, 3)
+	even(t, rig.Counts())
+	if rig.registry.toldLeaving("node-1", 0) > 0 {
+		t.Error("a drain was told to a broker that was told of none")
+	}
+	for _, p := range rig.brokers {
+		rig.registry.view(p.number, view{})
+	}
+	for back := map[int]bool{}; len(back) < 2; {
+		if ctx.Err() != nil {
+			t.Fatal("the nodes that serve again are not used")
+		}
+		rig.Counts()
+		rig.served(t, 5, false, 1)
+		back[1] = back[1] || rig.Counts()[0] > 0
+		if rig.Do(1, false, 0)["served"] == 1 {
+			back[0] = true
+		}
+		for b, is := range back {
+			if !is {
+				delete(back, b)
+			}
+		}
+	}
+}
+
+// Links that lose and delay both ways, datagrams out of order, and clients that send slowly or break off in the middle: no request
+// that was sent whole is lost, and no rule is broken.
+func TestPoorLinksEverywhere(t *testing.T) {
+	rig, ctx := started(t, Scenario{Brokers: 4, Peers: true, Node: Node{Count: 4}})
+	for _, e := range []Event{{What: "delay", Nodes: []int{0}, MS: 5, JitterMS: 10, Way: "both"}, {What: "loss", Nodes: []int{1}, By: 0.05, Way: "requests"},
+		{What: "datagrams", Brokers: []int{0, 1}, MS: 1, JitterMS: 50}, {What: "client_delay", Brokers: []int{1}, MS: 1, JitterMS: 5},
+		{What: "client_pace", Brokers: []int{2}, By: 20_000}} {
+		if err := rig.Strike(ctx, e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rig.served(t, 30, false)
+	if err := rig.Strike(ctx, Event{What: "client_cut", Brokers: []int{3}, By: 40}); err != nil {
+		t.Fatal(err)
+	}
+	if v := rig.Do(10, true, 3); v[cut] != 10 {
+		t.Errorf("%v", v)
+	}
+	if c := rig.Do(20, true, 0, 1, 2); c["served"] != 60 {
+		t.Errorf("%v", c)
+	}
+}
+
 // Nothing outlives the rig: the kernel ends its processes when it is killed itself.
 func TestChildrenDieWithTheRig(t *testing.T) {
 	if os.Getenv("FLEETRIG_CHILD") != "" { // the rig that is to be killed
@@ -375,6 +454,7 @@
 		good: "", good + "[[event]]\nwhat = \"silent\"\nnodes = [2]\n": "event[0].nodes", good + "[[event]]\nwhat = \"vanish\"\nnodes = [1]\n": "event[0].what",
 		"brokers = 0\n": "brokers", good + "speed = 3\n": "node.speed: unknown key", good + "[[event]]\nwhat = \"kill\"\n": "event[0]: no target",
 		strings.Replace(good, "rate = 1", "rate = 100000", 1): "rate", good + "[[event]]\nwhat = \"slow\"\nnodes = [1]\n": "event[0].by",
+		good + "[[event]]\nwhat = \"silent\"\nnodes = [1]\nway = \"both\"\n": "event[0].way", good + "[[event]]\nwhat = \"contradict\"\nbrokers = [1]\n": "event[0].nodes",
 	} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
--- a/internal/fleetrig/journal.go
+++ b/internal/fleetrig/journal.go
@@ -205,7 +205,7 @@
 	defer j.mu.Unlock()
 	for _, s := range j.order {
 		switch {
-		case s.brokerEnd:
+		case s.brokerEnd, s.verdict == cut:
 		case s.answered == 0 || s.verdict == "lost":
 			j.breach("no final answer", s)
 		case s.answered > s.sent+s.deadline+answerSlack:
--- a/internal/fleetrig/node.go
+++ b/internal/fleetrig/node.go
@@ -16,17 +16,40 @@
 
 // fault is what is wrong between a broker and a node. The zero value is nothing.
 type fault struct {
-	silent bool          // what the node would say is not sent, nor is more read
-	oneway bool          // what it would say is not sent, but it reads and works
-	delay  time.Duration // of answers
+	silent bool    // what the node would say is not sent, nor is more read
+	oneway bool    // what it would say is not sent, but it reads and works
+	out    way     // answers
+	in     way     // requests
+	pace   float64 // bytes a second of answers, 0 for no bound
+	cutAt  int     // the connection is reset behind so many bytes of an answer, 0 for never
+}
+
+// way is one direction of a link.
+type way struct {
+	delay  time.Duration
 	jitter time.Duration // drawn on top of it
-	pace   float64       // bytes a second of answers, 0 for no bound
-	cutAt  int           // the connection is reset behind so many bytes of an answer, 0 for never
+	loss   float64       // part of what is sent that TCP sends again
+}
+
+func (w way) and(v way) way {
+	return way{w.delay + v.delay, w.jitter + v.jitter, max(w.loss, v.loss)}
+}
+
+// retransmit is when TCP first sends again what was lost; each further time takes twice as long.
+const retransmit = 200 * time.Millisecond
+
+// takes is how long something is on the way.
+func (w way) takes(random *rand.Rand) time.Duration {
+	span := w.delay + time.Duration(random.Float64()*float64(w.jitter))
+	for again := retransmit; random.Float64() < w.loss && again <= 8*retransmit; again *= 2 {
+		span += again
+	}
+	return span
 }
 
 // and is what holds where two things are wrong.
 func (f fault) and(g fault) fault {
-	return fault{f.silent || g.silent, f.oneway || g.oneway, f.delay + g.delay, f.jitter + g.jitter, max(f.pace, g.pace), max(f.cutAt, g.cutAt)}
+	return fault{f.silent || g.silent, f.oneway || g.oneway, f.out.and(g.out), f.in.and(g.in), max(f.pace, g.pace), max(f.cutAt, g.cutAt)}
 }
 
 // node is a stand-in: so many slots, a queue, a speed, a cold start.
@@ -248,10 +271,16 @@
 	}
 	n, id, list := c.node, string(cmd.Args[2]), string(cmd.Args[3])
 	units := standin.Field(list, "units")
-	now := Now()
 	n.mu.Lock()
-	blocked := n.fault(c.broker).silent
+	f := n.fault(c.broker)
+	blocked, late := f.silent, f.in.takes(n.random)
 	n.mu.Unlock()
+	if late > 0 {
+		if time.Sleep(late); c.over() {
+			return "" // called off before the node saw it
+		}
+	}
+	now := Now()
 	if blocked { // it never sees the command while the link is silent, and what it then reads is over
 		n.mu.Lock()
 		for n.fault(c.broker).silent && !n.down && !n.rig.ended() {
@@ -299,9 +328,10 @@
 		}
 		n.served[at]++
 	}
-	f, held, lie, jitter := n.fault(c.broker), n.holding, n.lie, n.random.Float64()
+	f = n.fault(c.broker)
+	held, lie, wait := n.holding, n.lie, f.out.takes(n.random)
 	n.mu.Unlock()
-	if wait := f.delay + time.Duration(jitter*float64(f.jitter)); wait > 0 {
+	if wait > 0 {
 		time.Sleep(wait)
 	}
 	if f.silent || f.oneway {
--- a/internal/fleetrig/play.go
+++ b/internal/fleetrig/play.go
@@ -111,7 +111,17 @@
 			return
 		}
 		conn.SetDeadline(time.Now().Add(s.deadline + 2*time.Second))
-		_, err = io.WriteString(conn, text)
+		c.broker.mu.Lock()
+		link := c.broker.clients
+		c.broker.mu.Unlock()
+		if link.cutAt > 0 && link.cutAt < len(text) {
+			io.WriteString(conn, text[:link.cutAt])
+			conn.Conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+			c.rig.journal.answer(s, cut, false)
+			return
+		}
+		err = link.send(conn, text, key)
 		verdict := "lost"
 		if err == nil {
 			verdict, err = readAnswer(conn.in)
@@ -133,6 +143,32 @@
 	}
 }
 
+// cut is the verdict on a request that its client did not send whole: it is owed nothing.
+const cut = "cut"
+
+// clientLink is the way from a broker's clients to it.
+type clientLink struct {
+	way
+	pace  float64 // bytes a second, 0 for no bound
+	cutAt int     // clients reset behind so many bytes, 0 for never
+}
+
+func (l clientLink) send(to io.Writer, text string, seed uint64) error {
+	if l.delay > 0 || l.jitter > 0 {
+		time.Sleep(l.takes(rand.New(rand.NewPCG(seed, 1))))
+	}
+	const piece = 32
+	for l.pace > 0 && len(text) > piece {
+		if _, err := io.WriteString(to, text[:piece]); err != nil {
+			return err
+		}
+		text = text[piece:]
+		time.Sleep(time.Duration(piece / l.pace * float64(time.Second)))
+	}
+	_, err := io.WriteString(to, text)
+	return err
+}
+
 func readAnswer(in *bufio.Reader) (string, error) {
 	line, err := in.ReadString('\n')
 	if err != nil {
@@ -209,7 +245,16 @@
 		return nil
 	}
 	if slices.Contains(brokerEvents, e.What) {
-		return r.strike(ctx, e)
+		all := e.Brokers
+		for waves := max(1, e.Waves); len(all) > 0; waves-- {
+			some := (len(all) + waves - 1) / waves
+			if e.Brokers, all = all[:some], all[some:]; ctx.Err() == nil {
+				if err := r.strike(ctx, e); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
 	}
 	from := e.Brokers
 	if len(from) == 0 {
@@ -230,22 +275,32 @@
 	case "oneway":
 		all(func(f *fault) { f.oneway = true })
 		undo = func() { all(func(f *fault) { f.oneway = false }) }
-	case "delay", "pace", "cut":
-		span, jitter := time.Duration(e.MS*float64(time.Millisecond)), time.Duration(e.JitterMS*float64(time.Millisecond))
-		pace, cutAt := 0.0, 0
-		if e.What == "pace" {
+	case "delay", "loss", "pace", "cut":
+		w, pace, cutAt := way{delay: milliseconds(e.MS), jitter: milliseconds(e.JitterMS)}, 0.0, 0
+		switch e.What {
+		case "loss":
+			w.loss = e.By
+		case "pace":
 			pace = e.By
-		} else if e.What == "cut" {
+		case "cut":
 			cutAt = int(e.By)
 		}
-		all(func(f *fault) {
-			f.delay, f.jitter, f.pace, f.cutAt = f.delay+span, f.jitter+jitter, f.pace+pace, f.cutAt+cutAt
-		})
-		undo = func() {
-			all(func(f *fault) {
-				f.delay, f.jitter, f.pace, f.cutAt = f.delay-span, f.jitter-jitter, f.pace-pace, f.cutAt-cutAt
-			})
+		by := func(sign int) func(*fault) {
+			add := func(to *way) {
+				to.delay, to.jitter, to.loss = to.delay+time.Duration(sign)*w.delay, to.jitter+time.Duration(sign)*w.jitter, to.loss+float64(sign)*w.loss
+			}
+			return func(f *fault) {
+				if e.Way != "requests" {
+					add(&f.out)
+				}
+				if e.Way == "requests" || e.Way == "both" {
+					add(&f.in)
+				}
+				f.pace, f.cutAt = f.pace+float64(sign)*pace, f.cutAt+sign*cutAt
+			}
 		}
+		all(by(1))
+		undo = func() { all(by(-1)) }
 	case "slow", "lie":
 		each := func(speed float64, lie bool) {
 			for _, i := range e.Nodes {
@@ -353,7 +408,7 @@
 				r.excuse(b)
 				p.command.Process.Signal(syscall.SIGCONT)
 				p.setDown(false)
-			case "deaf", "stale", "blind":
+			default:
 				r.spoil(p, e, true)
 				if e.ForS > 0 {
 					r.sleep(ctx, seconds(e.ForS))
@@ -372,20 +427,47 @@
 }
 
 func (r *Rig) spoil(p *process, e Event, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := way{delay: milliseconds(e.MS), jitter: milliseconds(e.JitterMS)}
+	if !on {
+		w, e.By = way{}, 0
+	}
 	switch e.What {
 	case "deaf":
-		p.mu.Lock()
-		if p.deafBy = 0; on {
-			p.deafBy = max(e.By, 1e-9)
+		if p.datagrams.loss = 0; on {
+			p.datagrams.loss = e.By
 			if e.By == 0 {
-				p.deafBy = 1
+				p.datagrams.loss = 1
 			}
 		}
-		p.mu.Unlock()
-	case "stale":
-		r.registry.view(p.number, on, false)
-	case "blind":
-		r.registry.view(p.number, false, on)
+	case "datagrams":
+		p.datagrams.delay, p.datagrams.jitter = w.delay, w.jitter
+	case "client_delay":
+		p.clients.way = w
+	case "client_pace":
+		p.clients.pace = e.By
+	case "client_cut":
+		p.clients.cutAt = int(e.By)
+	default:
+		v := view{late: -1}
+		if on {
+			switch e.What {
+			case "stale":
+				v.stale = true
+			case "late":
+				v.late = w.delay
+			case "blind":
+				v.blind = true
+			case "empty":
+				v.empty = true
+			case "contradict":
+				for _, i := range e.Nodes {
+					v.leaving = append(v.leaving, r.nodes[i].name)
+				}
+			}
+		}
+		r.registry.view(p.number, v)
 	}
 }
 
@@ -418,7 +500,7 @@
 	Busy    int     `json:"busy"`
 	Failed  int     `json:"failed"`
 	Lost    int     `json:"lost"`
-	Down    int     `json:"broker_down"` // those whose broker was ended or stopped meanwhile; they count nowhere else
+	Down    int     `json:"broker_down"` // those whose broker was ended or stopped meanwhile, or whose client broke off; they count nowhere else
 	Late    int     `json:"late"`        // answered after the deadline and the protocol's slack of 58 ms
 	P50     int64   `json:"p50_us"`
 	P99     int64   `json:"p99_us"`
@@ -426,7 +508,7 @@
 	Worst   float64 `json:"worst_second"` // fullest over mean
 	Idle    int     `json:"idle_nodes"`
 	WorstAt string  `json:"worst_at"`
-	Random  float64 `json:"random_worst_second"` // had each request gone to a node drawn evenly
+	Random  float64 `json:"random_worst_second"` // had each request gone to a node drawn evenly from those that could be used: the median of draws
 }
 
 const protocolSlack = 58 * time.Millisecond
@@ -494,7 +576,7 @@
 		if at < from || at >= to {
 			continue
 		}
-		if s.brokerEnd {
+		if s.brokerEnd || s.verdict == cut {
 			p.Down++
 			continue
 		}
@@ -522,9 +604,13 @@
 	r.journal.mu.Unlock()
 	p.P50, p.P99 = latency.ValueAtPercentile(50), latency.ValueAtPercentile(99)
 	p.Full, p.Idle = fullest(counts)
-	random := rand.New(rand.NewPCG(r.scenario.Seed, 77))
+	for _, n := range r.nodes {
+		if (n.born - began).Seconds() >= to {
+			p.Idle-- // it joined later
+		}
+	}
+	p.Random = r.drawnWorst(from, bySecond)
 	for i, second := range bySecond {
-		p.Random = max(p.Random, drawnFullest(random, second))
 		if full, _ := fullest(second); full > p.Worst {
 			p.Worst = full
 			p.WorstAt = fmt.Sprintf("%s at %g s", r.nodes[slices.Index(second, slices.Max(second))].name, from+float64(i))
@@ -586,6 +672,58 @@
 	return index
 }
 
+// draws is how often the phase is drawn anew for the comparison: a worst second of one draw scatters by a tenth.
+const draws = 41
+
+// drawnWorst is the median over draws of a phase's worst second, had each request gone to a node drawn evenly from those that
+// no event kept from serving for any of that second.
+func (r *Rig) drawnWorst(from float64, bySecond [][]int) float64 {
+	random := rand.New(rand.NewPCG(r.scenario.Seed, 77))
+	worst := make([]float64, draws)
+	for i, second := range bySecond {
+		sum := 0
+		for _, c := range second {
+			sum += c
+		}
+		usable := r.usable(from+float64(i), from+float64(i)+1)
+		for k := range worst {
+			drawn := make([]int, len(second))
+			for range sum {
+				drawn[usable[random.IntN(len(usable))]]++
+			}
+			full, _ := fullest(drawn)
+			worst[k] = max(worst[k], full)
+		}
+	}
+	slices.Sort(worst)
+	return worst[draws/2]
+}
+
+// usable are the places of nodes that serve all brokers through a stretch of the run, or of all if there is none.
+func (r *Rig) usable(from, to float64) []int {
+	var places []int
+	for i, n := range r.nodes {
+		out := n.born > 0 && (n.born-r.journal.began).Seconds() > from
+		for _, e := range r.scenario.Events {
+			ends := e.AtS + e.ForS
+			if e.ForS == 0 {
+				ends = r.scenario.ForS
+			}
+			takesOut := slices.Contains([]string{"silent", "oneway", "crash", "drain"}, e.What) && len(e.Brokers) == 0
+			out = out || takesOut && slices.Contains(e.Nodes, n.number) && e.AtS < to && ends > from
+		}
+		if !out {
+			places = append(places, i)
+		}
+	}
+	if len(places) == 0 {
+		for i := range r.nodes {
+			places = append(places, i)
+		}
+	}
+	return places
+}
+
 // drawnFullest is what fullest would be, had each of these requests gone to a node drawn evenly.
 func drawnFullest(random *rand.Rand, counts []int) float64 {
 	drawn := make([]int, len(counts))
--- a/internal/fleetrig/rig.go
+++ b/internal/fleetrig/rig.go
@@ -52,11 +52,12 @@
 	config  string
 	env     []string
 
-	mu      sync.Mutex
-	command *exec.Cmd
-	done    chan struct{}
-	down    bool // it was ended or stopped by the rig, and does not serve
-	deafBy  float64
+	mu        sync.Mutex
+	command   *exec.Cmd
+	done      chan struct{}
+	down      bool // it was ended or stopped by the rig, and does not serve
+	clients   clientLink
+	datagrams way // to and from it
 }
 
 // New prepares a run: addresses, nodes, discovery and relays. Close ends it.
@@ -366,16 +367,16 @@
 
 	mu      sync.Mutex
 	version uint64
-	entries []listed
+	entries []listed // all that ever were, the newest last
 	news    chan struct{}
-	frozen  map[int]uint64                   // brokers that hear of nothing behind a version
-	blind   map[int]bool                     // and those that are refused
+	views   map[int]view                     // spoilt, by broker
+	times   []time.Duration                  // of the versions, from 1 on
 	told    map[string]map[int]time.Duration // when a broker was told that a node leaves
 	calls   int
 }
 
 func newRegistry(r *Rig) (*registry, error) {
-	g := &registry{rig: r, address: fmt.Sprintf("127.%d.0.2:8500", r.block), version: 1, news: make(chan struct{}), frozen: map[int]uint64{}, blind: map[int]bool{},
+	g := &registry{rig: r, address: fmt.Sprintf("127.%d.0.2:8500", r.block), version: 1, news: make(chan struct{}), views: map[int]view{}, times: []time.Duration{Now()},
 		told: map[string]map[int]time.Duration{}}
 	for _, n := range r.nodes {
 		g.entries = append(g.entries, g.entry(n, "SERVING", 1))
@@ -402,28 +403,80 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.version++
+	g.times = append(g.times, Now())
 	for _, e := range changed {
 		e.version = g.version
-		g.entries = slices.DeleteFunc(g.entries, func(old listed) bool { return old.Host.Host == e.Host.Host })
 		g.entries = append(g.entries, e)
 	}
 	close(g.news)
 	g.news = make(chan struct{})
 }
 
-// view sets how a broker's view is spoilt.
-func (g *registry) view(broker int, stale, blind bool) {
+// view is how what a broker is told is spoilt.
+type view struct {
+	stale   bool // nothing behind version at
+	at      uint64
+	late    time.Duration // versions come so much later; below 0 for not
+	blind   bool
+	empty   bool     // no nodes at all
+	leaving []string // listed as draining
+}
+
+// view sets how a broker's view is spoilt. What it is told changes, so the version does.
+func (g *registry) view(broker int, v view) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.frozen, broker)
-	if stale {
-		g.frozen[broker] = g.version
+	v.at = g.version
+	changed := slices.Concat(v.leaving, g.views[broker].leaving)
+	whole := v.empty || g.views[broker].empty
+	g.views[broker] = v
+	if whole || len(changed) > 0 {
+		g.version++
+		g.times = append(g.times, Now())
+		for _, e := range g.latest(g.version) {
+			if whole || slices.Contains(changed, e.Host.Host) {
+				e.version = g.version
+				g.entries = append(g.entries, e)
+			}
+		}
 	}
-	g.blind[broker] = blind
 	close(g.news)
 	g.news = make(chan struct{})
 }
 
+// latest is the list as it was at a version; the caller holds g.mu.
+func (g *registry) latest(version uint64) []listed {
+	at := map[string]int{}
+	var list []listed
+	for _, e := range g.entries {
+		if e.version > version {
+			continue
+		}
+		if i, known := at[e.Host.Host]; known {
+			list[i] = e
+			continue
+		}
+		at[e.Host.Host] = len(list)
+		list = append(list, e)
+	}
+	return list
+}
+
+// visible is the latest version that a broker may hear of, and when the next one shows, 0 for not by time alone; the caller holds g.mu.
+func (g *registry) visible(broker int) (version uint64, next time.Duration) {
+	v, spoilt := g.views[broker]
+	switch {
+	case spoilt && v.stale:
+		return v.at, 0
+	case spoilt && v.late > 0:
+		for version = g.version; version > 1 && Now() < g.times[version-1]+v.late; version-- {
+			next = g.times[version-1] + v.late
+		}
+		return version, next
+	}
+	return g.version, 0
+}
+
 func (g *registry) toldLeaving(host string, broker int) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -440,10 +493,8 @@
 	defer late.Stop()
 	for over := !watch; ; {
 		g.mu.Lock()
-		version, news, blind := g.version, g.news, g.blind[broker]
-		if at, stale := g.frozen[broker]; stale {
-			version = at
-		}
+		news, blind := g.news, g.views[broker].blind
+		version, next := g.visible(broker)
 		if (over || version > index) && !blind {
 			g.calls++
 			w.Header().Set("Content-Type", "application/json")
@@ -456,8 +507,13 @@
 			http.Error(w, "discovery is down", http.StatusServiceUnavailable)
 			return
 		}
+		var shows <-chan time.Time
+		if next > 0 {
+			shows = time.After(next - Now())
+		}
 		select {
 		case <-news:
+		case <-shows:
 		case <-late.C:
 			over = true
 		case <-req.Context().Done():
@@ -469,8 +525,15 @@
 // text is the list up to a version, or what is newer than another; the caller holds g.mu.
 func (g *registry) text(broker int, since, version uint64, watch bool) []byte {
 	hosts := []standin.Host{}
-	for _, e := range g.entries {
-		if e.version > version || watch && e.version <= since || !watch && e.Health == "DELETED" {
+	v := g.views[broker]
+	for _, e := range g.latest(version) {
+		if slices.Contains(v.leaving, e.Host.Host) {
+			e.Health = "DRAINING"
+		}
+		if v.empty {
+			continue
+		}
+		if watch && e.version <= since || !watch && e.Health == "DELETED" {
 			continue
 		}
 		if e.Health != "SERVING" {
@@ -480,10 +543,12 @@
 			if g.told[e.Host.Host][broker] == 0 {
 				g.told[e.Host.Host][broker] = Now()
 			}
+		} else {
+			delete(g.told[e.Host.Host], broker)
 		}
 		hosts = append(hosts, e.Host)
 	}
-	text, _ := json.Marshal(map[string]any{"seq": version, "whole": !watch, "hosts": hosts})
+	text, _ := json.Marshal(map[string]any{"seq": version, "whole": !watch || v.empty, "hosts": hosts})
 	return text
 }
 
@@ -545,14 +610,22 @@
 			r.journal.breach(fmt.Sprintf("broker-%d sent a datagram of %d bytes", sender, n), nil)
 			r.journal.mu.Unlock()
 		}
-		if random.Float64() >= r.brokers[number].deaf() && random.Float64() >= r.brokers[sender].deaf() {
-			r.relays[sender].conn.WriteToUDP(buffer[:n], l.to)
+		to, back := r.brokers[number].peerLink(), r.brokers[sender].peerLink()
+		if random.Float64() < to.loss || random.Float64() < back.loss {
+			continue
+		}
+		both := way{delay: to.delay + back.delay, jitter: to.jitter + back.jitter}
+		if span := both.takes(random); span > 0 {
+			text := slices.Clone(buffer[:n])
+			time.AfterFunc(span, func() { r.relays[sender].conn.WriteToUDP(text, l.to) })
+			continue
 		}
+		r.relays[sender].conn.WriteToUDP(buffer[:n], l.to)
 	}
 }
 
-func (p *process) deaf() float64 {
+func (p *process) peerLink() way {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.deafBy
+	return p.datagrams
 }
--- a/internal/fleetrig/scenario.go
+++ b/internal/fleetrig/scenario.go
@@ -51,16 +51,21 @@
 	ForS     float64 `toml:"for_s"`     // 0: to the end
 	MS       float64 `toml:"ms"`        // of a delay
 	JitterMS float64 `toml:"jitter_ms"` // drawn on top of it
-	By       float64 `toml:"by"`        // of a speed; the part that is lost; bytes a second; the byte behind which an answer is cut
+	By       float64 `toml:"by"`        // of a speed; the part that is lost; bytes a second; the byte behind which an answer or a request is cut
+	Waves    int     `toml:"waves"`     // brokers are hit in so many groups, one behind another: a rolling restart; 0: all at once
+	Way      string  `toml:"way"`       // of a delay or loss: answers (as without it), requests or both
 }
 
-// What may happen. Of nodes: silent (accepts, never answers), slow (speed by), delay (of answers by ms), pace (of answers, by bytes
-// a second), cut (a reset behind so many bytes of an answer), reset (connections, once),
-// crash (refuses connections), join (cold, under a new name in place of none), drain, lie (reports an idle node).
+// What may happen. Of nodes: silent (accepts, never answers), slow (speed by), delay (by ms), loss (of the part by of the packets, each sent
+// again by TCP after its timeout), pace (of answers, by bytes a second), cut (a reset behind so many bytes of an answer), reset
+// (connections, once), crash (refuses connections), join (cold, under a new name in place of none), drain, lie (reports an idle node).
 // Of brokers: kill (and start again after for_s, if that is above 0), term, stop (SIGSTOP, then SIGCONT), deaf (peers' datagrams are
-// lost by the part by), stale (discovery says nothing new), blind (discovery refuses).
-var nodeEvents = []string{"silent", "slow", "delay", "pace", "cut", "reset", "crash", "join", "drain", "lie", "oneway"}
-var brokerEvents = []string{"kill", "term", "stop", "deaf", "stale", "blind"}
+// lost by the part by), datagrams (come ms later, and up to jitter_ms more: out of order), client_delay (what clients send comes ms later),
+// client_pace (at by bytes a second), client_cut (the client resets behind by bytes of each request).
+// Of a broker's view of discovery: stale (nothing new), late (everything new ms later), blind (refused), empty (a list without nodes),
+// contradict (nodes are listed as draining to these brokers alone).
+var nodeEvents = []string{"silent", "slow", "delay", "loss", "pace", "cut", "reset", "crash", "join", "drain", "lie", "oneway"}
+var brokerEvents = []string{"kill", "term", "stop", "deaf", "datagrams", "client_delay", "client_pace", "client_cut", "stale", "late", "blind", "empty", "contradict"}
 
 // The bounds of a scenario: it must run on one machine.
 const (
@@ -130,8 +135,18 @@
 			return fmt.Errorf("event[%d].at_s: %v is not within for_s", i, e.AtS)
 		case e.ForS < 0 || e.MS < 0 || e.JitterMS < 0 || e.By < 0 || e.Part < 0 || e.Part > 1:
 			return fmt.Errorf("event[%d]: for_s, ms, by and part can't be negative, nor part above 1", i)
-		case (e.What == "slow" || e.What == "pace" || e.What == "cut") && !(e.By > 0):
+		case slices.Contains([]string{"slow", "pace", "cut", "loss", "client_pace", "client_cut"}, e.What) && !(e.By > 0):
 			return fmt.Errorf("event[%d].by: a figure above 0 is wanted", i)
+		case e.What == "loss" && e.By > 0.9:
+			return fmt.Errorf("event[%d].by: a loss of %v is over 0.9", i, e.By)
+		case e.Waves < 0 || e.Waves > 0 && (ofNodes || e.ForS == 0):
+			return fmt.Errorf("event[%d].waves: is of events of brokers with for_s alone, and not below 0", i)
+		case e.Way != "" && e.Way != "answers" && e.Way != "requests" && e.Way != "both":
+			return fmt.Errorf("event[%d].way: %q is none of answers, requests and both", i, e.Way)
+		case e.Way != "" && e.What != "delay" && e.What != "loss":
+			return fmt.Errorf("event[%d].way: is of delay and loss alone", i)
+		case e.What == "contradict" && len(e.Nodes) == 0:
+			return fmt.Errorf("event[%d].nodes: those that these brokers hear to be draining are wanted", i)
 		case ofNodes && len(e.Nodes) == 0 && e.Part == 0 || !ofNodes && len(e.Brokers) == 0 && e.Part == 0:
 			return fmt.Errorf("event[%d]: no target: nodes, brokers or part", i)
 		}
@@ -168,3 +183,5 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
