Add the consensus under the agreed document: raft's core, record, keeper, disk

The decisions of agree/ had an oracle under them. node/consensus is a voter on go.etcd.io/raft's core, without I/O or clock: the record that its log builds, the keeper while it leads, joint replacement of a voter whose state is lost, and a bbolt file where a disk lasts. A leader grants while a majority confirmed it within half a second; a new one waits that out. agree/ gets epochs, so that voters without disks who were all restarted form anew and take over the latest document, drains that hold without a lease, and applies entries in place.

Simulated cluster of 3 real voters and 4 holders, drifting clocks, lost, late and reordered messages, stops, crashes with and without state: nobody acts on what the latest version forbids, proposals and reads are linearizable (porcupine). A lost identity that votes again, a stale read and a change prepared before it is committed are planted, and found.

--- a/agree/document.go
+++ b/agree/document.go
@@ -111,6 +111,21 @@
 // Floor implements Rule.
 func (Same) Floor() string { return "" }
 
+// Drain is the rule of what is told to all once it is known to one, and never has to be known: a node that leaves. Who is told of it
+// keeps to it, with a lease or without; who is cut off keeps to what it was told last.
+type Drain struct{ Switch }
+
+// Meet implements Rule.
+func (Drain) Meet(a, b string) string {
+	if a == "yes" || b == "yes" {
+		return "yes"
+	}
+	return "no"
+}
+
+// Kept marks rules whose values hold on without a lease.
+func (Drain) Kept() {}
+
 // Rules finds the rule of a key; false for a key that there is not.
 type Rules func(key string) (Rule, bool)
 
@@ -138,6 +153,7 @@
 
 // Document is the agreed values of one version. Values are shared between versions: a change costs by its size.
 type Document struct {
+	Epoch   uint64 // of the consensus that keeps it: drawn when it was formed, 0 for none
 	Version uint64
 	Values  map[string]string
 	Last    Entry
@@ -200,16 +216,35 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-// Apply brings the document to an entry's version. An entry that does not follow, or was altered, is refused and changes nothing.
-func (d *Document) Apply(e Entry) error {
+// follows tells what keeps e from coming behind last.
+func (e Entry) follows(last Entry) error {
 	switch {
-	case e.Version != d.Version+1:
-		return fmt.Errorf("version %d does not follow %d", e.Version, d.Version)
-	case e.Before != d.Last.Hash:
+	case e.Version != last.Version+1:
+		return fmt.Errorf("version %d does not follow %d", e.Version, last.Version)
+	case e.Before != last.Hash:
 		return fmt.Errorf("version %d builds on another history", e.Version)
 	case e.Hash != e.sum():
 		return fmt.Errorf("version %d was altered", e.Version)
 	}
+	return nil
+}
+
+// Apply brings the document to the version of the last entry. If one does not follow, or was altered, nothing changes.
+func (d *Document) Apply(entries ...Entry) error {
+	last := d.Last
+	for _, e := range entries {
+		if err := e.follows(last); err != nil {
+			return err
+		}
+		last = e
+	}
+	for _, e := range entries {
+		d.take(e)
+	}
+	return nil
+}
+
+func (d *Document) take(e Entry) {
 	if d.Values == nil {
 		d.Values = map[string]string{}
 	}
@@ -221,12 +256,11 @@
 		}
 	}
 	d.Version, d.Last = e.Version, e
-	return nil
 }
 
 // Clone is a document that changes apart from this one.
 func (d *Document) Clone() *Document {
-	return &Document{Version: d.Version, Values: maps.Clone(d.Values), Last: d.Last}
+	return &Document{Epoch: d.Epoch, Version: d.Version, Values: maps.Clone(d.Values), Last: d.Last}
 }
 
 // Back is the proposal that brings the values of an earlier version again.
--- a/agree/holder.go
+++ b/agree/holder.go
@@ -19,6 +19,7 @@
 	Holder  string
 	Number  uint64 // counts the holder's renewals
 	Life    uint64 // drawn at each start: a holder that restarted is another
+	Epoch   uint64 // of the document
 	Version uint64 // acted on
 	Ready   uint64 // the version prepared, 0 for none
 }
@@ -28,6 +29,7 @@
 	Holder  string
 	Number  uint64
 	Life    uint64
+	Epoch   uint64
 	Term    uint64
 	Whole   *Document // nil where entries do
 	Entries []Entry   // up to the version in force
@@ -72,7 +74,7 @@
 	if h.sent = append(h.sent, sentRenewal{h.number, now}); len(h.sent) > mostSent {
 		h.sent = h.sent[1:]
 	}
-	r := Renewal{Holder: h.name, Number: h.number, Life: h.life, Version: h.doc.Version}
+	r := Renewal{Holder: h.name, Number: h.number, Life: h.life, Epoch: h.doc.Epoch, Version: h.doc.Version}
 	if h.ready != nil {
 		r.Ready = h.ready.Version
 	}
@@ -81,9 +83,10 @@
 
 // Granted takes an answer and tells whether it counted. The lease runs from when the renewal was sent, on this holder's clock: the
 // granter reckons it from later, so it is never the longer one here. What an earlier leader sends late is dropped, and so is what was
-// meant for an earlier life.
+// meant for an earlier life. A consensus that was formed anew is believed once there is no lease of the old one.
 func (h *Holder) Granted(now Micros, g Grant) bool {
-	if g.Holder != h.name || g.Life != h.life || g.Term < h.term {
+	anew := g.Epoch != h.doc.Epoch
+	if g.Holder != h.name || g.Life != h.life || !anew && g.Term < h.term || anew && (g.Whole == nil || now < h.until) {
 		return false
 	}
 	at := slices.IndexFunc(h.sent, func(s sentRenewal) bool { return s.number == g.Number })
@@ -96,25 +99,18 @@
 	}
 	doc := h.doc
 	if g.Whole != nil {
-		if g.Whole.Version < doc.Version {
+		if !anew && g.Whole.Version < doc.Version {
 			return false
 		}
 		doc = g.Whole.Clone()
 	}
-	for _, e := range g.Entries {
-		if e.Version <= doc.Version {
-			continue
-		}
-		if doc == h.doc {
-			doc = doc.Clone()
-		}
-		if doc.Apply(e) != nil {
-			return false // nothing of it counts
-		}
-	}
-	if g.Prepare != nil && g.Prepare.Version != doc.Version+1 {
+	entries := slices.DeleteFunc(slices.Clone(g.Entries), func(e Entry) bool { return e.Version <= doc.Version })
+	if g.Prepare != nil && g.Prepare.Version != doc.Version+uint64(len(entries))+1 {
 		return false // it lacks what stands between: the next grant brings it
 	}
+	if doc.Apply(entries...) != nil {
+		return false // nothing of it counts
+	}
 	h.term, h.doc, h.sent = g.Term, doc, h.sent[at+1:]
 	h.prepare(g.Prepare)
 	h.until = max(h.until, sent+h.timing.Lease)
@@ -163,7 +159,7 @@
 	if !known {
 		return ""
 	}
-	if v.Restricted {
+	if _, kept := rule.(interface{ Kept() }); v.Restricted && !kept {
 		return rule.Floor()
 	}
 	if value, changes := v.h.changed[key]; changes {
--- a/agree/keeper.go
+++ b/agree/keeper.go
@@ -89,14 +89,18 @@
 	if l.life != r.Life {
 		l.life, l.ready = r.Life, 0 // it restarted, and knows nothing of what its earlier life prepared
 	}
+	anew := r.Epoch != k.doc.Epoch
+	if k.doc.Version == 0 && now < k.clearAt || !anew && r.Version > k.doc.Version {
+		return nil // what was in force before may still be acted on; or it knows more than this leader, who must be an earlier one
+	}
 	l.ends, l.acts = max(l.ends, now+k.timing.Outlasts(k.timing.Lease)), r.Version
-	g := &Grant{Holder: r.Holder, Number: r.Number, Life: r.Life, Term: k.term, Prepare: k.pending}
-	if k.pending != nil && r.Ready == k.pending.Version && r.Version == k.doc.Version {
+	g := &Grant{Holder: r.Holder, Number: r.Number, Life: r.Life, Epoch: k.doc.Epoch, Term: k.term, Prepare: k.pending}
+	if k.pending != nil && !anew && r.Ready == k.pending.Version && r.Version == k.doc.Version {
 		l.ready = r.Ready
 	}
 	switch {
-	case r.Version > k.doc.Version:
-		return nil // it knows more than this leader, who must be an earlier one
+	case anew:
+		g.Whole = k.doc.Clone()
 	case r.Version < k.doc.Version && (len(k.trail) == 0 || k.trail[0].Version > r.Version+1):
 		g.Whole = k.doc.Clone()
 	default:
@@ -156,6 +160,12 @@
 	return nil
 }
 
+// Sure tells whether no other leader can have been elected yet, so that what this one knows to be in force is.
+func (k *Keeper) Sure(now Micros) bool { return now < k.until }
+
+// Clear tells whether all leases of earlier leaders have run out.
+func (k *Keeper) Clear(now Micros) bool { return now >= k.clearAt }
+
 // Forget drops holders whose leases have long run out.
 func (k *Keeper) Forget(now Micros) {
 	maps.DeleteFunc(k.leases, func(_ string, l *lease) bool { return now >= l.ends+10*k.timing.Lease })
--- /dev/null
+++ b/node/consensus/sim_test.go
@@ -0,0 +1,499 @@
+package consensus
+
+import (
+	"container/heap"
+	"errors"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"junctionwharf/agree"
+)
+
+var manySeeds = flag.Int("seeds", 40, "seeds of the simulated cluster")
+
+// The faults that are planted; one of the checkers must find each.
+type bug int
+
+const (
+	noBug       bug = iota
+	sameID          // a voter whose state was lost comes back under its old identity
+	staleRead       // a leader reads without being sure that it still leads
+	beginsEarly     // a leader has holders prepare what is not committed
+)
+
+func rules(key string) (agree.Rule, bool) {
+	rule, known := map[string]agree.Rule{"limit": agree.Least{Lowest: 1}, "repeat": agree.Switch{}, "zone": agree.Same{}}[key]
+	return rule, known
+}
+
+var timing = agree.Timing{Lease: 400_000, Drift: 20_000}
+
+type event struct {
+	at  agree.Micros
+	seq int
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+type clock struct {
+	offset agree.Micros
+	rate   float64
+}
+
+func (c clock) read(now agree.Micros) agree.Micros {
+	return c.offset + agree.Micros(float64(now)*c.rate)
+}
+
+type simVoter struct {
+	v       *Voter
+	name    string
+	clock   clock
+	store   Storage
+	stopped bool
+	waiting []func()
+	hearsTo agree.Micros // hears nothing before this
+	saysTo  agree.Micros // is heard by nobody before this
+}
+
+type simHolder struct {
+	*agree.Holder
+	clock   clock
+	life    uint64
+	stopped bool
+	cutTo   agree.Micros
+}
+
+// sim is a cluster on one true time axis, of real voters and holders. All but raft's own draws of election times comes from the seed.
+type sim struct {
+	t       *testing.T
+	random  *rand.Rand
+	bug     bug
+	now     agree.Micros
+	seq     int
+	q       queue
+	voters  []*simVoter
+	holders []*simHolder
+	docs    map[uint64]map[string]string // by version, as came into force
+	acted   uint64
+	breach  string
+	changes int
+	lost    int // voters that lost their state
+	ops     []porcupine.Operation
+}
+
+func (s *sim) after(d agree.Micros, do func()) {
+	s.seq++
+	heap.Push(&s.q, event{s.now + d, s.seq, do})
+}
+
+func (s *sim) clock() clock {
+	return clock{agree.Micros(s.random.IntN(1 << 40)), 0.99 + 0.02*s.random.Float64()}
+}
+
+func (s *sim) options(id uint64) Options { return Options{ID: id, Timing: timing, Rules: rules} }
+
+func play(t *testing.T, seed uint64, planted bug, span agree.Micros) *sim {
+	s := &sim{t: t, random: rand.New(rand.NewPCG(seed, 0xc0)), bug: planted, docs: map[uint64]map[string]string{0: {}}}
+	members := map[string]uint64{}
+	for i := range 3 {
+		members[fmt.Sprint("v", i)] = DrawID(s.random)
+	}
+	for i := range 3 {
+		formed, err := Formed(77, members)
+		if err != nil {
+			t.Fatal(err)
+		}
+		store, err := NewMemory(formed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		x := &simVoter{name: fmt.Sprint("v", i), clock: s.clock(), store: store}
+		s.start(x, members[x.name])
+		s.voters = append(s.voters, x)
+		s.after(agree.Micros(s.random.IntN(20_000)), func() { s.tick(x) })
+	}
+	for i := range 4 {
+		h := &simHolder{clock: s.clock()}
+		s.restart(h, i)
+		s.holders = append(s.holders, h)
+		s.after(agree.Micros(s.random.IntN(50_000)), func() { s.renew(h) })
+		s.after(agree.Micros(s.random.IntN(5000)), func() { s.act(h) })
+	}
+	for c := range 2 {
+		s.after(1_000_000, func() { s.client(c) })
+	}
+	s.after(2_000_000, s.fault)
+	for len(s.q) > 0 && s.breach == "" {
+		e := heap.Pop(&s.q).(event)
+		if s.now = e.at; s.now > span {
+			break
+		}
+		e.do()
+	}
+	return s
+}
+
+func (s *sim) start(x *simVoter, id uint64) {
+	v, err := New(x.clock.read(s.now), s.options(id), x.store)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	x.v, x.waiting, x.stopped = v, nil, false
+}
+
+func (s *sim) restart(h *simHolder, i int) {
+	h.life++
+	h.Holder = agree.NewHolder(fmt.Sprint("h", i), h.life, timing, rules)
+}
+
+// send has the effects of a voter's call happen.
+func (s *sim) send(x *simVoter, e Effects) {
+	for _, m := range e.Messages {
+		if d := s.delay(); d >= 0 && s.now >= x.saysTo {
+			s.after(d, func() {
+				for _, y := range s.voters {
+					if y.v.ID() == m.GetTo() && s.now >= y.hearsTo {
+						s.at(y, func() { s.send(y, y.v.Step(y.clock.read(s.now), m)) })
+					}
+				}
+			})
+		}
+	}
+}
+
+// at has a voter do something, once it runs.
+func (s *sim) at(x *simVoter, do func()) {
+	if x.stopped {
+		if len(x.waiting) < 200 {
+			x.waiting = append(x.waiting, do)
+		}
+		return
+	}
+	do()
+	if err := x.v.Err(); err != nil {
+		s.breach = "a voter stopped: " + err.Error()
+	}
+	d := x.v.Record().Doc
+	if _, known := s.docs[d.Version]; !known {
+		values := map[string]string{}
+		for k, v := range d.Values {
+			values[k] = v
+		}
+		s.docs[d.Version] = values
+		s.changes++
+	}
+	for k, v := range s.docs[d.Version] {
+		if d.Values[k] != v {
+			s.breach = fmt.Sprintf("two voters hold different versions %d: %v and %v", d.Version, d.Values, s.docs[d.Version])
+		}
+	}
+}
+
+func (s *sim) tick(x *simVoter) {
+	s.after(10_000, func() { s.tick(x) })
+	if !x.stopped {
+		s.at(x, func() { s.send(x, x.v.Tick(x.clock.read(s.now))) })
+		for _, y := range s.voters { // whoever lost its state asks to be taken in
+			if y != x && !y.stopped && s.now >= x.hearsTo && s.now >= y.saysTo && s.bug != sameID {
+				s.send(x, x.v.Replace(x.clock.read(s.now), agree.Member{Name: y.name, ID: y.v.ID()}))
+			}
+		}
+	}
+}
+
+func (s *sim) delay() agree.Micros {
+	switch s.random.IntN(20) {
+	case 0:
+		return -1
+	case 1:
+		return agree.Micros(s.random.IntN(400_000))
+	}
+	return agree.Micros(200 + s.random.IntN(5000))
+}
+
+func (s *sim) renew(h *simHolder) {
+	s.after(agree.Micros(50_000+s.random.IntN(60_000)), func() { s.renew(h) })
+	if h.stopped || s.now < h.cutTo {
+		return
+	}
+	r := h.Renew(h.clock.read(s.now))
+	for _, x := range s.voters {
+		if d := s.delay(); d >= 0 {
+			s.after(d, func() {
+				s.at(x, func() {
+					g := x.v.Renewed(x.clock.read(s.now), r)
+					if d := s.delay(); g != nil && d >= 0 && s.now >= h.cutTo {
+						s.after(d, func() {
+							if !h.stopped && s.now >= h.cutTo {
+								h.Granted(h.clock.read(s.now), *g)
+							}
+						})
+					}
+				})
+			})
+		}
+	}
+}
+
+// act has a holder take a decision: every value must be below that of the latest version that anybody has acted on.
+func (s *sim) act(h *simHolder) {
+	s.after(agree.Micros(1000+s.random.IntN(9000)), func() { s.act(h) })
+	if h.stopped {
+		return
+	}
+	v := h.View(h.clock.read(s.now))
+	if !v.Restricted {
+		s.acted = max(s.acted, v.Version)
+	}
+	for _, key := range []string{"limit", "repeat", "zone"} {
+		rule, _ := rules(key)
+		latest, is := s.docs[s.acted][key]
+		if value := v.Value(key); is && !agree.Below(rule, value, latest) {
+			s.breach = fmt.Sprintf("%s: %q at version %d (restricted %v) against %q of version %d", key, value, v.Version, v.Restricted, latest, s.acted)
+		}
+	}
+}
+
+func (s *sim) read(c int, x *simVoter) {
+	doc := x.v.Read(x.clock.read(s.now))
+	if s.bug == staleRead && x.v.Leads() {
+		doc = x.v.Record().Doc
+	}
+	if doc != nil {
+		s.ops = append(s.ops, porcupine.Operation{ClientId: 1000 + c, Input: input{read: true}, Call: s.now, Output: output{version: doc.Version}, Return: s.now + 1})
+	}
+}
+
+type input struct {
+	read     bool
+	expected uint64
+}
+
+type output struct {
+	version uint64
+	end     string // taken, refused, unknown
+}
+
+// client proposes and reads, one call at a time, at whoever says that it leads.
+func (s *sim) client(c int) {
+	next := func() { s.after(agree.Micros(20_000+s.random.IntN(200_000)), func() { s.client(c) }) }
+	x := s.voters[s.random.IntN(len(s.voters))]
+	if x.stopped || !x.v.Leads() {
+		s.after(10_000, func() { s.client(c) })
+		return
+	}
+	now, began := x.clock.read(s.now), s.now
+	if s.random.IntN(2) == 0 {
+		s.read(c, x)
+		next()
+		return
+	}
+	expected := x.v.Record().Doc.Version
+	if s.random.IntN(4) == 0 && expected > 0 {
+		expected--
+	}
+	changes := []agree.Change{{Key: "limit", Value: fmt.Sprint(1 + s.random.IntN(200))}, {Key: "repeat", Value: []string{"yes", "no"}[s.random.IntN(2)]}, {Key: "zone", Value: string(rune('a' + s.random.IntN(5)))}}
+	over := false
+	end := func(out output) {
+		if over {
+			return
+		}
+		over = true
+		ret := s.now + 1
+		if out.end == "unknown" {
+			ret = math.MaxInt64
+		}
+		if out.end != "" {
+			s.ops = append(s.ops, porcupine.Operation{ClientId: c, Input: input{expected: expected}, Call: began, Output: out, Return: ret})
+		}
+		if out.end == "unknown" {
+			c += 2 // its call goes on for ever: the client is another one from now on
+		}
+		next()
+	}
+	proposal := agree.Proposal{Expected: expected, Author: "a", Reason: fmt.Sprint(s.now), Changes: changes[s.random.IntN(3):]}
+	if s.bug == beginsEarly && x.v.begun == "" {
+		if e, err := x.v.keeper.Propose(now, proposal); err == nil {
+			defer x.v.keeper.Begin(now, e)
+		}
+	}
+	s.at(x, func() {
+		s.send(x, x.v.Propose(now, proposal, func(e agree.Entry, err error) {
+			switch {
+			case err == nil:
+				end(output{e.Version, "taken"})
+			case errors.Is(err, agree.ErrExpected):
+				end(output{end: "refused"})
+			case errors.Is(err, ErrUnknown):
+				end(output{end: "unknown"})
+			default:
+				end(output{})
+			}
+		}))
+	})
+	s.after(3_000_000, func() { end(output{end: "unknown"}) })
+}
+
+var register = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, in, out any) (bool, any) {
+		version, i, o := state.(uint64), in.(input), out.(output)
+		switch {
+		case i.read:
+			return o.version == version, version
+		case o.end == "taken":
+			return version == i.expected && o.version == version+1, version + 1
+		case o.end == "unknown" && version == i.expected:
+			return true, version + 1
+		case o.end == "refused":
+			return version != i.expected, version
+		}
+		return true, version
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+func (s *sim) fault() {
+	s.after(agree.Micros(200_000+s.random.IntN(1_200_000)), s.fault)
+	x, span := s.voters[s.random.IntN(len(s.voters))], agree.Micros(100_000+s.random.IntN(3_000_000))
+	i := s.random.IntN(len(s.holders))
+	h := s.holders[i]
+	crash := func() { // its calls get no answer any more
+		if x.v.leads {
+			for hash, done := range x.v.waiters {
+				delete(x.v.waiters, hash)
+				done(agree.Entry{}, ErrUnknown)
+			}
+		}
+	}
+	switch s.random.IntN(9) {
+	case 0:
+		x.hearsTo, x.saysTo = s.now+span, s.now+span
+	case 1:
+		x.hearsTo = s.now + span
+	case 2:
+		x.saysTo = s.now + span
+	case 3:
+		if x.stopped {
+			return
+		}
+		x.stopped = true
+		s.after(span, func() {
+			x.stopped = false
+			waiting := x.waiting
+			x.waiting = nil
+			s.read(0, x) // it is asked before it hears anything, and hears before its clock ticks
+			for _, do := range waiting {
+				s.at(x, do)
+			}
+		})
+	case 4:
+		crash()
+		s.start(x, x.v.ID())
+	case 5, 6: // its state is lost, while the others are there
+		for _, y := range s.voters {
+			if y.stopped || s.now < y.hearsTo || s.now < y.saysTo || y != x && y.v.conf == nil {
+				return
+			}
+		}
+		crash()
+		s.lost++
+		memory, err := NewMemory(nil)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		id := DrawID(s.random)
+		if s.bug == sameID {
+			id = x.v.ID()
+			memory, err = NewMemory(mustFormed(s.t, x.v.Record().Members))
+			if err != nil {
+				s.t.Fatal(err)
+			}
+		}
+		x.store = memory
+		s.start(x, id)
+	case 7:
+		h.stopped = true
+		s.after(span, func() { h.stopped = false })
+	case 8:
+		if h.cutTo = s.now + span; s.random.IntN(2) == 0 {
+			s.restart(h, i)
+		}
+	}
+}
+
+func mustFormed(t *testing.T, members map[string]uint64) *pb.Snapshot {
+	formed, err := Formed(77, members)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return formed
+}
+
+// Real voters, holders with drifting clocks, and everything between them late, lost and out of order: nobody acts on what the latest
+// version forbids, voters hold the same, and the histories of proposals and reads are linearizable.
+func TestCluster(t *testing.T) {
+	changes, lost, ops := 0, 0, 0
+	for seed := range *manySeeds {
+		s := play(t, uint64(seed), noBug, 12_000_000)
+		if s.breach != "" {
+			t.Fatalf("seed %d: %s", seed, s.breach)
+		}
+		if result := porcupine.CheckOperations(register, s.ops); !result {
+			t.Fatalf("seed %d: the history is not linearizable: %v", seed, s.ops)
+		}
+		changes, lost, ops = changes+s.changes, lost+s.lost, ops+len(s.ops)
+	}
+	t.Logf("%d changes, %d voters replaced, %d calls", changes, lost, ops)
+	if changes < 5**manySeeds || lost < *manySeeds/4 {
+		t.Errorf("too little happened: %d changes, %d voters lost their state", changes, lost)
+	}
+}
+
+// Faults that are planted are found.
+func TestClusterFindsPlantedFaults(t *testing.T) {
+	for _, c := range []struct {
+		bug  bug
+		name string
+	}{{sameID, "a lost identity votes again"}, {staleRead, "a leader reads what it may not know"}, {beginsEarly, "what is not committed is prepared"}} {
+		found := ""
+		for seed := uint64(0); seed < 150 && found == ""; seed++ {
+			func() {
+				defer func() { // raft itself sees what can't be
+					if r := recover(); r != nil {
+						found = fmt.Sprint("raft: ", r)
+					}
+				}()
+				s := play(t, seed, c.bug, 12_000_000)
+				if found = s.breach; found == "" && !porcupine.CheckOperations(register, s.ops) {
+					found = "not linearizable"
+				}
+			}()
+		}
+		if found == "" {
+			t.Errorf("%s: not found", c.name)
+		} else {
+			t.Logf("%s: %s", c.name, strings.SplitN(found, "\n", 2)[0])
+		}
+	}
+}
