Have brokers act on one agreed document: leases, relay tree, voters, drains

node/agreement puts agree/ and node/consensus into the daemon, off without [agreement]: a listener of its own, length-prefixed msgpack, bounded queues, links that a stalling peer loses alone; a tree over which a leader reaches hundreds by feeding 16; voters without disks form once all are there and none has state, and are replaced one by one; a changed settings file and a drain told to one broker become proposals. The core goes over to the view at the begin of each turn, by the clock that the turn reads.

The rig parts brokers from others, both ways or one, and reads from all journals the longest contradiction.

--- a/agree/holder.go
+++ b/agree/holder.go
@@ -1,6 +1,9 @@
 package agree
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // Timing is what all members of an installation share.
 type Timing struct {
@@ -168,6 +171,17 @@
 	return v.h.doc.Values[key]
 }
 
+// Keys are those that have a value in force or under way.
+func (v View) Keys() []string {
+	keys := slices.Collect(maps.Keys(v.h.doc.Values))
+	for key := range v.h.changed {
+		if _, known := v.h.doc.Values[key]; !known {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // RestrictedSince tells since when there is no lease, 0 for there is one.
 func (h *Holder) RestrictedSince() Micros { return h.restrictedAt }
 
--- a/agree/keeper.go
+++ b/agree/keeper.go
@@ -186,6 +186,17 @@
 	return names
 }
 
+// Behind names the holders with a lease that did not act on the version in force when they renewed it last, and the version they acted on.
+func (k *Keeper) Behind(now Micros) map[string]uint64 {
+	behind := map[string]uint64{}
+	for name, l := range k.leases {
+		if l.acts < k.doc.Version && now < l.ends {
+			behind[name] = l.acts
+		}
+	}
+	return behind
+}
+
 // Document is what is in force; it must not be changed.
 func (k *Keeper) Document() *Document { return k.doc }
 
--- a/broker/loop.go
+++ b/broker/loop.go
@@ -41,6 +41,7 @@
 	Tell    func(peer int, data []byte)  // nil without peers
 	Observe func(facts []telemetry.Fact) // nil for none; it does not keep the slice
 	Log     *slog.Logger                 // nil for none
+	Agreed  func(now Micros) []Event     // what a turn has to go over to before it decides anything, by the clock that it reads; nil for nothing agreed
 	Door    *admission.Door              // decides who comes in at all, nil for everybody; the loop's own from now on
 }
 
@@ -295,6 +296,7 @@
 		now := l.clock.Now()
 		taken, calls, more := l.collect(now, events)
 		events = taken
+		l.agree(now)
 		l.safeTurn(now, events)
 		for _, call := range calls {
 			l.safely(call)
@@ -310,6 +312,28 @@
 	}
 }
 
+// agree has the core go over to what is agreed as of now, before it decides anything else.
+func (l *Loop) agree(now Micros) {
+	if l.outside.Agreed == nil {
+		return
+	}
+	first := l.outside.Agreed(now)
+	if len(first) == 0 {
+		return
+	}
+	l.mu.Lock()
+	for _, e := range first {
+		if r, is := e.(Retuned); is && l.outside.Door != nil {
+			l.outside.Door.Retune(r.Settings)
+		}
+	}
+	l.mu.Unlock()
+	l.safeTurn(now, first)
+}
+
+// Wake has the loop turn now, though nothing has come.
+func (l *Loop) Wake() { l.wake() }
+
 // end lets those go that wait for room.
 func (l *Loop) end() {
 	l.mu.Lock()
--- a/cmd/junctionwharf/main.go
+++ b/cmd/junctionwharf/main.go
@@ -37,6 +37,7 @@
 
 var logFlags = []cli.Flag{
 	&cli.StringFlag{Name: "log-format", Value: "human", Usage: "`FORMAT` of the log: human or json"},
+	&cli.BoolFlag{Name: "log-all", Usage: "leave no line out, however often it comes"},
 	&cli.StringFlag{Name: "log-level", Value: "info", Usage: "least `LEVEL` that is logged: debug, info, warn or error"},
 }
 
@@ -136,7 +137,7 @@
 	if err := level.UnmarshalText([]byte(cmd.String("log-level"))); err != nil {
 		return nil, fmt.Errorf("--log-level: %w", err)
 	}
-	log, err := logs.New(os.Stderr, logs.Options{Name: name, Format: cmd.String("log-format"), Level: level, Color: logs.Terminal(os.Stderr)})
+	log, err := logs.New(os.Stderr, logs.Options{Name: name, Format: cmd.String("log-format"), Level: level, Color: logs.Terminal(os.Stderr), Whole: cmd.Bool("log-all")})
 	if err != nil {
 		return nil, fmt.Errorf("--log-format: %w", err)
 	}
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -26,6 +26,7 @@
 	Collectd   Collectd   `toml:"collectd"`
 	Admission  Admission  `toml:"admission"`
 	Spread     Spread     `toml:"spread"`
+	Agreement  Agreement  `toml:"agreement"`
 }
 
 // Spread is how load is spread over the nodes of a shard; a shard with one node knows nothing of it.
@@ -85,7 +86,7 @@
 
 // ends is all of a site but the mapping of file commands and where figures go, which may change while the broker runs.
 func (s Site) ends() any {
-	return []any{s.SFTP.Listen, s.SFTP.NodePort, s.SFTP.Connections, len(s.Membership.Sources) > 0, s.Membership.Snapshot, s.Admission, s.Spread}
+	return []any{s.SFTP.Listen, s.SFTP.NodePort, s.SFTP.Connections, len(s.Membership.Sources) > 0, s.Membership.Snapshot, s.Admission, s.Spread, s.Agreement}
 }
 
 // SFTP is the second front, file commands.
@@ -125,6 +126,9 @@
 	if err := s.Spread.check(); err != nil {
 		return Site{}, fmt.Errorf("%s: spread.%w", path, err)
 	}
+	if err := s.Agreement.complete(set); err != nil {
+		return Site{}, fmt.Errorf("%s: agreement.%w", path, err)
+	}
 	if err := s.Admission.check(); err != nil {
 		return Site{}, fmt.Errorf("%s: admission.%w", path, err)
 	}
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -3,10 +3,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +17,8 @@
 const (
 	most        = 8               // connections at once; beyond it the one unfinished for longest gives way
 	lineBytes   = 256             // of a call
+	agreeBytes  = 256 << 10       // where there are calls of the agreed document
+	AgreeTime   = 8 * time.Second // for the answer to one of these
 	lineTime    = 6 * time.Second // for a call to come whole
 	answerTime  = time.Second     // for its answer to be taken
 	acceptPause = 10 * time.Millisecond
@@ -25,13 +29,16 @@
 	success = "SUCCESS"
 	failure = "FAILURE"
 	endWord = "EOT"
+
+	agreeWord = "agree "
 )
 
 // Calls is what operators may ask for. The functions must not wait for anything.
 type Calls struct {
-	Check func() error  // nil if clients are taken
-	Vars  func() []byte // the figures, in lines
-	Nodes func() []byte // the list of storage nodes and where it comes from, in lines; nil for none
+	Check func() error             // nil if clients are taken
+	Vars  func() []byte            // the figures, in lines
+	Nodes func() []byte            // the list of storage nodes and where it comes from, in lines; nil for none
+	Agree func(call string) []byte // calls of the agreed document, which may wait for AgreeTime; nil for none
 }
 
 // Door answers calls.
@@ -104,12 +111,34 @@
 		}
 	}()
 	conn.SetDeadline(time.Now().Add(lineTime))
-	line, err := bufio.NewReaderSize(conn, lineBytes).ReadSlice('\n')
+	in := bufio.NewReaderSize(conn, lineBytes)
+	line, err := in.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) && d.calls.Agree != nil && bytes.HasPrefix(line, []byte(agreeWord)) {
+		line, err = readLine(in, slices.Clone(line))
+	}
 	if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 		return
 	}
+	call := strings.TrimSpace(string(line))
+	if rest, is := strings.CutPrefix(call, agreeWord); is && d.calls.Agree != nil && err == nil {
+		conn.SetDeadline(time.Now().Add(AgreeTime))
+		conn.Write(append(d.calls.Agree(rest), endWord+"\n"...))
+		return
+	}
 	conn.SetDeadline(time.Now().Add(answerTime))
-	conn.Write(d.answer(strings.TrimSpace(string(line)), err))
+	conn.Write(d.answer(call, err))
+}
+
+// readLine reads on behind what has come of a long line.
+func readLine(in *bufio.Reader, line []byte) ([]byte, error) {
+	for len(line) < agreeBytes {
+		part, err := in.ReadSlice('\n')
+		line = append(line, part...)
+		if err == nil || !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+	return line, bufio.ErrBufferFull
 }
 
 func (d *Door) answer(call string, err error) []byte {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -30,6 +30,7 @@
 	"junctionwharf/internal/sftp"
 	"junctionwharf/internal/succession"
 	"junctionwharf/logic"
+	"junctionwharf/node/agreement"
 )
 
 const (
@@ -97,6 +98,12 @@
 	}
 	s := &service{config: c, log: log}
 	calls := &loopCalls{}
+	if c.Site.Agreement.On() {
+		if s.agreement, err = agreementOf(c, clock, calls, log); err != nil {
+			return err
+		}
+		outside.Agreed = s.agreement.Turn
+	}
 	s.reporter = report.New(report.Options{Name: c.Name, Loop: calls, Figures: s.figures, Log: log})
 	outside.Observe = s.reporter.Observe
 	loop := broker.NewLoop(state, clock, resp.NewNodes(nodes), outside)
@@ -116,14 +123,18 @@
 
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	s.members = members.New(clock, loop.Post, log)
+	post := loop.Post // what discovery and the sources say
+	if s.agreement != nil {
+		post = s.agreement.Listed
+	}
+	s.members = members.New(clock, post, log)
 	defer s.members.Close()
 	if c.Console != "" {
 		door, err := console.Open(c.Console, console.Calls{Check: s.check,
 			Vars: func() []byte {
-				return metrics.Statsd(slices.Concat(loop.Figures.Read(), s.reporter.Figures(), s.members.Figures(),
+				return metrics.Statsd(slices.Concat(loop.Figures.Read(), s.reporter.Figures(), s.members.Figures(), s.agreed(),
 					spreadFigures(loop.Parts()), []broker.Figure{{Name: "connections_turned_away", Value: s.front.TurnedAway(), Counter: true}}))
-			}, Nodes: func() []byte { return append(s.members.Text(), spreadText(loop.Parts())...) }}, log)
+			}, Nodes: func() []byte { return append(s.members.Text(), spreadText(loop.Parts())...) }, Agree: s.agreeCall()}, log)
 		if err != nil {
 			return err
 		}
@@ -133,7 +144,7 @@
 	}
 	s.join()
 	defer s.part()
-	listed := loop.Post // what discovery says is the truth, or one word among others
+	listed := post // what discovery says is the truth, or one word among others
 	known := s.known()
 	if len(c.Site.Membership.Sources) > 0 {
 		if err := s.members.Follow(c.Site.Membership); err != nil {
@@ -144,9 +155,12 @@
 			s.members.Known(known.Event(logic.ListCached, clock))
 		}
 	} else if known != nil {
-		loop.Post(known.Event(logic.ListCached, clock))
+		post(known.Event(logic.ListCached, clock))
 	}
 	go loop.Run(running)
+	if s.agreement != nil {
+		go s.agreement.Run(running)
+	}
 	if outside.Door != nil {
 		go watchPressure(running, loop)
 	}
@@ -257,6 +271,7 @@
 	pools     []*pool.Pool
 	reporter  *report.Reporter
 	members   *members.Members
+	agreement *agreement.Service // nil if off
 	front     *resp.Front
 	files     *sftp.Front // nil if off
 	fronts    []drainer
@@ -300,7 +315,11 @@
 func (s *service) follow(c *config.Config) {
 	set := c.Settings
 	set.Logic.Spread = s.config.Site.Spread.Options(s.config.Name) // as at the start
-	s.loop.Post(broker.Retuned{Settings: set.Logic})
+	if s.agreement != nil {
+		s.agreement.Settings(set.Logic)
+	} else {
+		s.loop.Post(broker.Retuned{Settings: set.Logic})
+	}
 	s.front.Retune(resp.NewTerms(set.Logic, set.Shards))
 	if s.files != nil && c.Site.SFTP.Listen != "" {
 		s.files.Retune(c.Site.SFTP.Plan())
@@ -392,7 +411,7 @@
 
 // figures are the broker's own, as sinks get them.
 func (s *service) figures() []broker.Figure {
-	return slices.Concat(s.loop.Figures.Read(), s.members.Figures(), []broker.Figure{{Name: "clients", Value: uint64(clients(s.fronts))}})
+	return slices.Concat(s.loop.Figures.Read(), s.members.Figures(), s.agreed(), []broker.Figure{{Name: "clients", Value: uint64(clients(s.fronts))}})
 }
 
 // loopCalls stands for the loop before there is one: the reporter hears its facts, and asks it for cuts.
--- /dev/null
+++ b/internal/fleetrig/agreement.go
@@ -0,0 +1,366 @@
+package fleetrig
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Agreement has brokers agree on settings, over links of the rig.
+type Agreement struct {
+	Voters  int     `toml:"voters"`   // the first so many brokers; 0: nothing is agreed on
+	BoundMS float64 `toml:"bound_ms"` // 0: the daemon's own
+	Feeds   int     `toml:"feeds"`    // brokers that hear from one; 0: the daemon's own
+	Disk    bool    `toml:"disk"`     // voters keep their state over restarts
+	Floor   float64 `toml:"floor"`    // of the limit of plan basico; 0: it is not agreed on
+}
+
+func (a Agreement) check(brokers int) error {
+	switch {
+	case a.Voters != 0 && a.Voters != 3 && a.Voters != 5 && a.Voters != 7 || a.Voters > brokers:
+		return fmt.Errorf("agreement.voters: %d is none of 3, 5 and 7, or more than brokers", a.Voters)
+	case a.BoundMS < 0 || a.Feeds < 0 || a.Floor < 0:
+		return fmt.Errorf("agreement: bound_ms, feeds and floor can't be negative")
+	}
+	return nil
+}
+
+// site is the site file's part for a broker. Others reach it through its relay.
+func (r *Rig) agreementSite(number int, home string) string {
+	a := r.scenario.Agreement
+	if a.Voters == 0 {
+		return ""
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "\n[agreement]\ncluster = \"rig\"\nlisten = %q\n", r.address(1, number, 7003))
+	if a.BoundMS > 0 {
+		fmt.Fprintf(&b, "bound_ms = %v\n", a.BoundMS)
+	}
+	if a.Feeds > 0 {
+		fmt.Fprintf(&b, "feeds = %d\n", a.Feeds)
+	}
+	if a.Disk && number < a.Voters {
+		dir := filepath.Join(home, "state")
+		os.MkdirAll(dir, 0o700)
+		fmt.Fprintf(&b, "dir = %q\n", dir)
+	}
+	b.WriteString("members = [")
+	for i := range a.Voters {
+		fmt.Fprintf(&b, "{name = \"broker-%d\", address = %q}, ", i, r.address(50, i, 7003))
+	}
+	b.WriteString("]\n")
+	if a.Floor > 0 {
+		fmt.Fprintf(&b, "[agreement.limits]\nbasico = %v\n", a.Floor)
+	}
+	return b.String()
+}
+
+// parting keeps brokers from others: the ways between those in it and those out of it.
+type parting struct {
+	brokers map[int]bool
+	says    bool // what those in it say does not come through
+	hears   bool // what is said to them does not
+}
+
+// partings are those that hold now.
+type partings struct {
+	mu    sync.Mutex
+	heal  *sync.Cond
+	all   []*parting
+	conns map[net.Conn]bool
+	over  bool
+}
+
+func (p *partings) blocked(from, to int) bool {
+	for _, x := range p.all {
+		if x.brokers[from] && !x.brokers[to] && x.says || x.brokers[to] && !x.brokers[from] && x.hears {
+			return true
+		}
+	}
+	return false
+}
+
+// Part keeps the agreement's links between some brokers and all others from carrying: what these say, what they hear, or both. The
+// returned function mends it.
+func (r *Rig) Part(says, hears bool, brokers ...int) (mend func()) {
+	x := &parting{brokers: map[int]bool{}, says: says, hears: hears}
+	for _, b := range brokers {
+		x.brokers[b] = true
+	}
+	p := &r.partings
+	p.mu.Lock()
+	p.all = append(p.all, x)
+	p.mu.Unlock()
+	return sync.OnceFunc(func() {
+		p.mu.Lock()
+		p.all = slices.DeleteFunc(p.all, func(y *parting) bool { return x == y })
+		p.heal.Broadcast()
+		p.mu.Unlock()
+	})
+}
+
+// agreementRelay stands for a broker towards others: connections to it come here and are carried on, as long as nothing parts the two.
+func (r *Rig) agreementRelay(to int) (net.Listener, error) {
+	ln, err := net.Listen("tcp4", r.address(50, to, 7003))
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go r.carry(conn, r.brokerAt(conn.RemoteAddr()), to)
+		}
+	}()
+	return ln, nil
+}
+
+func (r *Rig) carry(conn net.Conn, from, to int) {
+	defer conn.Close()
+	if from < 0 {
+		return
+	}
+	far, err := net.DialTimeout("tcp4", r.address(1, to, 7003), time.Second)
+	if err != nil {
+		return
+	}
+	p := &r.partings
+	p.mu.Lock()
+	over := p.over
+	p.conns[conn], p.conns[far] = true, true
+	p.mu.Unlock()
+	if over {
+		conn.Close()
+		far.Close()
+	}
+	var wait sync.WaitGroup
+	pump := func(src, dst net.Conn, a, b int) {
+		defer src.Close()
+		defer dst.Close()
+		buffer := make([]byte, 32<<10)
+		for {
+			n, err := src.Read(buffer)
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			parted := p.blocked(a, b)
+			for p.blocked(a, b) && !p.over {
+				p.heal.Wait()
+			}
+			p.mu.Unlock()
+			if parted { // what stood on it was lost: the connection is over
+				return
+			}
+			if _, err := dst.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+	}
+	wait.Go(func() { pump(conn, far, from, to) })
+	wait.Go(func() { pump(far, conn, to, from) })
+	wait.Wait()
+	p.mu.Lock()
+	delete(p.conns, conn)
+	delete(p.conns, far)
+	p.mu.Unlock()
+}
+
+func (p *partings) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.over = true
+	for c := range p.conns {
+		c.Close()
+	}
+	if p.heal != nil {
+		p.heal.Broadcast()
+	}
+}
+
+// Agree asks a broker's console, and returns its answer without the last line.
+func (r *Rig) Agree(broker int, call string) (string, error) {
+	conn, err := net.DialTimeout("tcp4", r.address(1, broker, 7001), time.Second)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(conn, "agree "+call+"\n"); err != nil {
+		return "", err
+	}
+	text, err := io.ReadAll(bufio.NewReader(conn))
+	return strings.TrimSuffix(strings.TrimSpace(string(text)), "\nEOT"), err
+}
+
+// AgreeStatus is what a broker says of itself.
+type AgreeStatus struct {
+	Role       string
+	Epoch      uint64
+	Version    uint64
+	Preparing  uint64
+	Restricted bool
+	Leader     string
+	Path       []string
+	Fault      string
+}
+
+// AgreeUntil asks a broker for its status until it is as wanted.
+func (r *Rig) AgreeUntil(ctx context.Context, broker int, is func(AgreeStatus) bool) (AgreeStatus, error) {
+	for {
+		var s AgreeStatus
+		text, err := r.Agree(broker, "status")
+		if err == nil && json.Unmarshal([]byte(text), &s) == nil && is(s) {
+			return s, nil
+		}
+		if ctx.Err() != nil {
+			return s, fmt.Errorf("broker-%d never came to be so: %s", broker, text)
+		}
+		r.sleep(ctx, 20*time.Millisecond)
+	}
+}
+
+// Leader is the number of the broker that leads, once one does and all brokers have a lease.
+func (r *Rig) Leader(ctx context.Context) (int, error) {
+	for ctx.Err() == nil {
+		for i := range r.scenario.Agreement.Voters {
+			var s AgreeStatus
+			if text, err := r.Agree(i, "status"); err == nil && json.Unmarshal([]byte(text), &s) == nil && s.Role == "leader" && !s.Restricted {
+				return i, nil
+			}
+		}
+		r.sleep(ctx, 20*time.Millisecond)
+	}
+	return -1, fmt.Errorf("nobody leads")
+}
+
+// span is for how long a process acted on one view.
+type span struct {
+	process                   string
+	from, to                  time.Duration
+	epoch, version, preparing uint64
+	restricted                bool
+}
+
+// Contradiction is the longest time from when somebody acted on a version to when somebody still acted on another that it contradicts.
+type Contradiction struct {
+	LongestUS int64  `json:"longest_us"`
+	Story     string `json:"story,omitempty"`
+	Versions  int    `json:"versions"`
+	Spans     int    `json:"spans"`
+	// From a version's commit to the last broker with a lease that acts on it, in µs, shortest first.
+	Spread []int64 `json:"commit_to_all_us"`
+}
+
+// spans reads who acted on what from the journal. A view's last moment is the last turn before the next one began: a process that was
+// stopped took no decision meanwhile.
+func (r *Rig) spans() []span {
+	r.journal.mu.Lock()
+	defer r.journal.mu.Unlock()
+	last := map[string]*span{}
+	var all []*span
+	lines := slices.Clone(r.journal.lines)
+	slices.SortStableFunc(lines, func(a, b Line) int { return cmp.Compare(a.At, b.At) })
+	number := func(l Line, key string) uint64 {
+		n, err := strconv.ParseFloat(l.Keys[key], 64)
+		if err != nil {
+			return 0
+		}
+		return uint64(n)
+	}
+	for _, l := range lines {
+		old := last[l.Process]
+		switch l.Text {
+		case "killed":
+			if old != nil {
+				old.to = l.At
+				delete(last, l.Process)
+			}
+		case "acts":
+			if old != nil {
+				old.to = max(old.from, l.At-time.Duration(number(l, "before_us"))*time.Microsecond)
+			}
+			s := &span{process: l.Process, from: l.At, to: math.MaxInt64, epoch: number(l, "epoch"), version: number(l, "version"), preparing: number(l, "preparing"),
+				restricted: l.Keys["restricted"] == "true"}
+			last[l.Process] = s
+			all = append(all, s)
+		}
+	}
+	end := Now() - r.journal.began
+	spans := make([]span, 0, len(all))
+	for _, s := range all {
+		s.to = min(s.to, end)
+		spans = append(spans, *s)
+	}
+	return spans
+}
+
+// Contradictions looks over all processes' journals.
+func (r *Rig) Contradictions() Contradiction {
+	spans := r.spans()
+	c := Contradiction{Spans: len(spans)}
+	type at struct{ epoch, version uint64 }
+	first := map[at]time.Duration{} // somebody acted on this version, or a later one of its epoch
+	began := map[uint64]time.Duration{}
+	for _, s := range spans {
+		if s.restricted || s.version == 0 {
+			continue
+		}
+		if t, known := began[s.epoch]; !known || s.from < t {
+			began[s.epoch] = s.from
+		}
+		key := at{s.epoch, s.version}
+		if t, known := first[key]; !known || s.from < t {
+			first[key] = s.from
+		}
+	}
+	c.Versions = len(first)
+	for _, s := range spans {
+		if s.restricted || s.version == 0 {
+			continue
+		}
+		for key, t := range first {
+			later := key.epoch == s.epoch && key.version > s.version && s.preparing != key.version ||
+				key.epoch != s.epoch && began[key.epoch] > began[s.epoch]
+			if over := s.to - t; later && over.Microseconds() > c.LongestUS {
+				c.LongestUS = over.Microseconds()
+				c.Story = fmt.Sprintf("seed %d: %s acted on version %d (preparing %d) until %.4f s, version %d was acted on from %.4f s on", r.journal.seed, s.process, s.version,
+					s.preparing, s.to.Seconds(), key.version, t.Seconds())
+			}
+		}
+	}
+	committed := map[uint64]time.Duration{}
+	for _, l := range r.Lines("version in force") {
+		v, err := strconv.ParseFloat(l.Keys["version"], 64)
+		if t, known := committed[uint64(v)]; err == nil && (!known || l.At < t) {
+			committed[uint64(v)] = l.At
+		}
+	}
+	for v, t := range committed {
+		latest := time.Duration(0)
+		for _, s := range spans { // the span in which each broker came to it, if it held a lease before and after
+			if !s.restricted && s.version >= v && s.from >= t && s.version == v {
+				latest = max(latest, s.from-t)
+			}
+		}
+		if latest > 0 {
+			c.Spread = append(c.Spread, latest.Microseconds())
+		}
+	}
+	slices.Sort(c.Spread)
+	return c
+}
--- a/internal/fleetrig/play.go
+++ b/internal/fleetrig/play.go
@@ -408,6 +408,7 @@
 				r.excuse(b)
 				p.command.Process.Signal(syscall.SIGCONT)
 				p.setDown(false)
+			case "agree_cut", "agree_mute", "agree_deaf": // of all of them together, below
 			default:
 				r.spoil(p, e, true)
 				if e.ForS > 0 {
@@ -418,6 +419,13 @@
 		})
 	}
 	wait.Wait()
+	if strings.HasPrefix(e.What, "agree_") {
+		mend := r.Part(e.What != "agree_deaf", e.What != "agree_mute", e.Brokers...)
+		if e.ForS > 0 {
+			r.sleep(ctx, seconds(e.ForS))
+			mend()
+		}
+	}
 	select {
 	case err := <-faults:
 		return err
--- a/internal/fleetrig/rig.go
+++ b/internal/fleetrig/rig.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -37,6 +38,8 @@
 	brokers  []*process
 	registry *registry
 	relays   []*relay
+	doors    []net.Listener // of the agreement's relays
+	partings partings
 	spawn    chan func() // run by the thread that the children die with
 	over     atomic.Bool
 	random   *rand.Rand
@@ -105,6 +108,18 @@
 	for i := range copied.Brokers {
 		r.brokers = append(r.brokers, &process{number: i, address: r.address(1, i, 7000)})
 	}
+	r.partings.heal = sync.NewCond(&r.partings.mu)
+	r.partings.conns = map[net.Conn]bool{}
+	for i := range copied.Brokers {
+		if copied.Agreement.Voters == 0 {
+			break
+		}
+		ln, err := r.agreementRelay(i)
+		if err != nil {
+			return nil, err
+		}
+		r.doors = append(r.doors, ln)
+	}
 	if copied.Peers {
 		for i := range copied.Brokers {
 			l, err := newRelay(r, i)
@@ -147,11 +162,11 @@
 	return fmt.Sprintf(`{"bounds":{"cancel":true,"connIdle":30000000,"connectTimeout":250000,"maxAttempts":4,"maxRetryAfter":1000000,"retryAfter":true,"peers":%v},
 "classes":[{"name":"lesson-read","aim":150000,"deadline":750000,"effect":"safe","importance":3,"lateWorth":0.1},
  {"name":"record-write","aim":200000,"deadline":1200000,"effect":"unsafe","importance":2,"lateWorth":0.1}],
-"serviceLevels":[{"name":"basico","nominal":1000,"floorRate":500,"parts":1,"price":1}],"telemetry":{"fields":["inflight"],"via":"inline"},
+"serviceLevels":%s,"telemetry":{"fields":["inflight"],"via":"inline"},
 "invariants":{"answerSlack":8000,"cold":%d,"coldShare":%v,"drainGrace":2000000,"fall":%d,"fallMultiple":%v},
 "zone":%q,"zones":[%s],
 "specifics":{"usualUnits":2,"maxUnits":4,"nShards":%d,"youngLimit":%v,"withinShare":0.4,"idleWorth":0.05},"nInstances":%d,"ordinal":%d}`,
-		s.Peers, coldTime.Microseconds(), coldShare, fallTime.Microseconds(), fallMultiple, zone(number%s.Node.Zones), strings.Join(zones, ","), s.Shards, youngLimit, s.Brokers, number)
+		s.Peers, cmp.Or(s.Plans, `[{"name":"basico","nominal":1000,"floorRate":500,"parts":1,"price":1}]`), coldTime.Microseconds(), coldShare, fallTime.Microseconds(), fallMultiple, zone(number%s.Node.Zones), strings.Join(zones, ","), s.Shards, youngLimit, s.Brokers, number)
 }
 
 func zone(i int) string { return fmt.Sprintf("zone-%d", i) }
@@ -178,13 +193,16 @@
 	home := filepath.Join(r.dir, strconv.Itoa(p.number))
 	site := filepath.Join(home, "site.toml")
 	p.config = filepath.Join(home, "config.json")
-	if err := errors.Join(os.MkdirAll(home, 0o700), os.WriteFile(p.config, text, 0o600), os.WriteFile(site, []byte(r.scenario.Site), 0o600)); err != nil {
+	if err := errors.Join(os.MkdirAll(home, 0o700), os.WriteFile(p.config, text, 0o600), os.WriteFile(site, []byte(r.scenario.Site+r.agreementSite(p.number, home)), 0o600)); err != nil {
 		return err
 	}
 	args := []string{"serve", "--handover=false", "--log-format", "json"}
-	if r.scenario.Site != "" {
+	if r.scenario.Site != "" || r.scenario.Agreement.Voters > 0 {
 		args = append(args, "--site", site)
 	}
+	if r.scenario.Agreement.Voters > 0 {
+		args = append(args, "--log-all")
+	}
 	command := exec.Command(r.Program, args...)
 	command.Env = append(os.Environ(), "BALANCER_CONFIG="+p.config, "TMPDIR="+home)
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -286,6 +304,7 @@
 	command.Process.Signal(with)
 	if with == syscall.SIGKILL {
 		<-done
+		r.journal.line(Line{At: Now() - r.journal.began, Process: fmt.Sprintf("broker-%d", p.number), Text: "killed"})
 	}
 }
 
@@ -342,6 +361,10 @@
 	for _, l := range r.relays {
 		l.conn.Close()
 	}
+	for _, ln := range r.doors {
+		ln.Close()
+	}
+	r.partings.close()
 	if r.lock != nil {
 		r.lock.Close()
 	}
--- a/internal/fleetrig/scenario.go
+++ b/internal/fleetrig/scenario.go
@@ -17,19 +17,21 @@
 
 // Scenario is a fleet, its traffic and what goes wrong. Times are seconds from the start of the traffic.
 type Scenario struct {
-	Name    string  `toml:"name"`
-	Seed    uint64  `toml:"seed"`
-	Brokers int     `toml:"brokers"`
-	Peers   bool    `toml:"peers"`  // brokers may talk to each other
-	Shards  int     `toml:"shards"` // nodes are dealt out to them in turn; 0: one
-	ForS    float64 `toml:"for_s"`
-	Rate    float64 `toml:"rate"`   // requests a second and broker, in the mean
-	Uneven  float64 `toml:"uneven"` // some brokers get so many times the mean: one in twenty; 0 or 1: all alike
-	Writes  float64 `toml:"writes"` // part of the requests that must not run twice
-	LimitMB float64 `toml:"limit_mb"`
-	Site    string  `toml:"site"` // text of a site file for every broker
-	Node    Node    `toml:"node"`
-	Events  []Event `toml:"event"`
+	Name      string    `toml:"name"`
+	Seed      uint64    `toml:"seed"`
+	Brokers   int       `toml:"brokers"`
+	Peers     bool      `toml:"peers"`  // brokers may talk to each other
+	Shards    int       `toml:"shards"` // nodes are dealt out to them in turn; 0: one
+	ForS      float64   `toml:"for_s"`
+	Rate      float64   `toml:"rate"`   // requests a second and broker, in the mean
+	Uneven    float64   `toml:"uneven"` // some brokers get so many times the mean: one in twenty; 0 or 1: all alike
+	Writes    float64   `toml:"writes"` // part of the requests that must not run twice
+	LimitMB   float64   `toml:"limit_mb"`
+	Site      string    `toml:"site"`  // text of a site file for every broker
+	Plans     string    `toml:"plans"` // JSON of service levels in place of the rig's own
+	Node      Node      `toml:"node"`
+	Agreement Agreement `toml:"agreement"`
+	Events    []Event   `toml:"event"`
 }
 
 // Node is what every stand-in node is.
@@ -62,10 +64,12 @@
 // Of brokers: kill (and start again after for_s, if that is above 0), term, stop (SIGSTOP, then SIGCONT), deaf (peers' datagrams are
 // lost by the part by), datagrams (come ms later, and up to jitter_ms more: out of order), client_delay (what clients send comes ms later),
 // client_pace (at by bytes a second), client_cut (the client resets behind by bytes of each request).
+// agree_cut, agree_mute, agree_deaf (the agreement's links between these brokers and all others carry nothing, nothing that these say,
+// nothing that these would hear).
 // Of a broker's view of discovery: stale (nothing new), late (everything new ms later), blind (refused), empty (a list without nodes),
 // contradict (nodes are listed as draining to these brokers alone).
 var nodeEvents = []string{"silent", "slow", "delay", "loss", "pace", "cut", "reset", "crash", "join", "drain", "lie", "oneway"}
-var brokerEvents = []string{"kill", "term", "stop", "deaf", "datagrams", "client_delay", "client_pace", "client_cut", "stale", "late", "blind", "empty", "contradict"}
+var brokerEvents = []string{"kill", "term", "stop", "deaf", "datagrams", "agree_cut", "agree_mute", "agree_deaf", "client_delay", "client_pace", "client_cut", "stale", "late", "blind", "empty", "contradict"}
 
 // The bounds of a scenario: it must run on one machine.
 const (
@@ -126,6 +130,9 @@
 	case s.Node.Slots < 1 || s.Node.Room < 0 || !(s.Node.UnitMS > 0) || s.Node.Zones < 1:
 		return fmt.Errorf("node: slots, unit_ms and zones must be above 0")
 	}
+	if err := s.Agreement.check(s.Brokers); err != nil {
+		return err
+	}
 	for i, e := range s.Events {
 		ofNodes := slices.Contains(nodeEvents, e.What)
 		switch {
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -25,6 +25,7 @@
 	Format string     // one of Formats; empty: human
 	Level  slog.Level // what is below is left out
 	Color  bool       // of human lines, for a terminal
+	Whole  bool       // no line is left out, however often it comes: for a checker that reads them
 }
 
 // Terminal tells whether a file is one: colour and progress are shown there alone.
@@ -44,7 +45,10 @@
 	default:
 		return nil, fmt.Errorf("%q is none of %s", o.Format, strings.Join(Formats, ", "))
 	}
-	return slog.New(Sample(h, time.Now)).With("broker", o.Name), nil
+	if !o.Whole {
+		h = Sample(h, time.Now)
+	}
+	return slog.New(h).With("broker", o.Name), nil
 }
 
 // monotonic adds "mono_us" to each line: the machine's monotonic clock, in microseconds, by which the lines of all its processes
--- /dev/null
+++ b/node/agreement/settings.go
@@ -0,0 +1,190 @@
+package agreement
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"junctionwharf/agree"
+	"junctionwharf/broker"
+	"junctionwharf/logic"
+)
+
+// The keys of the document:
+//
+//	class.NAME.repeat  yes or no: whether requests of a class may run again; the settings of the broker must let them, too
+//	plan.NAME.limit    units a second; of plans that stand in [agreement.limits] alone, whose figure is the floor
+//	node.HOST.drain    yes: nothing new goes to it
+const (
+	classKey, repeatKey = "class.", ".repeat"
+	planKey, limitKey   = "plan.", ".limit"
+	nodeKey, drainKey   = "node.", ".drain"
+)
+
+func between(key, before, behind string) (string, bool) {
+	name, ok := strings.CutPrefix(key, before)
+	if !ok {
+		return "", false
+	}
+	name, ok = strings.CutSuffix(name, behind)
+	return name, ok && name != ""
+}
+
+// rulesOf are the same for all brokers with the same limits, whatever classes each knows: a class that vanished keeps its rule.
+func rulesOf(limits map[string]float64) agree.Rules {
+	return func(key string) (agree.Rule, bool) {
+		if _, is := between(key, classKey, repeatKey); is {
+			return agree.Switch{}, true
+		}
+		if name, is := between(key, planKey, limitKey); is {
+			floor, is := limits[name]
+			return agree.Least{Lowest: floor}, is
+		}
+		if _, is := between(key, nodeKey, drainKey); is {
+			return agree.Drain{}, true
+		}
+		return nil, false
+	}
+}
+
+// valuesOf is what settings say of keys of the document.
+func valuesOf(set logic.Settings, limits map[string]float64) map[string]string {
+	values := map[string]string{}
+	for _, c := range set.Classes {
+		values[classKey+c.Name+repeatKey] = "yes"
+		if c.Effect == logic.Unsafe {
+			values[classKey+c.Name+repeatKey] = "no"
+		}
+	}
+	for _, p := range set.Plans {
+		if _, is := limits[p.Name]; is && p.Limit > 0 {
+			values[planKey+p.Name+limitKey] = strconv.FormatFloat(p.Limit, 'g', -1, 64)
+		}
+	}
+	return values
+}
+
+// changesTo are what a document lacks of values.
+func changesTo(doc *agree.Document, values map[string]string) []agree.Change {
+	var changes []agree.Change
+	for _, key := range slices.Sorted(maps.Keys(values)) {
+		if doc.Values[key] != values[key] {
+			changes = append(changes, agree.Change{Key: key, Value: values[key]})
+		}
+	}
+	return changes
+}
+
+// effective is what a broker acts on: its settings, and of what is agreed the view. Limits of a plan that nothing is agreed on stand.
+func effective(set logic.Settings, limits map[string]float64, view agree.View) logic.Settings {
+	set.Classes, set.Plans = slices.Clone(set.Classes), slices.Clone(set.Plans)
+	for i := range set.Classes {
+		if c := &set.Classes[i]; view.Value(classKey+c.Name+repeatKey) != "yes" {
+			c.Effect = logic.Unsafe
+		}
+	}
+	for i := range set.Plans {
+		p := &set.Plans[i]
+		if _, is := limits[p.Name]; !is || p.Limit <= 0 {
+			continue
+		}
+		if limit, err := strconv.ParseFloat(view.Value(planKey+p.Name+limitKey), 64); err == nil && limit > 0 {
+			p.Limit = limit
+		} else {
+			p.Limit = limits[p.Name] // nothing agreed yet: the floor
+		}
+	}
+	return set
+}
+
+// drained are the hosts that a view says leave.
+func drained(view agree.View) map[string]bool {
+	hosts := map[string]bool{}
+	for _, key := range view.Keys() {
+		if host, is := between(key, nodeKey, drainKey); is && view.Value(key) == "yes" {
+			hosts[host] = true
+		}
+	}
+	return hosts
+}
+
+// list is what discovery told this broker, with what is agreed on laid over it. A drain that discovery told binds at once, agreed or not.
+type list struct {
+	nodes  map[string]broker.Node // as discovery said last
+	shown  map[string]bool        // as draining, for it is agreed
+	agreed map[string]bool
+}
+
+func newList() *list {
+	return &list{nodes: map[string]broker.Node{}, shown: map[string]bool{}, agreed: map[string]bool{}}
+}
+
+// news lays what is agreed over what discovery says, and tells which hosts discovery now says to leave, or no longer says so.
+func (l *list) news(e broker.Listed) (shown broker.Listed, leave, stay []string) {
+	if e.Kind == logic.ListFailed {
+		return e, nil, nil
+	}
+	if e.Kind != logic.ListChanges {
+		for host := range l.nodes {
+			if !slices.ContainsFunc(e.Nodes, func(n broker.Node) bool { return n.Node == host }) {
+				delete(l.nodes, host)
+				delete(l.shown, host)
+			}
+		}
+	}
+	shown = e
+	shown.Nodes = slices.Clone(e.Nodes)
+	for i, n := range e.Nodes {
+		old, known := l.nodes[n.Node]
+		switch {
+		case n.State == logic.Gone:
+			delete(l.nodes, n.Node)
+			delete(l.shown, n.Node)
+			stay = append(stay, n.Node) // nothing is to be said of it any more
+			continue
+		case n.State == logic.Draining && (!known || old.State != n.State):
+			leave = append(leave, n.Node)
+		case n.State == logic.Ready && known && old.State == logic.Draining:
+			stay = append(stay, n.Node)
+		}
+		l.nodes[n.Node] = n
+		if l.agreed[n.Node] && n.State == logic.Ready {
+			shown.Nodes[i].State = logic.Draining
+			l.shown[n.Node] = true
+		} else {
+			delete(l.shown, n.Node)
+		}
+	}
+	return shown, leave, stay
+}
+
+// agree goes over to what is agreed now, and returns what changes by it.
+func (l *list) agree(hosts map[string]bool) []broker.Node {
+	l.agreed = hosts
+	var changed []broker.Node
+	for _, host := range slices.Sorted(maps.Keys(l.nodes)) {
+		n := l.nodes[host]
+		if want := hosts[host] && n.State == logic.Ready; want != l.shown[host] {
+			if delete(l.shown, host); want {
+				l.shown[host] = true
+				n.State = logic.Draining
+			}
+			changed = append(changed, n)
+		}
+	}
+	return changed
+}
+
+// fault words why a proposal was refused.
+func faultKind(err error) string {
+	switch text := err.Error(); {
+	case strings.Contains(text, agree.ErrExpected.Error()), strings.Contains(text, agree.ErrUnderWay.Error()):
+		return "expected"
+	case strings.Contains(text, "not known"):
+		return "unknown"
+	case strings.Contains(text, agree.ErrNotLeader.Error()):
+		return "none"
+	}
+	return "invalid"
+}
--- a/node/consensus/sim_test.go
+++ b/node/consensus/sim_test.go
@@ -99,6 +99,8 @@
 	changes int
 	lost    int // voters that lost their state
 	ops     []porcupine.Operation
+	end     agree.Micros // of the faults
+	open    []func()     // ends of calls, for those that are open at the end
 }
 
 func (s *sim) after(d agree.Micros, do func()) {
@@ -142,6 +144,7 @@
 	for c := range 2 {
 		s.after(1_000_000, func() { s.client(c) })
 	}
+	s.end = span - 8_000_000
 	s.after(2_000_000, s.fault)
 	for len(s.q) > 0 && s.breach == "" {
 		e := heap.Pop(&s.q).(event)
@@ -150,6 +153,18 @@
 		}
 		e.do()
 	}
+	for _, end := range s.open {
+		end()
+	}
+	leads := false
+	for _, x := range s.voters {
+		if leads = leads || x.v.Leads(); x.v.Fresh() && s.breach == "" {
+			s.breach = x.name + " was not taken in again"
+		}
+	}
+	if !leads && s.breach == "" {
+		s.breach = "nobody leads, long after the last fault"
+	}
 	return s
 }
 
@@ -352,6 +367,7 @@
 		}))
 	})
 	s.after(3_000_000, func() { end(output{end: "unknown"}) })
+	s.open = append(s.open, func() { end(output{end: "unknown"}) })
 }
 
 var register = porcupine.Model{
@@ -374,6 +390,9 @@
 }
 
 func (s *sim) fault() {
+	if s.now > s.end {
+		return
+	}
 	s.after(agree.Micros(200_000+s.random.IntN(1_200_000)), s.fault)
 	x, span := s.voters[s.random.IntN(len(s.voters))], agree.Micros(100_000+s.random.IntN(3_000_000))
 	i := s.random.IntN(len(s.holders))
@@ -455,7 +474,7 @@
 func TestCluster(t *testing.T) {
 	changes, lost, ops := 0, 0, 0
 	for seed := range *manySeeds {
-		s := play(t, uint64(seed), noBug, 12_000_000)
+		s := play(t, uint64(seed), noBug, 20_000_000)
 		if s.breach != "" {
 			t.Fatalf("seed %d: %s", seed, s.breach)
 		}
@@ -484,7 +503,7 @@
 						found = fmt.Sprint("raft: ", r)
 					}
 				}()
-				s := play(t, seed, c.bug, 12_000_000)
+				s := play(t, seed, c.bug, 20_000_000)
 				if found = s.breach; found == "" && !porcupine.CheckOperations(register, s.ops) {
 					found = "not linearizable"
 				}
@@ -497,3 +516,56 @@
 		}
 	}
 }
+
+// Voters lose their state one behind another, as in a rolling restart without disks: each is taken in again, whoever leads.
+func TestReplacedOneByOne(t *testing.T) {
+	for seed := range uint64(20) {
+		s := &sim{t: t, random: rand.New(rand.NewPCG(seed, 0xc1)), docs: map[uint64]map[string]string{0: {}}}
+		members := map[string]uint64{}
+		for i := range 3 {
+			members[fmt.Sprint("v", i)] = DrawID(s.random)
+		}
+		for i := range 3 {
+			store, err := NewMemory(mustFormed(t, members))
+			if err != nil {
+				t.Fatal(err)
+			}
+			x := &simVoter{name: fmt.Sprint("v", i), clock: s.clock(), store: store}
+			s.start(x, members[x.name])
+			s.voters = append(s.voters, x)
+			s.after(agree.Micros(s.random.IntN(20_000)), func() { s.tick(x) })
+		}
+		until := func(what string, is func() bool) {
+			for end := s.now + 20_000_000; !is(); {
+				e := heap.Pop(&s.q).(event)
+				if s.now = e.at; s.now > end {
+					for _, x := range s.voters {
+						t.Logf("%s id %x fresh %v: %+v, conf %v, applied %d, leads %v", x.name, x.v.ID(), x.v.Fresh(), x.v.raw.BasicStatus(), x.v.conf, x.v.applied, x.v.Leads())
+					}
+					t.Fatalf("seed %d: never %s", seed, what)
+				}
+				e.do()
+			}
+		}
+		leads := func() bool {
+			for _, x := range s.voters {
+				if x.v.Leads() && x.v.Keeper().Sure(x.clock.read(s.now)) {
+					return true
+				}
+			}
+			return false
+		}
+		until("led", leads)
+		for _, x := range s.voters {
+			store, err := NewMemory(nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			x.store = store
+			id := DrawID(s.random)
+			s.start(x, id)
+			until("taken in", func() bool { return x.v.Record().Members[x.name] == id && len(x.v.conf.GetVotersOutgoing()) == 0 })
+			until("led again", leads)
+		}
+	}
+}
--- a/node/consensus/voter.go
+++ b/node/consensus/voter.go
@@ -77,8 +77,9 @@
 	record  *agree.Record
 	conf    *pb.ConfState
 	applied uint64
-	logged  int // bytes since the last cut
-	cutSize int // of the last cut's data
+	logged  int  // bytes since the last cut
+	cutSize int  // of the last cut's data
+	moved   bool // the voters changed since the last cut
 	err     error
 
 	leads   bool
@@ -123,7 +124,7 @@
 		}
 	}
 	v.raw, err = raft.NewRawNode(&raft.Config{ID: o.ID, ElectionTick: electionTicks, HeartbeatTick: heartbeat, Storage: s, Applied: v.applied, MaxSizePerMsg: mostBytes,
-		MaxInflightMsgs: 64, MaxUncommittedEntriesSize: mostUnsettled, CheckQuorum: true, PreVote: true, Logger: quiet{o.Log}})
+		MaxInflightMsgs: 64, MaxUncommittedEntriesSize: mostUnsettled, CheckQuorum: true, PreVote: true, DisableProposalForwarding: true, Logger: quiet{o.Log}})
 	return v, err
 }
 
@@ -143,6 +144,17 @@
 	return nil
 }
 
+// Fresh tells whether it holds nothing: no consensus was formed with it, nor has one taken it in.
+func (v *Voter) Fresh() bool { return v.conf == nil && v.applied == 0 }
+
+// Begun tells whether the consensus has had a leader, as far as this voter knows.
+func (v *Voter) Begun() bool {
+	return v.applied > 1
+}
+
+// Offers tells whether a holder has brought a document of an earlier epoch.
+func (v *Voter) Offers() bool { return v.offer != nil }
+
 // Err is why the voter takes no further part, nil while it does.
 func (v *Voter) Err() error { return v.err }
 
@@ -362,6 +374,7 @@
 			return
 		}
 		v.conf = v.raw.ApplyConfChange(&change)
+		v.moved = true
 		var m agree.Member
 		if len(change.GetContext()) > 0 && msgpack.Unmarshal(change.GetContext(), &m) == nil {
 			v.record.Members[m.Name] = m.ID
@@ -452,11 +465,13 @@
 	return false
 }
 
-// cut has the storage forget the log up to now, once it is larger than what replaces it: so this costs in proportion to the changes.
+// cut has the storage forget the log up to now, once it is larger than what replaces it: so this costs in proportion to the changes. After
+// a change of voters too: one who is taken in believes only a snapshot that knows it.
 func (v *Voter) cut() {
-	if v.err != nil || v.logged < leastCompact || v.logged < 2*v.cutSize || v.conf == nil {
+	if v.err != nil || !v.moved && (v.logged < leastCompact || v.logged < 2*v.cutSize) || v.conf == nil {
 		return
 	}
+	v.moved = false
 	data, err := msgpack.Marshal(v.record)
 	if err == nil {
 		err = v.storage.Compact(v.applied, v.conf, data)
