--- a/cmd/junctionwharf/main.go
+++ b/cmd/junctionwharf/main.go
@@ -56,6 +56,7 @@
 			{Name: "serve", Usage: "serve until SIGTERM; SIGHUP rereads the configuration", Flags: slices.Concat(logFlags, flags, serveFlags), Action: serveCommand},
 			{Name: "check", Usage: "check the configuration and say what it holds", Flags: flags, Action: checkCommand},
 			{Name: "nodes", Usage: "print the list of storage nodes, from a running broker's console or else from its sources", Flags: flags, Action: nodesCommand},
+			agreeCommand(),
 			{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
 				fmt.Println("junctionwharf", version)
 				return nil
--- a/cmd/wharflab/fleet.go
+++ b/cmd/wharflab/fleet.go
@@ -127,6 +127,19 @@
 	if len(r.EvenAfter) > 0 {
 		fmt.Fprintf(w, "load is even again after the end of each event, s: %.2f\n", r.EvenAfter)
 	}
+	if a := r.Agreement; a != nil {
+		at := func(part float64) float64 {
+			if len(a.Spread) == 0 {
+				return 0
+			}
+			return float64(a.Spread[min(len(a.Spread)-1, int(part*float64(len(a.Spread))))]) / 1000
+		}
+		fmt.Fprintf(w, "agreement: %d versions acted on, proposals %v, longest contradiction %.3f ms; from commit to all acting, ms: p50 %.0f, p99 %.0f, largest %.0f; %.0f bytes a second and broker, at most %.0f; %.1f MB a broker\n",
+			a.Versions, a.Ends, float64(a.LongestUS)/1000, at(0.5), at(0.99), at(1), a.BytesS, a.MostS, a.MemoryMB)
+		if a.Story != "" {
+			fmt.Fprintln(w, a.Story)
+		}
+	}
 	for i, b := range r.Breaches {
 		if i == 5 {
 			fmt.Fprintf(w, "and %d more breaches\n", len(r.Breaches)-i)
--- a/internal/fleetrig/play.go
+++ b/internal/fleetrig/play.go
@@ -211,6 +211,10 @@
 		}
 		wait.Go(func() { c.run(ctx, until) })
 	}
+	var ends map[string]int
+	if s.Agreement.ChangeS > 0 {
+		wait.Go(func() { ends = r.changes(ctx, until) })
+	}
 	faults := make(chan error, len(s.Events)+1)
 	for i := range s.Events {
 		wait.Go(func() {
@@ -226,7 +230,12 @@
 		return nil, err
 	default:
 	}
-	return r.report(), ctx.Err()
+	rep := r.report()
+	if s.Agreement.Voters > 0 {
+		rep.Agreement = &AgreementReport{Contradiction: r.Contradictions(), Ends: ends}
+		r.spent(rep.Agreement)
+	}
+	return rep, ctx.Err()
 }
 
 func (r *Rig) sleep(ctx context.Context, d time.Duration) {
@@ -481,19 +490,20 @@
 
 // Report is what a run came to.
 type Report struct {
-	Scenario string         `json:"scenario"`
-	Seed     uint64         `json:"seed"`
-	Brokers  int            `json:"brokers"`
-	Nodes    int            `json:"nodes"`
-	Phases   []Phase        `json:"phases"`
-	All      Phase          `json:"all"`
-	PerNode  map[string]int `json:"per_node"`
-	Dials    int            `json:"dials"`      // connections to nodes
-	Peak     int            `json:"peak_conns"` // the most at one node
-	Calls    int            `json:"discovery_calls"`
-	Sent     int64          `json:"datagrams"`
-	Bytes    int64          `json:"datagram_bytes"`
-	Breaches []Breach       `json:"breaches"`
+	Scenario  string           `json:"scenario"`
+	Seed      uint64           `json:"seed"`
+	Brokers   int              `json:"brokers"`
+	Nodes     int              `json:"nodes"`
+	Phases    []Phase          `json:"phases"`
+	All       Phase            `json:"all"`
+	PerNode   map[string]int   `json:"per_node"`
+	Dials     int              `json:"dials"`      // connections to nodes
+	Peak      int              `json:"peak_conns"` // the most at one node
+	Calls     int              `json:"discovery_calls"`
+	Sent      int64            `json:"datagrams"`
+	Bytes     int64            `json:"datagram_bytes"`
+	Breaches  []Breach         `json:"breaches"`
+	Agreement *AgreementReport `json:"agreement,omitempty"`
 	// EvenAfter is, for each event, the seconds from its end until load is even, -1 for not within the run.
 	EvenAfter []float64 `json:"even_after_s"`
 }
