--- a/agree/holder.go
+++ b/agree/holder.go
@@ -34,6 +34,7 @@
 	Life    uint64
 	Epoch   uint64
 	Term    uint64
+	Seq     uint64 // orders the grants of a term as they were made: renewals may reach the leader in another order than they were sent in
 	Whole   *Document // nil where entries do
 	Entries []Entry   // up to the version in force
 	Prepare *Entry    // the version under way, nil for none
@@ -48,6 +49,7 @@
 	rules  Rules
 
 	term    uint64
+	seq     uint64 // of the latest grant of the term
 	doc     *Document
 	ready   *Entry // the version under way
 	changed map[string]string
@@ -56,6 +58,9 @@
 	number  uint64
 
 	restrictedAt Micros // since when, 0 for not
+
+	touched []string // keys whose value may be another since Touched was asked
+	whole   bool     // any may be
 }
 
 type sentRenewal struct {
@@ -86,10 +91,11 @@
 
 // Granted takes an answer and tells whether it counted. The lease runs from when the renewal was sent, on this holder's clock: the
 // granter reckons it from later, so it is never the longer one here. What an earlier leader sends late is dropped, and so is what was
-// meant for an earlier life. A consensus that was formed anew is believed once there is no lease of the old one.
+// meant for an earlier life, and what this leader granted before what was heard already. A consensus that was formed anew is believed once there is no lease of the old one.
 func (h *Holder) Granted(now Micros, g Grant) bool {
 	anew := g.Epoch != h.doc.Epoch
-	if g.Holder != h.name || g.Life != h.life || !anew && g.Term < h.term || anew && (g.Whole == nil || now < h.until) {
+	late := g.Term < h.term || g.Term == h.term && g.Seq <= h.seq
+	if g.Holder != h.name || g.Life != h.life || !anew && late || anew && (g.Whole == nil || now < h.until) {
 		return false
 	}
 	at := slices.IndexFunc(h.sent, func(s sentRenewal) bool { return s.number == g.Number })
@@ -114,7 +120,11 @@
 	if doc.Apply(entries...) != nil {
 		return false // nothing of it counts
 	}
-	h.term, h.doc, h.sent = g.Term, doc, h.sent[at+1:]
+	h.whole = h.whole || g.Whole != nil
+	for _, e := range entries {
+		h.touch(e)
+	}
+	h.term, h.seq, h.doc, h.sent = g.Term, g.Seq, doc, h.sent[at+1:]
 	h.prepare(g.Prepare)
 	h.until = max(h.until, sent+h.timing.Lease)
 	h.restrictedAt = 0
@@ -123,6 +133,12 @@
 
 // prepare has decisions keep to what both versions allow.
 func (h *Holder) prepare(e *Entry) {
+	if h.ready != nil && (e == nil || e.Hash != h.ready.Hash) {
+		h.touch(*h.ready)
+	}
+	if e != nil && (h.ready == nil || e.Hash != h.ready.Hash) {
+		h.touch(*e)
+	}
 	h.ready, h.changed = e, nil
 	if e == nil {
 		return
@@ -135,6 +151,20 @@
 	}
 }
 
+func (h *Holder) touch(e Entry) {
+	for _, c := range e.Proposal.Changes {
+		h.touched = append(h.touched, c.Key)
+	}
+}
+
+// Touched are the keys whose value in a view may be another than when it was asked last, all for any may be. So following a document costs
+// by its changes, not by its size.
+func (h *Holder) Touched() (keys []string, all bool) {
+	keys, all = h.touched, h.whole
+	h.touched, h.whole = nil, false
+	return keys, all
+}
+
 // View is what a turn acts on.
 type View struct {
 	Version    uint64 // in force, as far as this broker knows
--- a/agree/keeper.go
+++ b/agree/keeper.go
@@ -21,6 +21,7 @@
 	pending *Entry
 	since   Micros // when pending was begun in this term
 	leases  map[string]*lease
+	seq     uint64
 	clearAt Micros // leases of earlier terms have run out
 	until   Micros // may grant before: its leadership was confirmed by a majority that elects no other sooner
 }
@@ -94,7 +95,8 @@
 		return nil // what was in force before may still be acted on; or it knows more than this leader, who must be an earlier one
 	}
 	l.ends, l.acts = max(l.ends, now+k.timing.Outlasts(k.timing.Lease)), r.Version
-	g := &Grant{Holder: r.Holder, Number: r.Number, Life: r.Life, Epoch: k.doc.Epoch, Term: k.term, Prepare: k.pending}
+	k.seq = max(k.seq+1, uint64(max(0, now))) // a keeper that follows in the same term goes on
+	g := &Grant{Holder: r.Holder, Number: r.Number, Life: r.Life, Epoch: k.doc.Epoch, Term: k.term, Seq: k.seq, Prepare: k.pending}
 	if k.pending != nil && !anew && r.Ready == k.pending.Version && r.Version == k.doc.Version {
 		l.ready = r.Ready
 	}
--- a/cmd/wharflab/main.go
+++ b/cmd/wharflab/main.go
@@ -25,7 +25,7 @@
 			sinksCommand(),
 			dnsCommand(),
 			drainsCommand(),
-			curveCommand(), fleetCommand(), spreadCommand(),
+			curveCommand(), floorCommand(), fleetCommand(), spreadCommand(),
 		},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
--- a/node/agreement/service.go
+++ b/node/agreement/service.go
@@ -19,6 +19,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.etcd.io/raft/v3/raftpb"
@@ -59,6 +60,7 @@
 	formEvery  = 100_000
 	halfFormed = 5_000_000 // without a leader from the start on: whoever was to be one is gone
 	swapEvery  = 200_000
+	showEvery  = 200_000
 	drainWait  = 200_000 // drawn, before a drain is proposed that all brokers hear of at once
 	again      = 300_000
 	routeSpan  = 10_000_000
@@ -86,6 +88,7 @@
 	wake   func() // has the core turn
 	post   func(broker.Event)
 	counts counts
+	seen   struct{ term, leads, behind, waits atomic.Uint64 } // for figures
 
 	mu     sync.Mutex // of what the core's turn looks at
 	holder *agree.Holder
@@ -116,6 +119,7 @@
 	askNo    uint64
 	wants    map[string]wanted // drains that discovery told this broker, and that are to be agreed on
 	importAt agree.Micros
+	showAt   agree.Micros
 	fileDue  bool // the settings file is to be proposed
 }
 
@@ -203,12 +207,27 @@
 	s.acts, s.since = is, now
 	s.o.Log.Info("acts", "epoch", is.epoch, "version", is.version, "preparing", is.preparing, "restricted", is.restricted, "before_us", now-last)
 	events := []broker.Event{broker.Retuned{Settings: effective(s.set, s.o.Limits, view)}}
-	if nodes := s.list.agree(drained(view)); len(nodes) > 0 {
+	if nodes := s.drains(view); len(nodes) > 0 {
 		events = append(events, broker.Listed{Kind: logic.ListChanges, Nodes: nodes})
 	}
 	return events
 }
 
+// drains brings the list up to what changed in the view.
+func (s *Service) drains(view agree.View) []broker.Node {
+	keys, all := s.holder.Touched()
+	if all {
+		return s.list.agree(drained(view))
+	}
+	var changed []broker.Node
+	for _, key := range keys {
+		if host, is := between(key, nodeKey, drainKey); is {
+			changed = append(changed, s.list.one(host, view.Value(key) == "yes")...)
+		}
+	}
+	return changed
+}
+
 // Settings goes over to a settings file that was read again. What it says of agreed keys becomes a proposal; all else counts at once.
 func (s *Service) Settings(set logic.Settings) {
 	s.mu.Lock()
@@ -302,6 +321,23 @@
 	}
 }
 
+// show leaves figures for whoever reads them.
+func (s *Service) show(now agree.Micros) {
+	if s.voter == nil || now < s.showAt {
+		return
+	}
+	s.showAt = now + showEvery
+	_, term := s.voter.Status()
+	leads, behind, waits := uint64(0), 0, 0
+	if s.voter.Leads() {
+		leads, behind, waits = 1, len(s.voter.Keeper().Behind(now)), len(s.voter.Keeper().Waits(now))
+	}
+	s.seen.term.Store(term)
+	s.seen.leads.Store(leads)
+	s.seen.behind.Store(uint64(behind))
+	s.seen.waits.Store(uint64(waits))
+}
+
 func (s *Service) links() []*link {
 	links := slices.Concat(slices.Collect(maps.Values(s.dialed)), slices.Collect(maps.Values(s.voters)), slices.Collect(maps.Values(s.children)))
 	if s.parent != nil {
@@ -337,6 +373,7 @@
 		}
 		next = min(next, s.formAt)
 	}
+	s.show(now)
 	s.propose(now)
 	if s.flushAt > 0 && now >= s.flushAt {
 		s.flush()
@@ -987,5 +1024,6 @@
 	}
 	return []broker.Figure{{Name: "agree_version", Value: view.Version}, {Name: "agree_preparing", Value: view.Preparing}, {Name: "agree_age_ms", Value: uint64(max(0, now-acts) / 1000)},
 		{Name: "agree_lease_left_ms", Value: uint64(left / 1000)}, {Name: "agree_restricted", Value: restricted}, {Name: "agree_restricted_ms", Value: uint64(max(0, span) / 1000)},
+		{Name: "agree_term", Value: s.seen.term.Load()}, {Name: "agree_leads", Value: s.seen.leads.Load()}, {Name: "agree_behind", Value: s.seen.behind.Load()}, {Name: "agree_waits", Value: s.seen.waits.Load()},
 		count("bytes_sent", s.counts.sent.Load()), count("bytes_received", s.counts.received.Load()), count("dropped", s.counts.dropped.Load()), count("turned_away", s.counts.refused.Load())}
 }
--- a/node/agreement/settings.go
+++ b/node/agreement/settings.go
@@ -159,20 +159,31 @@
 	return shown, leave, stay
 }
 
+// one goes over to what is agreed on one host, and returns what changes by it.
+func (l *list) one(host string, leaves bool) []broker.Node {
+	if delete(l.agreed, host); leaves {
+		l.agreed[host] = true
+	}
+	n, known := l.nodes[host]
+	want := known && leaves && n.State == logic.Ready
+	if !known || want == l.shown[host] {
+		return nil
+	}
+	if delete(l.shown, host); want {
+		l.shown[host] = true
+		n.State = logic.Draining
+	}
+	return []broker.Node{n}
+}
+
 // agree goes over to what is agreed now, and returns what changes by it.
 func (l *list) agree(hosts map[string]bool) []broker.Node {
-	l.agreed = hosts
+	l.agreed = map[string]bool{}
 	var changed []broker.Node
 	for _, host := range slices.Sorted(maps.Keys(l.nodes)) {
-		n := l.nodes[host]
-		if want := hosts[host] && n.State == logic.Ready; want != l.shown[host] {
-			if delete(l.shown, host); want {
-				l.shown[host] = true
-				n.State = logic.Draining
-			}
-			changed = append(changed, n)
-		}
+		changed = append(changed, l.one(host, hosts[host])...)
 	}
+	maps.Copy(l.agreed, hosts)
 	return changed
 }
 
--- a/node/agreement/wire.go
+++ b/node/agreement/wire.go
@@ -89,6 +89,7 @@
 	Holder  string
 	Number  uint64
 	Life    uint64
+	Seq     uint64
 	After   uint64 // entries behind this version
 	Whole   bool
 	Prepare bool
@@ -116,7 +117,7 @@
 	known := map[uint64]bool{}
 	for _, g := range grants {
 		d.Epoch, d.Term = g.Epoch, g.Term
-		h := granted{Holder: g.Holder, Number: g.Number, Life: g.Life, Whole: g.Whole != nil, Prepare: g.Prepare != nil}
+		h := granted{Holder: g.Holder, Number: g.Number, Life: g.Life, Seq: g.Seq, Whole: g.Whole != nil, Prepare: g.Prepare != nil}
 		if g.Whole != nil {
 			d.Whole = g.Whole
 		}
@@ -141,7 +142,7 @@
 func (d *down) unpack() ([]*agree.Grant, error) {
 	var grants []*agree.Grant
 	for _, h := range d.Grants {
-		g := &agree.Grant{Holder: h.Holder, Number: h.Number, Life: h.Life, Epoch: d.Epoch, Term: d.Term}
+		g := &agree.Grant{Holder: h.Holder, Number: h.Number, Life: h.Life, Seq: h.Seq, Epoch: d.Epoch, Term: d.Term}
 		if h.Whole {
 			if g.Whole = d.Whole; d.Whole == nil {
 				return nil, errors.New("a grant lacks its document")
