--- a/agree/holder.go
+++ b/agree/holder.go
@@ -34,7 +34,7 @@
 	Life    uint64
 	Epoch   uint64
 	Term    uint64
-	Seq     uint64 // orders the grants of a term as they were made: renewals may reach the leader in another order than they were sent in
+	Seq     uint64    // orders the grants of a term as they were made: renewals may reach the leader in another order than they were sent in
 	Whole   *Document // nil where entries do
 	Entries []Entry   // up to the version in force
 	Prepare *Entry    // the version under way, nil for none
--- a/agree/sim_test.go
+++ b/agree/sim_test.go
@@ -326,9 +326,13 @@
 				h.waiting = nil
 			})
 		}
-	case 4:
-		if !h.stopped {
-			s.start(h)
+	case 4: // it crashes, and maybe again as soon as it is up
+		for n := range 1 + s.random.IntN(4) {
+			s.after(Micros(n*(50_000+s.random.IntN(250_000))), func() {
+				if !h.stopped {
+					s.start(h)
+				}
+			})
 		}
 	case 5: // all restart at once
 		if s.random.IntN(4) == 0 {
