Halve what a choice among many nodes costs

Two thirds of it was judging once a second: a sort, an exponential and a root for each node. Nodes stay in the order of their times, those faded at one time share a factor, and what is not slow needs no interval; places are averaged only where that can matter.

--- a/spread/judge.go
+++ b/spread/judge.go
@@ -37,6 +37,7 @@
 
 // judgement is what was seen of a node. Counts fade over memory.
 type judgement struct {
+	mean        float64 // of the logarithms of its times, when judged last
 	ok, bad     float64
 	times       float64 // answers with a time, and the sum and square sum of their logarithms
 	sum, square float64
@@ -55,9 +56,12 @@
 	at   Time
 }
 
-func (j *judgement) fade(now Time) {
+func (j *judgement) fade(now Time, e *evidence) {
 	if span := now - j.faded; span > 0 {
-		by := math.Exp(-span.Seconds() / memory.Seconds())
+		if span != e.span { // most nodes were faded last at one time
+			e.span, e.by = span, math.Exp(-span.Seconds()/memory.Seconds())
+		}
+		by := e.by
 		j.ok, j.bad, j.times, j.sum, j.square = j.ok*by, j.bad*by, j.times*by, j.sum*by, j.square*by
 		j.faded = now
 	}
@@ -74,7 +78,7 @@
 
 // Answered notes an answer of a node, after so long.
 func (g *Group) Answered(now Time, m *Member, took time.Duration) {
-	m.fade(now)
+	m.fade(now, &g.evidence)
 	m.ok++
 	if took > 0 {
 		l := math.Log(took.Seconds())
@@ -97,7 +101,7 @@
 
 // Refused notes an error, a cut connection or a turned-away attempt. alive tells that the node itself answered.
 func (g *Group) Refused(now Time, m *Member, alive bool) {
-	m.fade(now)
+	m.fade(now, &g.evidence)
 	m.bad++
 	if alive {
 		m.heardAt = now
@@ -178,7 +182,7 @@
 }
 
 func (g *Group) factor(now Time, m *Member, usual float64) (float64, string) {
-	m.fade(now)
+	m.fade(now, &g.evidence)
 	if m.Suspect() {
 		return max(g.opt.Trial, m.regain), "silent"
 	}
@@ -194,9 +198,11 @@
 	}
 	if m.times > 2 && !math.IsNaN(usual) {
 		mean := m.sum / m.times
-		spread := math.Sqrt(max(0.04, m.square/m.times-mean*mean) / m.times)
-		if surplus := mean - usual; surplus-surely*spread > math.Log(likeSpeed) {
-			factor, why = max(leastSpeed, factor*math.Exp(-surplus)), "slow"
+		if surplus := mean - usual; surplus > likeLog { // mostly not: the rest is spared
+			spread := math.Sqrt(max(0.04, m.square/m.times-mean*mean) / m.times)
+			if surplus-surely*spread > likeLog {
+				factor, why = max(leastSpeed, factor*math.Exp(-surplus)), "slow"
+			}
 		}
 	}
 	return factor, why
@@ -205,28 +211,40 @@
 // usualTime is the median over the nodes of the mean logarithm of their times, NaN without enough of them. A slow or quick
 // minority does not move it.
 func (g *Group) usualTime(now Time) float64 {
-	g.means = g.means[:0]
-	for _, m := range g.used {
-		if m.fade(now); m.times > 1 {
-			g.means = append(g.means, m.sum/m.times)
+	if len(g.ranked) != len(g.used) {
+		g.ranked = append(g.ranked[:0], g.used...)
+	}
+	known := 0
+	for i, m := range g.ranked { // they are nearly in order since the last time
+		m.fade(now, &g.evidence)
+		if m.mean = math.Inf(1); m.times > 1 {
+			m.mean = m.sum / m.times
+			known++
+		}
+		for ; i > 0 && g.ranked[i-1].mean > m.mean; i-- {
+			g.ranked[i] = g.ranked[i-1]
 		}
+		g.ranked[i] = m
 	}
-	if len(g.means) < 3 {
+	if known < 3 {
 		return math.NaN()
 	}
-	slices.Sort(g.means)
-	return g.means[(len(g.means)-1)/2]
+	return g.ranked[(known-1)/2].mean
 }
 
+var likeLog = math.Log(likeSpeed)
+
 // ---- what peers tell
 
-// evidence is what is told and heard of silent nodes.
+// evidence is what is told and heard of silent nodes, and what judging keeps between two times.
 type evidence struct {
 	reckonAt Time
-	means    []float64
-	silent   []string // to be told
+	ranked   []*Member // the cover by its nodes' mean times
+	silent   []string  // to be told
 	alive    []string
 	toldAt   Time
+	span     Time // of the last fading, and its factor
+	by       float64
 	alarmAt  Time // when a node was last found silent, by this broker or by peers
 }
 
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -119,6 +119,8 @@
 	used   []*Member // the cover, by priority
 	now    float64   // virtual time
 	visits uint64
+	hushed bool    // a node of the cover is silent
+	first  *Member // whose place is the earliest, if next has just seen that; nil for not known
 	sure   bool    // the request that looks for a node wants a proved one
 	rate   float64 // requests a second, in the mean over some seconds
 	rated  Time
@@ -168,6 +170,7 @@
 		g.used = append(g.used, g.nearest()...)
 	}
 	slices.SortStableFunc(g.used, func(a, b *Member) int { return a.Priority - b.Priority })
+	g.ranked = g.ranked[:0]
 	if g.uneven && (g.evenAt == 0 || now-g.evenAt >= time.Second) {
 		g.uneven, g.evenAt = false, max(1, now)
 		g.even()
@@ -211,7 +214,7 @@
 
 // trial is a silent node that is to be asked once more, by a request that may run twice.
 func (g *Group) trial(now Time) *Member {
-	if g.sure {
+	if g.sure || !g.hushed {
 		return nil
 	}
 	for _, m := range g.used {
@@ -270,15 +273,21 @@
 // next is the node of the cover whose turn comes first among those that were not visited.
 func (g *Group) next(_ Time) *Member {
 	var best *Member
-	least := 0.0
+	least, sure := 0.0, !g.hushed
 	for _, m := range g.used {
 		if m.visited == g.visits {
+			sure = false
 			continue
 		}
 		if best != nil && m.Priority > best.Priority {
+			sure = false
 			break
 		}
-		key := m.at + float64(m.Out)/m.weight()
+		key := m.at
+		if m.Out > 0 {
+			key += float64(m.Out) / m.weight()
+			sure = false
+		}
 		if m.Suspect() && m.regain == 0 && m.factor <= g.opt.Trial {
 			key += lastResort
 		}
@@ -286,6 +295,9 @@
 			best, least = m, key
 		}
 	}
+	if g.first = nil; sure {
+		g.first = best
+	}
 	return best
 }
 
@@ -293,7 +305,12 @@
 func (g *Group) Sent(now Time, m *Member) {
 	step := 1 / m.weight()
 	m.at = max(m.at, g.now-step*unit(hash(g.opt.Own, m.Name, uint64(now))))
-	g.now = max(g.now, min(m.at, g.middle()))
+	if m == g.first { // no place is before its own, so neither is the middle: what follows would come to the same
+		g.now = max(g.now, m.at)
+	} else {
+		g.now = max(g.now, min(m.at, g.middle()))
+	}
+	g.first = nil
 	m.at += step
 	span := (now - g.rated).Seconds()
 	g.rate = g.rate*math.Exp(-span/rateSpan) + 1/rateSpan
@@ -321,6 +338,7 @@
 		return
 	}
 	g.stale, g.reckonAt = false, now+reckonEach
+	g.hushed = slices.ContainsFunc(g.used, (*Member).Suspect)
 	g.judge(now)
 	sum := 0.0 // of those that go first
 	for _, m := range g.used {
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -277,7 +277,7 @@
 }
 
 func BenchmarkChoice(b *testing.B) {
-	for _, nodes := range []int{10, 100, 1000, 10_000} {
+	for _, nodes := range []int{10, 24, 100, 1000, 10_000} {
 		b.Run(fmt.Sprint("nodes=", nodes), func(b *testing.B) {
 			g := NewGroup(Options{Own: "b", Ordinal: 7, Brokers: 300})
 			g.Set(0, members(nodes))
