--- a/agree/sim_test.go
+++ b/agree/sim_test.go
@@ -1,11 +1,12 @@
 package agree
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
+
+	"junctionwharf/internal/simtime"
 )
 
 var manySeeds = flag.Int("seeds", 80, "seeds of the simulated cluster")
@@ -30,34 +31,12 @@
 // Clocks here run 2.5% fast or slow, so that a second shows what a day would.
 var testTiming = Timing{Lease: 300_000, Drift: 50_000}
 
-type simEvent struct {
-	at  Micros
-	seq int
-	do  func()
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int { return len(q) }
-func (q simQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *simQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // sim is a cluster on one true time axis: holders, a leader, and the log that outlives leaders. The consensus under it is an oracle
 // that keeps its own promises: what it commits stays, and no leader begins before the one before it has lost its confirmation.
 type sim struct {
+	simtime.Axis
 	random *rand.Rand
 	bug    bug
-	now    Micros
-	seq    int
-	q      simQueue
 
 	log      []Entry // in force
 	pending  *Entry
@@ -101,11 +80,6 @@
 	return simClock{offset: Micros(s.random.IntN(1 << 40)), rate: 0.975 + 0.05*s.random.Float64()}
 }
 
-func (s *sim) after(d Micros, do func()) {
-	s.seq++
-	heap.Push(&s.q, simEvent{s.now + d, s.seq, do})
-}
-
 func playSim(seed uint64, planted bug) *sim {
 	s := &sim{random: rand.New(rand.NewPCG(seed, 0xa9)), bug: planted, docs: []map[string]string{{}}}
 	first := Document{}
@@ -115,19 +89,14 @@
 		h := &simHolder{index: i, clock: s.clock()}
 		s.start(h)
 		s.holders = append(s.holders, h)
-		s.after(Micros(s.random.IntN(50_000)), func() { s.renew(h) })
-		s.after(Micros(s.random.IntN(5000)), func() { s.act(h) })
+		s.After(Micros(s.random.IntN(50_000)), func() { s.renew(h) })
+		s.After(Micros(s.random.IntN(5000)), func() { s.act(h) })
 	}
 	s.elect()
-	s.after(100_000, s.propose)
-	s.after(Micros(s.random.IntN(300_000)), s.fault)
+	s.After(100_000, s.propose)
+	s.After(Micros(s.random.IntN(300_000)), s.fault)
 	const end = 8_000_000
-	for len(s.q) > 0 && s.breach == "" {
-		e := heap.Pop(&s.q).(simEvent)
-		if s.now = e.at; s.now > end {
-			break
-		}
-		e.do()
+	for s.breach == "" && s.Step(end) {
 	}
 	return s
 }
@@ -164,7 +133,7 @@
 			s.breach = err.Error()
 		}
 	}
-	now := s.kClock.read(s.now)
+	now := s.kClock.read(s.Now)
 	s.keeper = NewKeeper(now, s.term, testTiming, testRules, doc, s.pending, 0)
 	if s.bug == noWaitForTerm {
 		s.keeper.clearAt = now
@@ -178,16 +147,16 @@
 	if lead != s.lead || !s.kUp {
 		return
 	}
-	s.keeper.Confirmed(s.kClock.read(s.now) + electionTime*9/10)
-	s.election = s.now + electionTime
-	s.after(30_000, func() { s.confirm(lead) })
+	s.keeper.Confirmed(s.kClock.read(s.Now) + electionTime*9/10)
+	s.election = s.Now + electionTime
+	s.After(30_000, func() { s.confirm(lead) })
 }
 
 func (s *sim) due(lead uint64) {
 	if lead != s.lead || !s.kUp {
 		return
 	}
-	ready := s.keeper.Due(s.kClock.read(s.now))
+	ready := s.keeper.Due(s.kClock.read(s.Now))
 	if s.bug == majorityActs && s.keeper.Pending() != nil {
 		n := 0
 		for _, l := range s.keeper.leases {
@@ -204,15 +173,15 @@
 		}
 		s.changes++
 	}
-	s.after(3000, func() { s.due(lead) })
+	s.After(3000, func() { s.due(lead) })
 }
 
 func (s *sim) propose() {
-	s.after(Micros(20_000+s.random.IntN(400_000)), s.propose)
+	s.After(Micros(20_000+s.random.IntN(400_000)), s.propose)
 	if !s.kUp || s.keeper.Pending() != nil {
 		return
 	}
-	now := s.kClock.read(s.now)
+	now := s.kClock.read(s.Now)
 	changes := []Change{{"limit", fmt.Sprint(1 + s.random.IntN(200))}, {"repeat", []string{"yes", "no"}[s.random.IntN(2)]}, {"zone", string(rune('a' + s.random.IntN(5)))}}
 	e, err := s.keeper.Propose(now, Proposal{Expected: s.keeper.Document().Version, Author: "a", Reason: "r", Changes: changes[:1+s.random.IntN(3)]})
 	if err != nil {
@@ -236,14 +205,14 @@
 }
 
 func (s *sim) renew(h *simHolder) {
-	s.after(Micros(30_000+s.random.IntN(60_000)), func() { s.renew(h) })
+	s.After(Micros(30_000+s.random.IntN(60_000)), func() { s.renew(h) })
 	if h.stopped {
 		return
 	}
-	r := h.Renew(h.clock.read(s.now))
+	r := h.Renew(h.clock.read(s.Now))
 	for range 1 + s.random.IntN(10)/9 { // some come twice
-		if d := s.delay(); d >= 0 && s.now >= h.cutTo {
-			s.after(d, func() { s.renewed(h, r) })
+		if d := s.delay(); d >= 0 && s.Now >= h.cutTo {
+			s.After(d, func() { s.renewed(h, r) })
 		}
 	}
 }
@@ -252,9 +221,9 @@
 	if !s.kUp {
 		return
 	}
-	g := s.keeper.Renewed(s.kClock.read(s.now), r)
-	if d := s.delay(); g != nil && d >= 0 && s.now >= h.cutTo && s.now >= h.deafTo {
-		s.after(d, func() { s.hear(h, *g) })
+	g := s.keeper.Renewed(s.kClock.read(s.Now), r)
+	if d := s.delay(); g != nil && d >= 0 && s.Now >= h.cutTo && s.Now >= h.deafTo {
+		s.After(d, func() { s.hear(h, *g) })
 	}
 }
 
@@ -263,7 +232,7 @@
 		h.waiting = append(h.waiting, func() { s.hear(h, g) })
 		return
 	}
-	now := h.clock.read(s.now)
+	now := h.clock.read(s.Now)
 	if !h.Granted(now, g) {
 		return
 	}
@@ -279,11 +248,11 @@
 
 // act is a turn of a holder's core. Whatever it acts on must be allowed by the latest version that anybody has acted on.
 func (s *sim) act(h *simHolder) {
-	s.after(Micros(300+s.random.IntN(4000)), func() { s.act(h) })
+	s.After(Micros(300+s.random.IntN(4000)), func() { s.act(h) })
 	if h.stopped {
 		return
 	}
-	v := h.View(h.clock.read(s.now))
+	v := h.View(h.clock.read(s.Now))
 	s.acts++
 	if !v.Restricted && v.Version > s.acted {
 		s.acted = v.Version
@@ -294,30 +263,30 @@
 	for key, want := range s.docs[s.acted] {
 		rule, _ := testRules(key)
 		if got := v.Value(key); !Below(rule, got, want) {
-			s.breach = fmt.Sprintf("at %d h%d acts on %s = %q (version %d, preparing %d, restricted %v) while version %d with %q is acted on", s.now, h.index, key, got,
+			s.breach = fmt.Sprintf("at %d h%d acts on %s = %q (version %d, preparing %d, restricted %v) while version %d with %q is acted on", s.Now, h.index, key, got,
 				v.Version, v.Preparing, v.Restricted, s.acted, want)
 		}
 	}
 }
 
 func (s *sim) fault() {
-	s.after(Micros(20_000+s.random.IntN(500_000)), s.fault)
+	s.After(Micros(20_000+s.random.IntN(500_000)), s.fault)
 	h := s.holders[s.random.IntN(len(s.holders))]
 	span := Micros(10_000 + s.random.IntN(1_500_000))
 	switch s.random.IntN(6) {
 	case 0: // the leader is gone
 		if s.kUp {
 			s.kUp = false
-			s.after(max(0, s.election-s.now)+Micros(s.random.IntN(100_000)), s.elect)
+			s.After(max(0, s.election-s.Now)+Micros(s.random.IntN(100_000)), s.elect)
 		}
 	case 1:
-		h.cutTo = s.now + span
+		h.cutTo = s.Now + span
 	case 2:
-		h.deafTo = s.now + span
+		h.deafTo = s.Now + span
 	case 3: // stopped, and woken: it acts before it hears what has come meanwhile
 		if !h.stopped {
 			h.stopped = true
-			s.after(span, func() {
+			s.After(span, func() {
 				h.stopped = false
 				s.act(h)
 				for _, hear := range h.waiting {
@@ -328,7 +297,7 @@
 		}
 	case 4: // it crashes, and maybe again as soon as it is up
 		for n := range 1 + s.random.IntN(4) {
-			s.after(Micros(n*(50_000+s.random.IntN(250_000))), func() {
+			s.After(Micros(n*(50_000+s.random.IntN(250_000))), func() {
 				if !h.stopped {
 					s.start(h)
 				}
--- a/cmd/junctionwharf/agree.go
+++ b/cmd/junctionwharf/agree.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -53,18 +52,9 @@
 	if c.Console == "" {
 		return nil, errors.New("console: no address in the configuration")
 	}
-	conn, err := net.DialTimeout("tcp", c.Console, time.Second)
+	text, err := console.Ask(c.Console, "agree "+call, console.AgreeTime+time.Second)
 	if err != nil {
-		return nil, fmt.Errorf("console: %w", err)
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(console.AgreeTime + time.Second))
-	if _, err := io.WriteString(conn, "agree "+call+"\n"); err != nil {
-		return nil, fmt.Errorf("console: %w", err)
-	}
-	text, err := io.ReadAll(conn)
-	if err != nil {
-		return nil, fmt.Errorf("console: %w", err)
+		return nil, err
 	}
 	text, whole := bytes.CutSuffix(text, []byte("EOT\n"))
 	if !whole {
--- a/cmd/wharflab/sinks.go
+++ b/cmd/wharflab/sinks.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,7 +8,6 @@
 	"io"
 	"math"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,6 +20,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"junctionwharf/internal/console"
 	"junctionwharf/internal/load"
 	"junctionwharf/internal/logs"
 	"junctionwharf/internal/standin"
@@ -185,15 +184,9 @@
 // figures reads the console's figures.
 func (r *running) figures() map[string]float64 {
 	figures := map[string]float64{}
-	conn, err := net.DialTimeout("tcp", r.console, time.Second)
-	if err != nil {
-		return figures
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(2 * time.Second))
-	io.WriteString(conn, "vars\n")
-	for lines := bufio.NewScanner(conn); lines.Scan(); {
-		name, rest, _ := strings.Cut(lines.Text(), ":")
+	all, _ := console.Ask(r.console, "vars", 2*time.Second) // of a broker that is gone there are none
+	for line := range strings.Lines(string(all)) {
+		name, rest, _ := strings.Cut(strings.TrimSpace(line), ":")
 		text, _, _ := strings.Cut(rest, "|")
 		if value, err := strconv.ParseFloat(text, 64); err == nil {
 			figures[strings.TrimPrefix(name, "edge_balancer.")] = value
--- a/internal/config/agreement.go
+++ b/internal/config/agreement.go
@@ -44,16 +44,6 @@
 	return agree.Timing{Lease: int64(a.BoundMS * 1000 / 2), Drift: agree.DefaultTiming.Drift}
 }
 
-// Votes tells whether a broker is among the members.
-func (a Agreement) Votes(name string) bool {
-	for _, m := range a.Members {
-		if m.Name == name {
-			return true
-		}
-	}
-	return false
-}
-
 func (a *Agreement) complete(set logic.Settings) error {
 	if !a.On() {
 		if a.Listen != "" || len(a.Members) > 0 || a.Dir != "" || len(a.Limits) > 0 || a.BoundMS != 0 || a.Feeds != 0 {
--- a/internal/daemon/agreement.go
+++ b/internal/daemon/agreement.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"errors"
 	"log/slog"
 	"net"
 
@@ -13,17 +12,11 @@
 // agreementOf listens for other brokers of the agreed document.
 func agreementOf(c *config.Config, clock *broker.Clock, loop *loopCalls, log *slog.Logger) (*agreement.Service, error) {
 	a := c.Site.Agreement
-	o := agreement.Options{Name: c.Name, Cluster: a.Cluster, Listen: a.Listen, Local: net.ParseIP(c.Local), Timing: a.Timing(), Limits: a.Limits, Feeds: a.Feeds, Seed: c.Seed,
+	o := agreement.Options{Name: c.Name, Cluster: a.Cluster, Listen: a.Listen, Dir: a.Dir, Local: net.ParseIP(c.Local), Timing: a.Timing(), Limits: a.Limits, Feeds: a.Feeds, Seed: c.Seed,
 		Now: clock.Now, Log: log}
 	for _, m := range a.Members {
 		o.Members = append(o.Members, agreement.Member{Name: m.Name, Address: m.Address})
 	}
-	if a.Votes(c.Name) {
-		if a.Listen == "" {
-			return nil, errors.New("agreement.listen: missing, and this broker votes")
-		}
-		o.Dir = a.Dir
-	}
 	return agreement.New(o, c.Settings.Logic, func(e broker.Event) { loop.Post(e) }, func() { loop.Wake() })
 }
 
--- a/internal/fleetrig/agreement.go
+++ b/internal/fleetrig/agreement.go
@@ -1,12 +1,10 @@
 package fleetrig
 
 import (
-	"bufio"
 	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -17,6 +15,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"junctionwharf/internal/console"
+	"junctionwharf/node/agreement"
 )
 
 // Agreement has brokers agree on settings, over links of the rig.
@@ -198,41 +199,28 @@
 
 // Agree asks a broker's console, and returns its answer without the last line.
 func (r *Rig) Agree(broker int, call string) (string, error) {
-	conn, err := net.DialTimeout("tcp4", r.address(1, broker, 7001), time.Second)
-	if err != nil {
-		return "", err
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(10 * time.Second))
-	if _, err := io.WriteString(conn, "agree "+call+"\n"); err != nil {
-		return "", err
-	}
-	text, err := io.ReadAll(bufio.NewReader(conn))
+	text, err := console.Ask(r.address(1, broker, 7001), "agree "+call, 10*time.Second)
 	return strings.TrimSuffix(strings.TrimSpace(string(text)), "\nEOT"), err
 }
 
-// AgreeStatus is what a broker says of itself.
-type AgreeStatus struct {
-	Role       string
-	Epoch      uint64
-	Version    uint64
-	Preparing  uint64
-	Restricted bool
-	Leader     string
-	Path       []string
-	Fault      string
+// agreeStatus is what a broker says of itself.
+func (r *Rig) agreeStatus(broker int) (s agreement.Status, err error) {
+	text, err := r.Agree(broker, "status")
+	if err == nil {
+		err = json.Unmarshal([]byte(text), &s)
+	}
+	return s, err
 }
 
 // AgreeUntil asks a broker for its status until it is as wanted.
-func (r *Rig) AgreeUntil(ctx context.Context, broker int, is func(AgreeStatus) bool) (AgreeStatus, error) {
+func (r *Rig) AgreeUntil(ctx context.Context, broker int, is func(agreement.Status) bool) (agreement.Status, error) {
 	for {
-		var s AgreeStatus
-		text, err := r.Agree(broker, "status")
-		if err == nil && json.Unmarshal([]byte(text), &s) == nil && is(s) {
+		s, err := r.agreeStatus(broker)
+		if err == nil && is(s) {
 			return s, nil
 		}
 		if ctx.Err() != nil {
-			return s, fmt.Errorf("broker-%d never came to be so: %s", broker, text)
+			return s, fmt.Errorf("broker-%d never came to be so: %+v, %v", broker, s, err)
 		}
 		r.sleep(ctx, 20*time.Millisecond)
 	}
@@ -242,8 +230,7 @@
 func (r *Rig) Leader(ctx context.Context) (int, error) {
 	for ctx.Err() == nil {
 		for i := range r.scenario.Agreement.Voters {
-			var s AgreeStatus
-			if text, err := r.Agree(i, "status"); err == nil && json.Unmarshal([]byte(text), &s) == nil && s.Role == "leader" && !s.Restricted {
+			if s, err := r.agreeStatus(i); err == nil && s.Role == "leader" && !s.Restricted {
 				return i, nil
 			}
 		}
@@ -276,11 +263,8 @@
 			ends["broker down"]++
 			continue
 		}
-		var s AgreeStatus
-		text, err := r.Agree(broker, "status")
-		if err == nil {
-			err = json.Unmarshal([]byte(text), &s)
-		}
+		s, err := r.agreeStatus(broker)
+		text := ""
 		if err == nil {
 			text, err = r.Agree(broker, fmt.Sprintf(`propose {"expected":%d,"author":"rig","reason":"change %d","changes":[{"key":"class.lesson-read.repeat","value":%q}]}`, s.Version, n, []string{"yes", "no"}[(s.Version+1)%2]))
 		}
@@ -304,14 +288,10 @@
 		if p.isDown() {
 			continue
 		}
-		conn, err := net.DialTimeout("tcp4", r.address(1, i, 7001), time.Second)
+		text, err := console.Ask(r.address(1, i, 7001), "vars", 2*time.Second)
 		if err != nil {
 			continue
 		}
-		conn.SetDeadline(time.Now().Add(2 * time.Second))
-		io.WriteString(conn, "vars\n")
-		text, _ := io.ReadAll(conn)
-		conn.Close()
 		for line := range strings.SplitSeq(string(text), "\n") {
 			if _, value, found := strings.Cut(line, "agree_bytes_sent:"); found {
 				n, _ := strconv.ParseFloat(strings.TrimSuffix(value, "|c"), 64)
--- a/internal/fleetrig/agreement_test.go
+++ b/internal/fleetrig/agreement_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"junctionwharf/node/agreement"
 )
 
 const bound = time.Second
@@ -24,7 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rig.all(t, ctx, func(s AgreeStatus) bool { return s.Version >= 1 && !s.Restricted && s.Preparing == 0 })
+	rig.all(t, ctx, func(s agreement.Status) bool { return s.Version >= 1 && !s.Restricted && s.Preparing == 0 })
 	t.Cleanup(func() {
 		c := rig.Contradictions()
 		if c.LongestUS > bound.Microseconds() || c.Versions == 0 || c.Spans < 2*len(rig.brokers) {
@@ -35,7 +37,7 @@
 	return rig, ctx, leader
 }
 
-func (r *Rig) all(t *testing.T, ctx context.Context, is func(AgreeStatus) bool, but ...int) {
+func (r *Rig) all(t *testing.T, ctx context.Context, is func(agreement.Status) bool, but ...int) {
 	t.Helper()
 	for b := range r.brokers {
 		skip := false
@@ -68,8 +70,8 @@
 	return answer.Version, answer.Kind
 }
 
-func at(version uint64) func(AgreeStatus) bool {
-	return func(s AgreeStatus) bool { return s.Version >= version && !s.Restricted }
+func at(version uint64) func(agreement.Status) bool {
+	return func(s agreement.Status) bool { return s.Version >= version && !s.Restricted }
 }
 
 // A change reaches all; a second one with the same expected version, and one with faults, are refused whole; a rollback brings the
@@ -123,7 +125,7 @@
 		_, kind := rig.change(t, 3, 1, "class.lesson-read.repeat", "no")
 		asked <- kind
 	}()
-	preparing := func(s AgreeStatus) bool { return s.Preparing == 2 || s.Version == 2 }
+	preparing := func(s agreement.Status) bool { return s.Preparing == 2 || s.Version == 2 }
 	if _, err := rig.AgreeUntil(ctx, 4, preparing); err != nil {
 		t.Fatal(err)
 	}
@@ -179,7 +181,7 @@
 		if v != 2 || kind != "" {
 			t.Fatalf("version %d, %q", v, kind)
 		}
-		s, err := rig.AgreeUntil(ctx, 5, func(s AgreeStatus) bool { return s.Restricted })
+		s, err := rig.AgreeUntil(ctx, 5, func(s agreement.Status) bool { return s.Restricted })
 		if err != nil || s.Version != 1 {
 			t.Fatalf("%+v, %v", s, err)
 		}
@@ -194,7 +196,7 @@
 func TestMajorityLost(t *testing.T) {
 	rig, ctx, leader := agreeing(t, Agreement{})
 	mends := []func(){rig.Part(true, true, (leader+1)%3), rig.Part(true, true, (leader+2)%3)}
-	rig.all(t, ctx, func(s AgreeStatus) bool { return s.Restricted })
+	rig.all(t, ctx, func(s agreement.Status) bool { return s.Restricted })
 	rig.served(t, 10, false)
 	rig.served(t, 10, true)
 	for _, mend := range mends {
@@ -233,7 +235,7 @@
 			if err := rig.Kill(ctx, c.some...); err != nil {
 				t.Fatal(err)
 			}
-			rig.all(t, ctx, func(s AgreeStatus) bool {
+			rig.all(t, ctx, func(s agreement.Status) bool {
 				return !s.Restricted && s.Version == c.want && (s.Epoch == before.Epoch) == c.disk
 			})
 			rig.served(t, 5, false)
@@ -252,7 +254,7 @@
 		if err := rig.Kill(ctx, v); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := rig.AgreeUntil(ctx, v, func(s AgreeStatus) bool { return s.Leader != "" && s.Version == uint64(v)+1 && !s.Restricted }); err != nil {
+		if _, err := rig.AgreeUntil(ctx, v, func(s agreement.Status) bool { return s.Leader != "" && s.Version == uint64(v)+1 && !s.Restricted }); err != nil {
 			t.Fatal(err)
 		}
 		var kind string
@@ -326,7 +328,7 @@
 		go func() {
 			count := map[string]int{}
 			for i := range 25 {
-				s, err := rig.AgreeUntil(ctx, from, func(AgreeStatus) bool { return true })
+				s, err := rig.AgreeUntil(ctx, from, func(agreement.Status) bool { return true })
 				if err != nil {
 					break
 				}
--- a/internal/fleetrig/node.go
+++ b/internal/fleetrig/node.go
@@ -252,16 +252,7 @@
 		}
 		return false
 	}
-	const piece = 16
-	for f.pace > 0 && len(text) > piece {
-		if _, err := io.WriteString(c.Conn, text[:piece]); err != nil {
-			return false
-		}
-		text = text[piece:]
-		time.Sleep(time.Duration(piece / f.pace * float64(time.Second)))
-	}
-	_, err := io.WriteString(c.Conn, text)
-	return err == nil
+	return paced(c.Conn, text, f.pace) == nil
 }
 
 // answer does one command, empty if its connection is over.
--- a/internal/fleetrig/play.go
+++ b/internal/fleetrig/play.go
@@ -157,13 +157,18 @@
 	if l.delay > 0 || l.jitter > 0 {
 		time.Sleep(l.takes(rand.New(rand.NewPCG(seed, 1))))
 	}
-	const piece = 32
-	for l.pace > 0 && len(text) > piece {
+	return paced(to, text, l.pace)
+}
+
+// paced writes so many bytes a second, or all at once.
+func paced(to io.Writer, text string, pace float64) error {
+	const piece = 16
+	for pace > 0 && len(text) > piece {
 		if _, err := io.WriteString(to, text[:piece]); err != nil {
 			return err
 		}
 		text = text[piece:]
-		time.Sleep(time.Duration(piece / l.pace * float64(time.Second)))
+		time.Sleep(time.Duration(piece / pace * float64(time.Second)))
 	}
 	_, err := io.WriteString(to, text)
 	return err
@@ -657,7 +662,7 @@
 			}
 		}
 		full, _ := fullest(counts)
-		of := drawnFullest(rand.New(rand.NewPCG(r.scenario.Seed, 78)), counts)
+		of := drawnFullest(rand.New(rand.NewPCG(r.scenario.Seed, 78)), counts, r.places())
 		mean := float64(sum) / float64(len(counts))
 		if sum > 0 && full <= 1.2*of && (len(e.Nodes) == 0 || float64(hit) >= 0.8*mean*float64(len(e.Nodes))) {
 			return t - end
@@ -699,18 +704,9 @@
 	random := rand.New(rand.NewPCG(r.scenario.Seed, 77))
 	worst := make([]float64, draws)
 	for i, second := range bySecond {
-		sum := 0
-		for _, c := range second {
-			sum += c
-		}
 		usable := r.usable(from+float64(i), from+float64(i)+1)
 		for k := range worst {
-			drawn := make([]int, len(second))
-			for range sum {
-				drawn[usable[random.IntN(len(usable))]]++
-			}
-			full, _ := fullest(drawn)
-			worst[k] = max(worst[k], full)
+			worst[k] = max(worst[k], drawnFullest(random, second, usable))
 		}
 	}
 	slices.Sort(worst)
@@ -735,19 +731,26 @@
 		}
 	}
 	if len(places) == 0 {
-		for i := range r.nodes {
-			places = append(places, i)
-		}
+		return r.places()
+	}
+	return places
+}
+
+// places are those of all nodes.
+func (r *Rig) places() []int {
+	places := make([]int, len(r.nodes))
+	for i := range places {
+		places[i] = i
 	}
 	return places
 }
 
-// drawnFullest is what fullest would be, had each of these requests gone to a node drawn evenly.
-func drawnFullest(random *rand.Rand, counts []int) float64 {
+// drawnFullest is what fullest would be, had each of these requests gone to a node drawn evenly from some places.
+func drawnFullest(random *rand.Rand, counts, places []int) float64 {
 	drawn := make([]int, len(counts))
 	for _, c := range counts {
 		for range c {
-			drawn[random.IntN(len(drawn))]++
+			drawn[places[random.IntN(len(places))]]++
 		}
 	}
 	full, _ := fullest(drawn)
--- a/node/agreement/service.go
+++ b/node/agreement/service.go
@@ -44,7 +44,7 @@
 	Listen  string // where others reach it; empty: it feeds nobody
 	Local   net.IP // the address from which it connects, nil for the system's choice
 	Members []Member
-	Dir     string // of a disk that lasts, empty for none
+	Dir     string // of a disk that lasts, for a voter's state; empty for none
 	Timing  agree.Timing
 	Limits  map[string]float64 // floors of the plans whose limit is agreed on
 	Feeds   int                // brokers that attach to this one at the most
@@ -81,7 +81,7 @@
 	o      Options
 	terms  string
 	rules  agree.Rules
-	own    int // place in Members, -1 for a broker that does not vote
+	votes  bool
 	ln     net.Listener
 	calls  chan func()
 	done   chan struct{}
@@ -101,7 +101,7 @@
 	// What follows belongs to the run's own goroutine.
 	random   *rand.Rand
 	voter    *consensus.Voter
-	store    *consensus.Disk // nil where nothing lasts
+	storage  consensus.Storage // of the voter
 	ids      map[uint64]string
 	dialed   map[string]*link // to other voters
 	voters   map[string]*link // from other voters
@@ -133,20 +133,25 @@
 type sign struct {
 	epoch, version, preparing uint64
 	restricted                bool
-	settings                  uint64 // counts the broker's own
+}
+
+func (o Options) member(name string) bool {
+	return slices.ContainsFunc(o.Members, func(m Member) bool { return m.Name == name })
 }
 
 // New returns a service that listens, and takes part once it runs.
 func New(o Options, set logic.Settings, post func(broker.Event), wake func()) (*Service, error) {
-	s := &Service{o: o, rules: rulesOf(o.Limits), own: slices.IndexFunc(o.Members, func(m Member) bool { return m.Name == o.Name }), calls: make(chan func(), mostCalls),
+	s := &Service{o: o, rules: rulesOf(o.Limits), votes: o.member(o.Name), calls: make(chan func(), mostCalls),
 		done: make(chan struct{}), wake: wake, post: post, set: set, list: newList(), random: rand.New(rand.NewPCG(o.Seed, uint64(time.Now().UnixNano()))),
 		ids: map[uint64]string{}, dialed: map[string]*link{}, voters: map[string]*link{}, children: map[string]*link{}, routes: map[string]route{},
 		asked: map[uint64]func(reply){}, wants: map[string]wanted{}}
 	s.terms = fmt.Sprint(o.Timing, slices.Sorted(maps.Keys(o.Limits)), o.Limits, o.Members)
 	s.holder = agree.NewHolder(o.Name, s.random.Uint64(), o.Timing, s.rules)
-	s.acts.restricted = true
 	s.askNo = s.random.Uint64() >> 1
-	if s.own >= 0 {
+	if s.votes {
+		if o.Listen == "" {
+			return nil, errors.New("agreement.listen: missing, and this broker votes")
+		}
 		if err := s.open(); err != nil {
 			return nil, err
 		}
@@ -163,25 +168,20 @@
 
 // open gives the voter its state: that of the disk, or none and a new identity.
 func (s *Service) open() error {
-	storage, id := consensus.Storage(nil), consensus.DrawID(s.random)
+	id := consensus.DrawID(s.random)
+	s.storage = consensus.NewMemory()
 	if s.o.Dir != "" {
-		disk, held, _, err := consensus.Open(filepath.Join(s.o.Dir, "agreement.db"), func() uint64 { return id })
+		disk, held, err := consensus.Open(filepath.Join(s.o.Dir, "agreement.db"), func() uint64 { return id })
 		if err != nil {
 			return fmt.Errorf("agreement.dir: %w", err)
 		}
-		s.store, storage, id = disk, disk, held
-	} else {
-		memory, err := consensus.NewMemory(nil)
-		if err != nil {
-			return err
-		}
-		storage = memory
+		s.storage, id = disk, held
 	}
-	return s.vote(id, storage)
+	return s.vote(id)
 }
 
-func (s *Service) vote(id uint64, storage consensus.Storage) error {
-	v, err := consensus.New(s.now(), consensus.Options{ID: id, Timing: s.o.Timing, Rules: s.rules, Log: s.o.Log}, storage)
+func (s *Service) vote(id uint64) error {
+	v, err := consensus.New(s.now(), consensus.Options{ID: id, Timing: s.o.Timing, Rules: s.rules, Log: s.o.Log}, s.storage)
 	if err != nil {
 		return fmt.Errorf("agreement: %w", err)
 	}
@@ -198,7 +198,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	view := s.holder.View(now)
-	is := sign{s.holder.Document().Epoch, view.Version, view.Preparing, view.Restricted, s.acts.settings}
+	is := sign{s.holder.Document().Epoch, view.Version, view.Preparing, view.Restricted}
 	last := s.turned
 	s.turned = now
 	if is == s.acts && s.since > 0 {
@@ -282,14 +282,14 @@
 			l.end()
 		}
 		wait.Wait()
-		if s.store != nil {
-			s.store.Close()
+		if s.storage != nil {
+			s.storage.Close()
 		}
 	}()
 	if s.ln != nil {
 		wait.Go(s.accept)
 	}
-	if s.own >= 0 {
+	if s.votes {
 		for _, m := range s.o.Members {
 			if m.Name != s.o.Name {
 				wait.Go(func() { s.dialVoter(ctx, m) })
@@ -437,15 +437,16 @@
 // took notes by which way answers go.
 func (s *Service) took(l *link, u up) {
 	now := s.now()
-	for _, r := range u.Renewals {
-		if _, known := s.routes[r.Holder]; known || len(s.routes) < mostRoutes {
-			s.routes[r.Holder] = route{l, now}
+	from := func(holder string) {
+		if _, known := s.routes[holder]; known || len(s.routes) < mostRoutes {
+			s.routes[holder] = route{l, now}
 		}
 	}
+	for _, r := range u.Renewals {
+		from(r.Holder)
+	}
 	for _, a := range u.Asks {
-		if _, known := s.routes[a.Holder]; known || len(s.routes) < mostRoutes {
-			s.routes[a.Holder] = route{l, now}
-		}
+		from(a.Holder)
 	}
 	s.rise(u)
 }
@@ -608,16 +609,9 @@
 	if !s.voter.Fresh() || f.Members[s.o.Name] != s.voter.ID() || len(f.Members) != len(s.o.Members) {
 		return
 	}
-	snap, err := consensus.Formed(f.Epoch, f.Members)
-	if err == nil && s.store != nil {
-		if err = s.store.Form(snap); err == nil {
-			err = s.vote(s.voter.ID(), s.store)
-		}
-	} else if err == nil {
-		var memory consensus.Memory
-		if memory, err = consensus.NewMemory(snap); err == nil {
-			err = s.vote(s.voter.ID(), memory)
-		}
+	err := consensus.Form(s.storage, f.Epoch, f.Members)
+	if err == nil {
+		err = s.vote(s.voter.ID())
 	}
 	if err != nil {
 		s.o.Log.Error("not formed", "reason", err)
@@ -628,12 +622,9 @@
 
 // anew gives the voter another identity, without state.
 func (s *Service) anew() {
-	if s.store != nil {
-		if err := s.store.Forget(); err != nil {
-			s.o.Log.Error("the old state stays", "reason", err)
-			return
-		}
-		s.store = nil
+	if err := s.storage.Forget(); err != nil {
+		s.o.Log.Error("the old state stays", "reason", err)
+		return
 	}
 	if err := s.open(); err != nil {
 		s.o.Log.Error("no state", "reason", err)
@@ -715,7 +706,7 @@
 // ---- connections
 
 func (s *Service) hello() hello {
-	h := hello{Cluster: s.o.Cluster, Terms: s.terms, Name: s.o.Name, Listen: s.o.Listen, Voter: s.own >= 0}
+	h := hello{Cluster: s.o.Cluster, Terms: s.terms, Name: s.o.Name, Listen: s.o.Listen, Voter: s.votes}
 	if s.voter != nil {
 		h.ID, h.Fresh = s.voter.ID(), s.voter.Fresh()
 	}
@@ -762,8 +753,7 @@
 	admitted := make(chan bool, 1)
 	s.do(func() {
 		w, ok := s.admit(l, *f.Hello)
-		if n, err := writeFrame(conn, frame{Welcome: &w}); err != nil || !ok { // short: it fits the socket's buffer
-			s.counts.sent.Add(int64(n))
+		if _, err := writeFrame(conn, frame{Welcome: &w}); err != nil || !ok { // short: it fits the socket's buffer
 			l.end()
 			ok = false
 		}
@@ -818,15 +808,14 @@
 	if s.voter != nil {
 		w.ID, w.Fresh = s.voter.ID(), s.voter.Fresh()
 	}
-	member := slices.ContainsFunc(s.o.Members, func(m Member) bool { return m.Name == h.Name })
 	switch {
 	case h.Cluster != s.o.Cluster:
 		w.Reason = fmt.Sprintf("this is cluster %q", s.o.Cluster)
 	case h.Terms != s.terms:
 		w.Reason = "lease, limits or members are set differently here"
-	case h.Name == s.o.Name || h.Name == "" || h.Voter != member:
+	case h.Name == s.o.Name || h.Name == "" || h.Voter != s.o.member(h.Name):
 		w.Reason = "that name is not yours"
-	case h.Voter && s.own < 0:
+	case h.Voter && !s.votes:
 		w.Reason = "no voter"
 	}
 	if w.Reason != "" {
@@ -846,7 +835,7 @@
 		delete(s.children, h.Name)
 	}
 	switch {
-	case s.own < 0 && (s.parent == nil || s.parent.closed.Load()):
+	case !s.votes && (s.parent == nil || s.parent.closed.Load()):
 		w.Reason = "no way to a voter from here"
 	case s.parent != nil && slices.Contains(s.parent.path, h.Name):
 		w.Reason = "a circle"
--- a/node/agreement/settings.go
+++ b/node/agreement/settings.go
@@ -1,6 +1,7 @@
 package agreement
 
 import (
+	"errors"
 	"maps"
 	"slices"
 	"strconv"
@@ -9,6 +10,7 @@
 	"junctionwharf/agree"
 	"junctionwharf/broker"
 	"junctionwharf/logic"
+	"junctionwharf/node/consensus"
 )
 
 // The keys of the document:
@@ -187,14 +189,14 @@
 	return changed
 }
 
-// fault words why a proposal was refused.
+// faultKind tells why a proposal was refused.
 func faultKind(err error) string {
-	switch text := err.Error(); {
-	case strings.Contains(text, agree.ErrExpected.Error()), strings.Contains(text, agree.ErrUnderWay.Error()):
+	switch {
+	case errors.Is(err, agree.ErrExpected), errors.Is(err, agree.ErrUnderWay):
 		return "expected"
-	case strings.Contains(text, "not known"):
+	case errors.Is(err, consensus.ErrUnknown):
 		return "unknown"
-	case strings.Contains(text, agree.ErrNotLeader.Error()):
+	case errors.Is(err, agree.ErrNotLeader):
 		return "none"
 	}
 	return "invalid"
--- a/node/consensus/sim_test.go
+++ b/node/consensus/sim_test.go
@@ -1,7 +1,6 @@
 package consensus
 
 import (
-	"container/heap"
 	cryptorand "crypto/rand"
 	"encoding/binary"
 	"errors"
@@ -17,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"junctionwharf/agree"
+	"junctionwharf/internal/simtime"
 )
 
 var firstSeed = flag.Int("seed", 0, "the first of them")
@@ -40,26 +40,6 @@
 
 var timing = agree.Timing{Lease: 400_000, Drift: 20_000}
 
-type event struct {
-	at  agree.Micros
-	seq int
-	do  func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 type clock struct {
 	offset agree.Micros
 	rate   float64
@@ -90,12 +70,10 @@
 
 // sim is a cluster on one true time axis, of real voters and holders. All comes from the seed.
 type sim struct {
+	simtime.Axis
 	t       *testing.T
 	random  *rand.Rand
 	bug     bug
-	now     agree.Micros
-	seq     int
-	q       queue
 	voters  []*simVoter
 	holders []*simHolder
 	docs    map[uint64]map[string]string // by version, as came into force
@@ -108,11 +86,6 @@
 	open    []func()     // ends of calls, for those that are open at the end
 }
 
-func (s *sim) after(d agree.Micros, do func()) {
-	s.seq++
-	heap.Push(&s.q, event{s.now + d, s.seq, do})
-}
-
 func (s *sim) clock() clock {
 	return clock{agree.Micros(s.random.IntN(1 << 40)), 0.99 + 0.02*s.random.Float64()}
 }
@@ -124,42 +97,20 @@
 	binary.BigEndian.PutUint64(key[:], seed)
 	cryptorand.Reader = rand.NewChaCha8(key) // raft draws its election times from it
 	s := &sim{t: t, random: rand.New(rand.NewPCG(seed, 0xc0)), bug: planted, docs: map[uint64]map[string]string{0: {}}}
-	members := map[string]uint64{}
-	for i := range 3 {
-		members[fmt.Sprint("v", i)] = DrawID(s.random)
-	}
-	for i := range 3 {
-		formed, err := Formed(77, members)
-		if err != nil {
-			t.Fatal(err)
-		}
-		store, err := NewMemory(formed)
-		if err != nil {
-			t.Fatal(err)
-		}
-		x := &simVoter{name: fmt.Sprint("v", i), clock: s.clock(), store: store}
-		s.start(x, members[x.name])
-		s.voters = append(s.voters, x)
-		s.after(agree.Micros(s.random.IntN(20_000)), func() { s.tick(x) })
-	}
+	s.form()
 	for i := range 4 {
 		h := &simHolder{clock: s.clock()}
 		s.restart(h, i)
 		s.holders = append(s.holders, h)
-		s.after(agree.Micros(s.random.IntN(50_000)), func() { s.renew(h) })
-		s.after(agree.Micros(s.random.IntN(5000)), func() { s.act(h) })
+		s.After(agree.Micros(s.random.IntN(50_000)), func() { s.renew(h) })
+		s.After(agree.Micros(s.random.IntN(5000)), func() { s.act(h) })
 	}
 	for c := range 2 {
-		s.after(1_000_000, func() { s.client(c) })
+		s.After(1_000_000, func() { s.client(c) })
 	}
 	s.end = span - 8_000_000
-	s.after(2_000_000, s.fault)
-	for len(s.q) > 0 && s.breach == "" {
-		e := heap.Pop(&s.q).(event)
-		if s.now = e.at; s.now > span {
-			break
-		}
-		e.do()
+	s.After(2_000_000, s.fault)
+	for s.breach == "" && s.Step(span) {
 	}
 	for _, end := range s.open {
 		end()
@@ -176,8 +127,22 @@
 	return s
 }
 
+// form starts three voters that were formed alike.
+func (s *sim) form() {
+	members := map[string]uint64{}
+	for i := range 3 {
+		members[fmt.Sprint("v", i)] = DrawID(s.random)
+	}
+	for i := range 3 {
+		x := &simVoter{name: fmt.Sprint("v", i), clock: s.clock(), store: formed(s.t, members)}
+		s.start(x, members[x.name])
+		s.voters = append(s.voters, x)
+		s.After(agree.Micros(s.random.IntN(20_000)), func() { s.tick(x) })
+	}
+}
+
 func (s *sim) start(x *simVoter, id uint64) {
-	v, err := New(x.clock.read(s.now), s.options(id), x.store)
+	v, err := New(x.clock.read(s.Now), s.options(id), x.store)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -193,11 +158,11 @@
 func (s *sim) send(x *simVoter, e Effects) {
 	for _, m := range e.Messages {
 		m := proto.Clone(m).(*pb.Message) // as it would be over a wire: the storage changes its snapshot in place
-		if d := s.delay(); d >= 0 && s.now >= x.saysTo {
-			s.after(d, func() {
+		if d := s.delay(); d >= 0 && s.Now >= x.saysTo {
+			s.After(d, func() {
 				for _, y := range s.voters {
-					if y.v.ID() == m.GetTo() && s.now >= y.hearsTo {
-						s.at(y, func() { s.send(y, y.v.Step(y.clock.read(s.now), m)) })
+					if y.v.ID() == m.GetTo() && s.Now >= y.hearsTo {
+						s.at(y, func() { s.send(y, y.v.Step(y.clock.read(s.Now), m)) })
 					}
 				}
 			})
@@ -234,12 +199,12 @@
 }
 
 func (s *sim) tick(x *simVoter) {
-	s.after(10_000, func() { s.tick(x) })
+	s.After(10_000, func() { s.tick(x) })
 	if !x.stopped {
-		s.at(x, func() { s.send(x, x.v.Tick(x.clock.read(s.now))) })
+		s.at(x, func() { s.send(x, x.v.Tick(x.clock.read(s.Now))) })
 		for _, y := range s.voters { // whoever lost its state asks to be taken in
-			if y != x && !y.stopped && s.now >= x.hearsTo && s.now >= y.saysTo && s.bug != sameID {
-				s.send(x, x.v.Replace(x.clock.read(s.now), agree.Member{Name: y.name, ID: y.v.ID()}))
+			if y != x && !y.stopped && s.Now >= x.hearsTo && s.Now >= y.saysTo && s.bug != sameID {
+				s.send(x, x.v.Replace(x.clock.read(s.Now), agree.Member{Name: y.name, ID: y.v.ID()}))
 			}
 		}
 	}
@@ -256,20 +221,20 @@
 }
 
 func (s *sim) renew(h *simHolder) {
-	s.after(agree.Micros(50_000+s.random.IntN(60_000)), func() { s.renew(h) })
-	if h.stopped || s.now < h.cutTo {
+	s.After(agree.Micros(50_000+s.random.IntN(60_000)), func() { s.renew(h) })
+	if h.stopped || s.Now < h.cutTo {
 		return
 	}
-	r := h.Renew(h.clock.read(s.now))
+	r := h.Renew(h.clock.read(s.Now))
 	for _, x := range s.voters {
 		if d := s.delay(); d >= 0 {
-			s.after(d, func() {
+			s.After(d, func() {
 				s.at(x, func() {
-					g := x.v.Renewed(x.clock.read(s.now), r)
-					if d := s.delay(); g != nil && d >= 0 && s.now >= h.cutTo {
-						s.after(d, func() {
-							if !h.stopped && s.now >= h.cutTo {
-								h.Granted(h.clock.read(s.now), *g)
+					g := x.v.Renewed(x.clock.read(s.Now), r)
+					if d := s.delay(); g != nil && d >= 0 && s.Now >= h.cutTo {
+						s.After(d, func() {
+							if !h.stopped && s.Now >= h.cutTo {
+								h.Granted(h.clock.read(s.Now), *g)
 							}
 						})
 					}
@@ -281,11 +246,11 @@
 
 // act has a holder take a decision: every value must be below that of the latest version that anybody has acted on.
 func (s *sim) act(h *simHolder) {
-	s.after(agree.Micros(1000+s.random.IntN(9000)), func() { s.act(h) })
+	s.After(agree.Micros(1000+s.random.IntN(9000)), func() { s.act(h) })
 	if h.stopped {
 		return
 	}
-	v := h.View(h.clock.read(s.now))
+	v := h.View(h.clock.read(s.Now))
 	if !v.Restricted {
 		s.acted = max(s.acted, v.Version)
 	}
@@ -299,12 +264,12 @@
 }
 
 func (s *sim) read(c int, x *simVoter) {
-	doc := x.v.Read(x.clock.read(s.now))
+	doc := x.v.Read(x.clock.read(s.Now))
 	if s.bug == staleRead && x.v.Leads() {
 		doc = x.v.Record().Doc
 	}
 	if doc != nil {
-		s.ops = append(s.ops, porcupine.Operation{ClientId: 1000 + c, Input: input{read: true}, Call: s.now, Output: output{version: doc.Version}, Return: s.now + 1})
+		s.ops = append(s.ops, porcupine.Operation{ClientId: 1000 + c, Input: input{read: true}, Call: s.Now, Output: output{version: doc.Version}, Return: s.Now + 1})
 	}
 }
 
@@ -320,13 +285,13 @@
 
 // client proposes and reads, one call at a time, at whoever says that it leads.
 func (s *sim) client(c int) {
-	next := func() { s.after(agree.Micros(20_000+s.random.IntN(200_000)), func() { s.client(c) }) }
+	next := func() { s.After(agree.Micros(20_000+s.random.IntN(200_000)), func() { s.client(c) }) }
 	x := s.voters[s.random.IntN(len(s.voters))]
 	if x.stopped || !x.v.Leads() {
-		s.after(10_000, func() { s.client(c) })
+		s.After(10_000, func() { s.client(c) })
 		return
 	}
-	now, began := x.clock.read(s.now), s.now
+	now, began := x.clock.read(s.Now), s.Now
 	if s.random.IntN(2) == 0 {
 		s.read(c, x)
 		next()
@@ -343,7 +308,7 @@
 			return
 		}
 		over = true
-		ret := s.now + 1
+		ret := s.Now + 1
 		if out.end == "unknown" {
 			ret = math.MaxInt64
 		}
@@ -355,7 +320,7 @@
 		}
 		next()
 	}
-	proposal := agree.Proposal{Expected: expected, Author: "a", Reason: fmt.Sprint(s.now), Changes: changes[s.random.IntN(3):]}
+	proposal := agree.Proposal{Expected: expected, Author: "a", Reason: fmt.Sprint(s.Now), Changes: changes[s.random.IntN(3):]}
 	if s.bug == beginsEarly && x.v.begun == "" {
 		if e, err := x.v.keeper.Propose(now, proposal); err == nil {
 			defer x.v.keeper.Begin(now, e)
@@ -375,7 +340,7 @@
 			}
 		}))
 	})
-	s.after(3_000_000, func() { end(output{end: "unknown"}) })
+	s.After(3_000_000, func() { end(output{end: "unknown"}) })
 	s.open = append(s.open, func() { end(output{end: "unknown"}) })
 }
 
@@ -399,10 +364,10 @@
 }
 
 func (s *sim) fault() {
-	if s.now > s.end {
+	if s.Now > s.end {
 		return
 	}
-	s.after(agree.Micros(200_000+s.random.IntN(1_200_000)), s.fault)
+	s.After(agree.Micros(200_000+s.random.IntN(1_200_000)), s.fault)
 	x, span := s.voters[s.random.IntN(len(s.voters))], agree.Micros(100_000+s.random.IntN(3_000_000))
 	i := s.random.IntN(len(s.holders))
 	h := s.holders[i]
@@ -416,17 +381,17 @@
 	}
 	switch s.random.IntN(9) {
 	case 0:
-		x.hearsTo, x.saysTo = s.now+span, s.now+span
+		x.hearsTo, x.saysTo = s.Now+span, s.Now+span
 	case 1:
-		x.hearsTo = s.now + span
+		x.hearsTo = s.Now + span
 	case 2:
-		x.saysTo = s.now + span
+		x.saysTo = s.Now + span
 	case 3:
 		if x.stopped {
 			return
 		}
 		x.stopped = true
-		s.after(span, func() {
+		s.After(span, func() {
 			x.stopped = false
 			waiting := x.waiting
 			x.waiting = nil
@@ -440,7 +405,7 @@
 		s.start(x, x.v.ID())
 	case 5, 6: // its state is lost, while the others are there
 		for _, y := range s.voters { // and the one before it has been taken in again: else a majority is lost, and nothing goes on
-			if y.stopped || s.now < y.hearsTo || s.now < y.saysTo || len(y.v.conf.GetVotersOutgoing()) > 0 {
+			if y.stopped || s.Now < y.hearsTo || s.Now < y.saysTo || len(y.v.conf.GetVotersOutgoing()) > 0 {
 				return
 			}
 			for _, z := range s.voters {
@@ -451,36 +416,29 @@
 		}
 		crash()
 		s.lost++
-		memory, err := NewMemory(nil)
-		if err != nil {
-			s.t.Fatal(err)
-		}
-		id := DrawID(s.random)
+		id, memory := DrawID(s.random), NewMemory()
 		if s.bug == sameID {
-			id = x.v.ID()
-			memory, err = NewMemory(mustFormed(s.t, x.v.Record().Members))
-			if err != nil {
-				s.t.Fatal(err)
-			}
+			id, memory = x.v.ID(), formed(s.t, x.v.Record().Members)
 		}
 		x.store = memory
 		s.start(x, id)
 	case 7:
 		h.stopped = true
-		s.after(span, func() { h.stopped = false })
+		s.After(span, func() { h.stopped = false })
 	case 8:
-		if h.cutTo = s.now + span; s.random.IntN(2) == 0 {
+		if h.cutTo = s.Now + span; s.random.IntN(2) == 0 {
 			s.restart(h, i)
 		}
 	}
 }
 
-func mustFormed(t *testing.T, members map[string]uint64) *pb.Snapshot {
-	formed, err := Formed(77, members)
-	if err != nil {
+func formed(t *testing.T, members map[string]uint64) Memory {
+	t.Helper()
+	memory := NewMemory()
+	if err := Form(memory, 77, members); err != nil {
 		t.Fatal(err)
 	}
-	return formed
+	return memory
 }
 
 // Real voters, holders with drifting clocks, and everything between them late, lost and out of order: nobody acts on what the latest
@@ -535,35 +493,20 @@
 func TestReplacedOneByOne(t *testing.T) {
 	for seed := range uint64(20) {
 		s := &sim{t: t, random: rand.New(rand.NewPCG(seed, 0xc1)), docs: map[uint64]map[string]string{0: {}}}
-		members := map[string]uint64{}
-		for i := range 3 {
-			members[fmt.Sprint("v", i)] = DrawID(s.random)
-		}
-		for i := range 3 {
-			store, err := NewMemory(mustFormed(t, members))
-			if err != nil {
-				t.Fatal(err)
-			}
-			x := &simVoter{name: fmt.Sprint("v", i), clock: s.clock(), store: store}
-			s.start(x, members[x.name])
-			s.voters = append(s.voters, x)
-			s.after(agree.Micros(s.random.IntN(20_000)), func() { s.tick(x) })
-		}
+		s.form()
 		until := func(what string, is func() bool) {
-			for end := s.now + 20_000_000; !is(); {
-				e := heap.Pop(&s.q).(event)
-				if s.now = e.at; s.now > end {
+			for end := s.Now + 20_000_000; !is(); {
+				if !s.Step(end) {
 					for _, x := range s.voters {
 						t.Logf("%s id %x fresh %v: %+v, conf %v, applied %d, leads %v", x.name, x.v.ID(), x.v.Fresh(), x.v.raw.BasicStatus(), x.v.conf, x.v.applied, x.v.Leads())
 					}
 					t.Fatalf("seed %d: never %s", seed, what)
 				}
-				e.do()
 			}
 		}
 		leads := func() bool {
 			for _, x := range s.voters {
-				if x.v.Leads() && x.v.Keeper().Sure(x.clock.read(s.now)) {
+				if x.v.Leads() && x.v.Keeper().Sure(x.clock.read(s.Now)) {
 					return true
 				}
 			}
@@ -571,11 +514,7 @@
 		}
 		until("led", leads)
 		for _, x := range s.voters {
-			store, err := NewMemory(nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			x.store = store
+			x.store = NewMemory()
 			id := DrawID(s.random)
 			s.start(x, id)
 			until("taken in", func() bool { return x.v.Record().Members[x.name] == id && len(x.v.conf.GetVotersOutgoing()) == 0 })
--- a/node/consensus/store.go
+++ b/node/consensus/store.go
@@ -16,14 +16,14 @@
 // Memory is a storage that does not last: who loses it loses its identity.
 type Memory struct{ *raft.MemoryStorage }
 
-// NewMemory returns an empty one, or one that holds a snapshot.
-func NewMemory(formed *pb.Snapshot) (Memory, error) {
-	m := Memory{raft.NewMemoryStorage()}
-	if formed != nil {
-		return m, errors.Join(m.ApplySnapshot(formed), m.SetHardState(&pb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}))
-	}
-	return m, nil
-}
+// NewMemory returns an empty one.
+func NewMemory() Memory { return Memory{raft.NewMemoryStorage()} }
+
+// Close implements Storage.
+func (Memory) Close() error { return nil }
+
+// Forget implements Storage.
+func (Memory) Forget() error { return nil }
 
 // Save implements Storage.
 func (m Memory) Save(hard *pb.HardState, entries []*pb.Entry, snap *pb.Snapshot) error {
@@ -70,16 +70,12 @@
 const openWait = 2 * time.Second // for another process to let go of the file
 
 // Open opens a file or makes one. draw gives a new file its identity.
-func Open(path string, draw func() uint64) (d *Disk, id uint64, formed bool, err error) {
+func Open(path string, draw func() uint64) (d *Disk, id uint64, err error) {
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openWait})
 	if err != nil {
-		return nil, 0, false, fmt.Errorf("%s: %w", path, err)
+		return nil, 0, fmt.Errorf("%s: %w", path, err)
 	}
-	memory, err := NewMemory(nil)
-	if err != nil {
-		return nil, 0, false, err
-	}
-	d = &Disk{memory, db}
+	d = &Disk{NewMemory(), db}
 	defer func() {
 		if err != nil {
 			db.Close()
@@ -102,9 +98,9 @@
 		return meta.Put(keyID, number(id))
 	})
 	if err != nil {
-		return nil, 0, false, err
+		return nil, 0, err
 	}
-	return d, id, formed, db.View(func(tx *bbolt.Tx) error {
+	return d, id, db.View(func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(metaBucket)
 		var snap pb.Snapshot
 		var hard pb.HardState
@@ -114,7 +110,6 @@
 		if err := proto.Unmarshal(meta.Get(keyHard), &hard); err != nil {
 			return err
 		}
-		formed = snap.GetMetadata().GetIndex() > 0
 		var entries []*pb.Entry
 		err := tx.Bucket(logBucket).ForEach(func(_, text []byte) error {
 			var e pb.Entry
@@ -129,17 +124,12 @@
 		if err != nil {
 			return err
 		}
-		return memory.Save(&hard, entries, &snap)
+		return d.Memory.Save(&hard, entries, &snap)
 	})
 }
 
 func number(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
 
-// Form has it begin with what the voters formed.
-func (d *Disk) Form(formed *pb.Snapshot) error {
-	return d.Save(&pb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}, nil, formed)
-}
-
 // Save implements Storage.
 func (d *Disk) Save(hard *pb.HardState, entries []*pb.Entry, snap *pb.Snapshot) error {
 	isSnap, isHard := snap.GetMetadata().GetIndex() > 0, hard != nil && !raft.IsEmptyHardState(hard)
@@ -217,8 +207,8 @@
 	})
 }
 
-// Close lets go of the file.
+// Close implements Storage: it lets go of the file.
 func (d *Disk) Close() error { return d.db.Close() }
 
-// Forget removes the file: the identity is gone for good.
+// Forget implements Storage: it removes the file.
 func (d *Disk) Forget() error { return errors.Join(d.Close(), os.Remove(d.db.Path())) }
--- a/node/consensus/store_test.go
+++ b/node/consensus/store_test.go
@@ -22,16 +22,24 @@
 
 func opened(t *testing.T, path string) *Disk {
 	t.Helper()
-	d, id, formed, err := Open(path, func() uint64 { return 9 })
+	d, id, err := Open(path, func() uint64 { return 9 })
 	if err != nil {
 		t.Fatal(err)
 	}
-	if id != 9 || !formed {
-		t.Fatalf("id %d, formed %v", id, formed)
+	if id != 9 || !d.formed(t) {
+		t.Fatalf("id %d, formed %v", id, d.formed(t))
 	}
 	return d
 }
 
+func (d *Disk) formed(t *testing.T) bool {
+	snap, err := d.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return snap.GetMetadata().GetIndex() > 0
+}
+
 // held is what a file holds, as text.
 func (d *Disk) held(t *testing.T) string {
 	h, _, err := d.InitialState()
@@ -52,12 +60,11 @@
 func TestTornAtEveryByte(t *testing.T) {
 	dir := t.TempDir()
 	path := filepath.Join(dir, "a")
-	d, _, formed, err := Open(path, func() uint64 { return 9 })
-	if err != nil || formed {
-		t.Fatal(formed, err)
+	d, _, err := Open(path, func() uint64 { return 9 })
+	if err != nil || d.formed(t) {
+		t.Fatal("formed, or ", err)
 	}
-	snap := mustFormed(t, map[string]uint64{"v": 9})
-	if err := errors.Join(d.Form(snap), d.Save(hard(2, 9, 1), []*pb.Entry{entry(2, 2, "two"), entry(3, 2, "three")}, nil)); err != nil {
+	if err := errors.Join(Form(d, 77, map[string]uint64{"v": 9}), d.Save(hard(2, 9, 1), []*pb.Entry{entry(2, 2, "two"), entry(3, 2, "three")}, nil)); err != nil {
 		t.Fatal(err)
 	}
 	read := func() []byte {
@@ -107,11 +114,11 @@
 // What was cut from the log is found in the snapshot, with what stands behind it.
 func TestCompactedFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "a")
-	d, _, _, err := Open(path, func() uint64 { return 9 })
+	d, _, err := Open(path, func() uint64 { return 9 })
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := d.Form(mustFormed(t, map[string]uint64{"v": 9})); err != nil {
+	if err := Form(d, 77, map[string]uint64{"v": 9}); err != nil {
 		t.Fatal(err)
 	}
 	for i := uint64(2); i <= 200; i++ {
@@ -140,11 +147,7 @@
 
 // A voter whose disk is full says nothing more, and grants nothing.
 func TestFullDisk(t *testing.T) {
-	memory, err := NewMemory(mustFormed(t, map[string]uint64{"a": 1, "b": 2, "c": 3}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	v, err := New(0, Options{ID: 1, Timing: timing, Rules: rules}, full{memory})
+	v, err := New(0, Options{ID: 1, Timing: timing, Rules: rules}, full{formed(t, map[string]uint64{"a": 1, "b": 2, "c": 3})})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/node/consensus/voter.go
+++ b/node/consensus/voter.go
@@ -50,6 +50,8 @@
 	raft.Storage
 	Save(hard *pb.HardState, entries []*pb.Entry, snap *pb.Snapshot) error
 	Compact(index uint64, conf *pb.ConfState, data []byte) error
+	Close() error
+	Forget() error // and Close: the identity is gone for good
 }
 
 // Options is what a voter is told.
@@ -98,14 +100,15 @@
 	news    bool
 }
 
-// Formed is what a storage holds when voters form a consensus: all of them begin with the same.
-func Formed(epoch uint64, members map[string]uint64) (*pb.Snapshot, error) {
+// Form has an empty storage hold what all voters begin with that form a consensus.
+func Form(s Storage, epoch uint64, members map[string]uint64) error {
 	data, err := msgpack.Marshal(agree.NewRecord(epoch, members))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	ids := slices.Sorted(maps.Values(members))
-	return &pb.Snapshot{Data: data, Metadata: &pb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1), ConfState: &pb.ConfState{Voters: ids}}}, nil
+	conf := &pb.ConfState{Voters: slices.Sorted(maps.Values(members))}
+	return s.Save(&pb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}, nil,
+		&pb.Snapshot{Data: data, Metadata: &pb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1), ConfState: conf}})
 }
 
 // New returns a voter with what its storage holds: nothing, for one that waits to be taken in.
@@ -438,6 +441,9 @@
 func (v *Voter) lead(now agree.Micros) bool {
 	if v.leads && now >= v.askAt {
 		v.askAt = now + confirmEvery
+		if v.keeper != nil {
+			v.keeper.Forget(now)
+		}
 		v.askNo++
 		v.asked[v.askNo] = now
 		var no [8]byte
@@ -461,7 +467,6 @@
 		v.actAt = now + retryEvery
 		return v.propose(agree.Command{Activate: k.Pending().Version}) == nil
 	}
-	k.Forget(now)
 	return false
 }
 
