Send nothing on for a client that left before its attempt was written

Cause: Left in broker/reducer.go marked the request answered and told the gateway, but an attempt that was out went on: one whose connection was still coming up (up to bounds.connectTimeout, or for as long as the pool had no room) was written when it came, and a long message that stood half written went on when its node read again. Nothing stopped either before the request's deadline. Ruled out: requests that were held (the gateway forgets them in the same turn) and those between two attempts (r.over stops both). The reducer now asks for Abandon, which ends an attempt unless it was written whole; Halt, for drains, left a write alone that was under way, since its answer was still wanted. An abandoned attempt is Void to the gateway: it says nothing of the node, which before was thought out of reach and rested, and the units that it took from its volume and from the savings of a cold node come back.

Tests: TestLeftBeforeItIsSent fails without the effect, TestAbandon holds a connection back by its greeting, cuts a write in the middle, and has a whole one keep its answer.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -128,6 +128,9 @@
 	Stop() Progress
 	// Halt bars further sending. An attempt that was not written whole yet ends by it.
 	Halt()
+	// Abandon ends the attempt unless it was written whole, for nobody waits for it any more: not even a message that is being
+	// written goes on. It does not block, and done is called.
+	Abandon()
 }
 
 // outcome is what package logic is told; it follows from the result alone.
--- a/broker/loop.go
+++ b/broker/loop.go
@@ -451,6 +451,10 @@
 		if h := l.handles[attemptKey{e.ID, e.Number}]; h != nil {
 			h.Halt()
 		}
+	case Abandon:
+		if h := l.handles[attemptKey{e.ID, e.Number}]; h != nil {
+			h.Abandon()
+		}
 	case Answer:
 		l.answer(e)
 	case Tell:
--- a/broker/loop_test.go
+++ b/broker/loop_test.go
@@ -29,6 +29,7 @@
 
 func (out) Stop() Progress { return WrittenWhole }
 func (out) Halt()          {}
+func (out) Abandon()       {}
 
 // A fault in one turn must not end the process or the other requests.
 func TestFaultInOneTurn(t *testing.T) {
--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -107,6 +107,11 @@
 		ID     uint64
 		Number int
 	}
+	// Abandon ends an attempt whose client has left, unless it was written whole.
+	Abandon struct {
+		ID     uint64
+		Number int
+	}
 	// Answer gives the final answer to a request's client.
 	Answer struct {
 		ID    uint64
@@ -130,6 +135,7 @@
 func (Start) effect()     {}
 func (Stop) effect()      {}
 func (Halt) effect()      {}
+func (Abandon) effect()   {}
 func (Answer) effect()    {}
 func (Tell) effect()      {}
 func (Probe) effect()     {}
@@ -258,13 +264,20 @@
 			r.answered = true
 			s.facts = append(s.facts, s.ended(r, telemetry.Left))
 			s.tell(logic.ClientGone{ID: e.ID})
+			if r.out && !r.stopped { // its connection may come up later: what nobody waits for is not sent on
+				s.do(Abandon{ID: e.ID, Number: r.attempts - 1})
+			}
 			s.forget(e.ID, r)
 		}
 	case Given:
 		s.given(e)
 	case Ended:
 		if r := s.entries[e.ID]; r != nil && r.out && r.attempts-1 == e.Attempt && !r.stopped {
-			s.end(e.ID, r, e.Result.outcome(), e.Result)
+			outcome := e.Result.outcome()
+			if r.answered && outcome == logic.Unreachable { // abandoned before it was sent, which says nothing of the node
+				outcome = logic.Void
+			}
+			s.end(e.ID, r, outcome, e.Result)
 		} else {
 			s.drop(e.Result.Value)
 		}
@@ -456,9 +469,9 @@
 	s.facts = append(s.facts, fact)
 }
 
-// outcomes words an attempt's outcome for telemetry. Void is none: such an attempt was never begun.
+// outcomes words an attempt's outcome for telemetry. Void is one that was abandoned before it was sent.
 var outcomes = [...]telemetry.Outcome{logic.Success: telemetry.Success, logic.Failure: telemetry.Failure, logic.Overloaded: telemetry.Overloaded,
-	logic.TimedOut: telemetry.TimedOut, logic.Unreachable: telemetry.Unreachable, logic.Broken: telemetry.Broken, logic.Withdrawn: telemetry.Withdrawn}
+	logic.TimedOut: telemetry.TimedOut, logic.Unreachable: telemetry.Unreachable, logic.Broken: telemetry.Broken, logic.Withdrawn: telemetry.Withdrawn, logic.Void: telemetry.Withdrawn}
 
 // ended is what telemetry hears of a request that ends now.
 func (s *State) ended(r *entry, end telemetry.End) telemetry.Fact {
--- a/broker/reducer_test.go
+++ b/broker/reducer_test.go
@@ -21,13 +21,15 @@
 // rig drives a State by a clock of its own.
 type rig struct {
 	*testing.T
-	state   *State
-	now     Micros
-	finals  map[uint64][]Final
-	starts  []Start
-	stops   []Stop
-	halts   []Halt
-	effects []Effect
+	state  *State
+	now    Micros
+	finals map[uint64][]Final
+	starts []Start
+	stops  []Stop
+	halts  []Halt
+
+	abandons []Abandon
+	effects  []Effect
 }
 
 func newRig(t *testing.T) *rig {
@@ -64,6 +66,8 @@
 			r.stops = append(r.stops, e)
 		case Halt:
 			r.halts = append(r.halts, e)
+		case Abandon:
+			r.abandons = append(r.abandons, e)
 		}
 	}
 }
@@ -170,6 +174,24 @@
 	}
 }
 
+// What a client that has left asked for is not sent on, however late its connection comes up, and that says nothing of the
+// node: the next request goes there at once.
+func TestLeftBeforeItIsSent(t *testing.T) {
+	for _, progress := range []Progress{NotConnected, PartlyWritten} {
+		r := newRig(t)
+		r.turn(Arrived{1, request("write", 0)})
+		r.turn(Left{1})
+		if len(r.abandons) != 1 || r.abandons[0] != (Abandon{1, 0}) {
+			t.Fatalf("%+v", r.abandons)
+		}
+		r.turn(Ended{1, 0, broke(progress)})
+		r.turn(Arrived{2, request("write", 0)})
+		if len(r.starts) != 2 || r.starts[1].ID != 2 {
+			t.Errorf("%v: %d sent", progress, len(r.starts))
+		}
+	}
+}
+
 // An attempt of several messages must not go on at a draining node past the rule's grace.
 func TestDrainHalts(t *testing.T) {
 	r := newRig(t)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -243,6 +243,21 @@
 	}
 }
 
+// Abandon implements broker.Handle. A message that is being written is cut: its client has left, so there is no answer to lose.
+func (s *Session) Abandon() {
+	s.mu.Lock()
+	s.halted = true
+	conn, whole := s.conn, s.at == broker.WrittenWhole
+	s.mu.Unlock()
+	if whole {
+		return
+	}
+	s.cancel()
+	if conn != nil {
+		conn.Close()
+	}
+}
+
 // begin hands the connection to the exchange, unless it was stopped or halted.
 func (s *Session) begin(l *link) bool {
 	s.mu.Lock()
@@ -489,3 +504,4 @@
 
 func (refused) Stop() broker.Progress { return broker.NotConnected }
 func (refused) Halt()                 {}
+func (refused) Abandon()              {}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -295,6 +295,48 @@
 	}
 }
 
+// An attempt is abandoned while its connection comes up, in the middle of a write, or when it was written whole: only then its
+// node hears of it, and the answer still comes.
+func TestAbandon(t *testing.T) {
+	opt, up := options(), make(chan struct{})
+	opt.Greet = func(conn net.Conn, _ *bufio.Reader) error {
+		<-up
+		return nil
+	}
+	node, p := newPeer(t), New(opt)
+	h, results := start(p, node.address, echo)
+	conn := node.next()
+	h.Abandon()
+	close(up)
+	if r := <-results; r.Err == nil || r.Err.Progress != broker.NotConnected {
+		t.Errorf("%+v", r)
+	}
+	if n, err := conn.Read(make([]byte, 1)); n > 0 || err != io.EOF {
+		t.Errorf("%d bytes were sent on: %v", n, err)
+	}
+
+	big := make([]byte, 64<<20)
+	h, results = start(p, node.address, func(s *Session) (broker.Result, error) { return broker.Result{}, s.Send(net.Buffers{big}, len(big)) })
+	conn = node.next()
+	io.ReadFull(conn, make([]byte, 1))
+	h.Abandon()
+	if r := <-results; r.Err == nil || r.Err.Progress != broker.PartlyWritten {
+		t.Errorf("%+v", r)
+	}
+	if n, err := io.Copy(io.Discard, conn); n >= int64(len(big)-1) {
+		t.Errorf("the message came whole: %v", err)
+	}
+
+	h, results = start(p, node.address, echo)
+	conn = node.next()
+	line, _ := bufio.NewReader(conn).ReadString('\n')
+	h.Abandon()
+	io.WriteString(conn, "answer\n")
+	if r := <-results; r.Err != nil || line != "line\n" || r.Value != "answer\n" {
+		t.Errorf("%q: %+v", line, r)
+	}
+}
+
 // A panic in an exchange ends its attempt, which may have run, and nothing else.
 func TestPanic(t *testing.T) {
 	opt, lines := options(), make(chan string, 1)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -325,8 +325,7 @@
 		part = max(part, (v.demand+1)/(v.demand+told+v.hosts))
 	}
 	most := v.plan.Reserve*part + g.set.MaxUnits
-	v.due = min(most, v.due+v.plan.Reserve*part*(g.now-v.dueAt).Seconds())
-	v.dueAt = g.now
+	v.due, v.dueAt = min(most, v.due+v.plan.Reserve*part*(g.now-v.dueAt).Seconds()), g.now
 	if v.plan.Reserve > 0 && v.due >= units {
 		v.due -= units
 		return 1
@@ -344,8 +343,8 @@
 		return math.Inf(1)
 	}
 	part := 1 / v.hosts / g.processes
-	v.limit = min(v.limit+v.plan.Limit*part*(g.now-v.filled).Seconds(), v.plan.LimitBurst*part)
-	v.filled = g.now
+	grown := v.limit + v.plan.Limit*part*(g.now-v.filled).Seconds()
+	v.limit, v.filled = min(grown, v.plan.LimitBurst*part), g.now
 	return v.limit
 }
 
@@ -644,9 +643,7 @@
 func (g *Gateway) hasRoom(n *node, r *request) bool {
 	room := float64(n.out) < max(1, math.Floor(n.bound)) && len(n.flight) < 2*boundMost
 	paced := n.bound < 1 || r.part < 1 && n.jammed(g)
-	if paced && (g.now-n.pacedAt).Seconds()*r.part < n.took/n.bound {
-		room = false
-	}
+	room = room && !(paced && (g.now-n.pacedAt).Seconds()*r.part < n.took/n.bound)
 	n.full = n.full || !room
 	return room && g.now >= n.restTill
 }
@@ -689,8 +686,7 @@
 		n.lastSent = g.now
 	}
 	r.passed, r.lost, n.flight = 0, false, append(n.flight, r)
-	n.savings -= r.Units
-	n.pacedAt = g.now
+	n.savings, n.pacedAt = n.savings-r.Units, g.now
 	n.leave(g)
 	g.act(Send{ID: r.ID, Node: n.Node})
 }
@@ -802,8 +798,7 @@
 		if n.young && r.sentAt >= n.bornAt {
 			n.savings += r.Units
 		} else if !n.young && span > 0 {
-			s.served = s.served*math.Exp(-(g.now-s.servedAt).Seconds()/span) + r.Units/span
-			s.servedAt = g.now
+			s.served, s.servedAt = s.served*math.Exp(-(g.now-s.servedAt).Seconds()/span)+r.Units/span, g.now
 		}
 		n.answers++
 		n.waited += e.Took.Seconds()
@@ -816,6 +811,11 @@
 		if n.took == 0 {
 			n.took = e.Took.Seconds()
 		}
+	case Void: // it never reached the node, which bears it still
+		n.savings += r.Units
+		if v := r.volume; r.over && r.attempts == 1 { // nor took anything of what its volume has
+			v.level, v.limit = v.level+r.Units, min(v.limit+r.Units, v.plan.LimitBurst)
+		}
 	case Overloaded, Unreachable, Broken:
 		// One lost answer among good ones shows nothing of the node's room, two on end may. An error never
 		// does: a shard has no other node, and what waits while that rests is given up.
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -197,6 +197,9 @@
 // Halt implements broker.Handle. A handler's own sending ends with its context, at the deadline at the latest.
 func (a *attempt) Halt() {}
 
+// Abandon implements broker.Handle. A handler runs from its start on, so that there is nothing left to bar.
+func (a *attempt) Abandon() {}
+
 // recorder holds a handler's answer until it is final.
 type recorder struct {
 	header http.Header
