Keep lost calls to discovery and the pauses behind them within the drain grace

Cause: internal/discovery/discovery.go waited 2.5 s for the answer of a call and then paused for up to 4.5 s, whatever the settings say. What the agent gets while it is silent counts as told at its return; a broker whose call was lost just before, or that slept then, heard of a drain up to 4.5 s later, where the grace is 2 s on one site and 1 s on another. Both times now come from the grace (a third and a quarter of it) where lists are pushed; a service that is asked by all brokers keeps the old ones. Ruled out: the wait for news itself (a silent watch is found before what it missed counts as told plus the grace), late news of the address before SIGHUP (the old watch has ended before the new one asks), the doubled pause after one lost call.

Found by reading beside it: a whole list of an older count was passed over for 10 s with all that it said, so that after a move to a service with a count of its own drains were unknown for so long; what it says of drains now counts at once. Changes of an older count were taken as news; they now lead to the whole list.

--- a/cmd/junctionwharf/main.go
+++ b/cmd/junctionwharf/main.go
@@ -126,7 +126,7 @@
 	if err := m.Follow(c.Site.Membership); err != nil {
 		return err
 	}
-	go discovery.NewWatcher(c.Discovery, 1, nil, log).Run(ctx, clock, m.Discovery)
+	go discovery.NewWatcher(c.Discovery, discovery.Options{Brokers: 1, Log: log}).Run(ctx, clock, m.Discovery)
 	<-ctx.Done()
 	_, err = os.Stdout.Write(m.Text())
 	return err
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -108,7 +108,7 @@
 	outside.Observe = s.reporter.Observe
 	loop := broker.NewLoop(state, clock, resp.NewNodes(nodes), outside)
 	calls.Loop = loop
-	s.loop, s.watcher, s.pools = loop, discovery.NewWatcher(c.Discovery, c.Settings.Logic.Hosts, local, log), []*pool.Pool{nodes}
+	s.loop, s.watcher, s.pools = loop, discovery.NewWatcher(c.Discovery, s.watch(c)), []*pool.Pool{nodes}
 	s.front = resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), size.clients, size.easy, size.requests, log)
 	s.front.TurnAway(size.aside)
 	s.fronts = []drainer{s.front}
@@ -332,10 +332,17 @@
 			s.log.Error("sources unchanged", "reason", err)
 		}
 	}
+	s.watcher.Retune(s.watch(c))
 	s.reporter.Retune(reportOf(c))
 	s.classes.Store(&set.Logic.Classes)
 }
 
+// watch is what a configuration says of the watch of discovery.
+func (s *service) watch(c *config.Config) discovery.Options {
+	set := c.Settings.Logic
+	return discovery.Options{Brokers: set.Hosts, Grace: set.Rules.DrainGrace, Asked: set.Subscribe, Local: net.ParseIP(c.Local), Log: s.log}
+}
+
 // reportOf is what a configuration says of sinks of figures.
 func reportOf(c *config.Config) report.Settings {
 	return report.Settings{Registry: c.Site.Telemetry.Options(c.Settings.Logic), Graphite: c.Site.Graphite, Collectd: c.Site.Collectd}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"junctionwharf/broker"
@@ -86,14 +87,42 @@
 	holdLeast = 5 * time.Second // how long a call may wait for news
 	holdEach  = time.Second / 2 // for each broker of the tier: calls add up
 	holdMost  = 20 * time.Second
-	slack     = 2500 * time.Millisecond // past that a call counts as lost
-	dialTime  = time.Second
 	again     = 50 * time.Millisecond // the first wait after a failed call
-	againMost = 3 * time.Second
-	behind    = 10 * time.Second // for so long a list older than the one held is not believed
-	maxList   = 4 << 20          // bytes of an answer
+	behind    = 10 * time.Second      // for so long a list older than the one held is not believed
+	maxList   = 4 << 20               // bytes of an answer
+
+	// A service that all brokers ask together is overbooked now and then, and is given time.
+	slackAsked = 2500 * time.Millisecond
+	againAsked = 3 * time.Second
+	dialAsked  = time.Second
 )
 
+// Options says whom a Watcher works for.
+type Options struct {
+	Brokers int           // of the tier
+	Grace   time.Duration // within which sends to a node end that is told to drain; 0 for none
+	Asked   bool          // lists must be asked for, at a service that all brokers share; else an agent on this machine has them
+	Local   net.IP        // from which calls are made, nil for the system's choice
+	Log     *slog.Logger  // gets a line when the service falls silent and when it is back
+}
+
+// patience is how long a Watcher waits before it takes silence for loss.
+type patience struct {
+	answer time.Duration // for an answer, beyond the time for which a call may wait for news
+	again  time.Duration // the longest mean wait after a failed call; it is drawn from half of that up to one and a half
+}
+
+// patience guards the rule on drains. What the agent has counts as told, whether or not it says so: all that it got while it was
+// silent from the moment of its return, and what a call that fell silent misses 2 s after that call's wait was over. So a lost
+// call, the pause behind it and the next one together stay within the grace.
+func (o Options) patience() patience {
+	p := patience{answer: slackAsked, again: againAsked}
+	if !o.Asked && o.Grace > 0 {
+		p.answer, p.again = min(slackAsked, o.Grace/3), min(againAsked, o.Grace/4)
+	}
+	return p
+}
+
 // Watcher follows discovery.
 type Watcher struct {
 	address string
@@ -101,6 +130,7 @@
 	client  *http.Client
 	hold    time.Duration
 	log     *slog.Logger
+	waits   atomic.Pointer[patience]
 	held    uint64    // version of the list posted last
 	heldAt  time.Time // when it was last confirmed
 
@@ -108,17 +138,24 @@
 	whole List // what the lists so far come to
 }
 
-// NewWatcher returns a watcher of the service at address for one of so many brokers. log gets a line when the service falls
-// silent and when it is back.
-func NewWatcher(address string, brokers int, local net.IP, log *slog.Logger) *Watcher {
-	dialer := net.Dialer{Timeout: dialTime}
-	if local != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: local}
+// NewWatcher returns a watcher of the service at address.
+func NewWatcher(address string, opt Options) *Watcher {
+	dialer := net.Dialer{Timeout: dialAsked}
+	if opt.Local != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: opt.Local}
 	}
 	transport := &http.Transport{DialContext: dialer.DialContext,
 		MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true}
-	return &Watcher{address: address, moves: make(chan string, 1), client: &http.Client{Transport: transport}, log: log,
-		hold: max(holdLeast, min(time.Duration(brokers)*holdEach, holdMost))}
+	w := &Watcher{address: address, moves: make(chan string, 1), client: &http.Client{Transport: transport}, log: opt.Log,
+		hold: max(holdLeast, min(time.Duration(opt.Brokers)*holdEach, holdMost))}
+	w.Retune(opt)
+	return w
+}
+
+// Retune has the next call keep to another grace.
+func (w *Watcher) Retune(opt Options) {
+	p := opt.patience()
+	w.waits.Store(&p)
 }
 
 // Start has the watch go on from a list that was held before. It comes before Run.
@@ -189,13 +226,30 @@
 // known to drain. A list that stays older for long is of a new count and taken.
 func (w *Watcher) order(list *List) error {
 	now := time.Now()
-	if list.Whole && list.Seq < w.held && now.Sub(w.heldAt) < behind {
+	if list.Seq < w.held && (!list.Whole || now.Sub(w.heldAt) < behind) {
 		return fmt.Errorf("list %d is older than %d, which is held", list.Seq, w.held)
 	}
 	w.held, w.heldAt = list.Seq, now
 	return nil
 }
 
+// leavers are the entries of a list that is not believed which name nodes as draining or gone that are held as serving. They
+// count all the same: it may be of a new count, and a node that is spared for a while costs less than a broken drain.
+func (w *Watcher) leavers(list *List) *List {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	news := &List{Seq: w.whole.Seq}
+	for _, h := range list.Hosts {
+		at := slices.IndexFunc(w.whole.Hosts, func(held Host) bool { return held.Host == h.Host })
+		if h.State != logic.Ready && at >= 0 && w.whole.Hosts[at].State == logic.Ready {
+			leaver := w.whole.Hosts[at]
+			leaver.State = logic.Draining
+			news.Hosts = append(news.Hosts, leaver)
+		}
+	}
+	return news
+}
+
 // watch follows one address until ctx ends.
 func (w *Watcher) watch(ctx context.Context, clock *broker.Clock, post func(broker.Event)) {
 	seq, whole, silent := uint64(0), true, false
@@ -206,7 +260,10 @@
 			return
 		}
 		if err == nil {
-			err = w.order(list)
+			if err = w.order(list); err != nil {
+				list = w.leavers(list)
+				w.take(list, clock, post)
+			}
 		}
 		if err != nil {
 			if !silent {
@@ -218,7 +275,7 @@
 			case <-ctx.Done():
 			case <-time.After(wait/2 + rand.N(wait)):
 			}
-			wait = min(2*wait, againMost)
+			wait = min(2*wait, w.waits.Load().again)
 			continue
 		}
 		wait = again
@@ -226,19 +283,24 @@
 			w.log.Info("discovery back")
 		}
 		silent, whole, seq = false, false, list.Seq
-		w.add(list)
-		if list.Whole {
-			post(list.Event(logic.ListFull, clock))
-		} else if len(list.Hosts) > 0 {
-			post(list.Event(logic.ListChanges, clock))
-		}
+		w.take(list, clock, post)
+	}
+}
+
+// take adds a list to what is held and posts it, unless it says nothing.
+func (w *Watcher) take(list *List, clock *broker.Clock, post func(broker.Event)) {
+	w.add(list)
+	if list.Whole {
+		post(list.Event(logic.ListFull, clock))
+	} else if len(list.Hosts) > 0 {
+		post(list.Event(logic.ListChanges, clock))
 	}
 }
 
 var errStatus = errors.New("status")
 
 func (w *Watcher) call(ctx context.Context, seq uint64, whole bool) (*List, error) {
-	url, wait := "http://"+w.address+"/registry/instances", slack
+	url, wait := "http://"+w.address+"/registry/instances", w.waits.Load().answer
 	if !whole {
 		url = fmt.Sprintf("%s?index=%d&wait=%d", url, seq, w.hold.Milliseconds())
 		wait += w.hold
--- /dev/null
+++ b/internal/discovery/silence_test.go
@@ -0,0 +1,172 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"junctionwharf/broker"
+	"junctionwharf/internal/logs"
+	"junctionwharf/logic"
+)
+
+// pipes is a listener in memory, so that an agent's silence passes on a virtual clock.
+type pipes struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func newPipes() *pipes { return &pipes{make(chan net.Conn), make(chan struct{})} }
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case conn := <-p.conns:
+		return conn, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error   { close(p.done); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p *pipes) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	here, there := net.Pipe()
+	select {
+	case p.conns <- there:
+		return here, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// told is how the rules count what an agent has to say to a call that fell silent: 6 s after that, or 2 s after the call's wait if
+// that is later.
+func told(call, silence time.Time, hold time.Duration) time.Time {
+	a, b := silence.Add(6*time.Second), call.Add(hold+2*time.Second)
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// A watch falls silent at any moment of its life, before its first answer or later, and its agent stays silent for any time. A
+// drain that it learns of meanwhile is known within the settings' grace, counted from the agent's return or from when the rules
+// hold the silent call for told.
+func TestDrainBehindSilence(t *testing.T) {
+	for _, grace := range []time.Duration{400 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second} {
+		for _, brokers := range []int{1, 300} {
+			for quiet := time.Duration(0); quiet < 2*time.Second; quiet += 370 * time.Millisecond { // of the watch, before the silence
+				for _, silent := range []time.Duration{0, 170 * time.Millisecond, 900 * time.Millisecond, 3100 * time.Millisecond, 11300 * time.Millisecond, 29700 * time.Millisecond} {
+					synctest.Test(t, func(t *testing.T) { drainBehindSilence(t, grace, brokers, quiet, silent) })
+				}
+			}
+		}
+	}
+}
+
+func drainBehindSilence(t *testing.T, grace time.Duration, brokers int, quiet, silent time.Duration) {
+	began := time.Now()
+	silence := began.Add(quiet)
+	back := silence.Add(silent)
+	var last time.Time // when the call that fell silent began
+	draining := strings.Replace(changeText, "43", "42", 1)
+	ln := newPipes()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		call := time.Now()
+		index := r.URL.Query().Get("index")
+		if call.Before(silence) && index == "" {
+			fmt.Fprint(w, wholeText)
+			return
+		}
+		if call.Before(back) { // it says nothing any more, even after its return
+			if last.IsZero() {
+				last = call
+			}
+			<-r.Context().Done()
+			return
+		}
+		switch index {
+		case "":
+			fmt.Fprint(w, strings.Replace(strings.Replace(wholeText, "41", "42", 1), "SERVING", "DRAINING", 1))
+		case "41":
+			fmt.Fprint(w, draining)
+		default:
+			<-r.Context().Done()
+		}
+	})}
+	go server.Serve(ln)
+	w := NewWatcher("agent", Options{Brokers: brokers, Grace: grace, Log: logs.Discard()})
+	w.client.Transport = &http.Transport{DialContext: ln.dial}
+	ctx, cancel := context.WithCancel(context.Background())
+	known, ended := make(chan time.Time, 1), make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.Run(ctx, broker.NewClock(), func(e broker.Event) {
+			if l := e.(broker.Listed); len(l.Nodes) == 1 && l.Nodes[0].State == logic.Draining {
+				select {
+				case known <- time.Now():
+				default:
+				}
+			}
+		})
+	}()
+	at := <-known
+	most := back
+	if !last.IsZero() {
+		// A watch that waits is silent to who asked, whatever the agent does; a call that wants the whole list is no watch.
+		if hold := w.hold; last.Before(silence) && told(last, silence, hold).After(most) {
+			most = told(last, silence, hold)
+		}
+	}
+	if late := at.Sub(most); late > grace {
+		t.Errorf("grace %v, %d brokers: silent from %v for %v: known %v after it counts as told", grace, brokers, quiet, silent, late)
+	}
+	cancel()
+	<-ended
+	w.client.CloseIdleConnections()
+	server.Close()
+	synctest.Wait()
+}
+
+// A whole list of an older count is not believed, but whom it names as draining gets nothing more. Changes of one are not taken.
+func TestOlderList(t *testing.T) {
+	w := NewWatcher("", Options{Brokers: 1, Log: logs.Discard()})
+	var posted []broker.Listed
+	post := func(e broker.Event) { posted = append(posted, e.(broker.Listed)) }
+	clock := broker.NewClock()
+	list := func(text string) *List {
+		l, err := ParseList([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	held := list(wholeText)
+	if err := w.order(held); err != nil {
+		t.Fatal(err)
+	}
+	w.take(held, clock, post)
+	for _, older := range []string{`{"seq":7,"whole":true,"hosts":[{"host":"a","block":3,"health":"DRAINING"},{"host":"b","block":1,"health":"SERVING"}]}`,
+		`{"seq":7,"whole":false,"hosts":[{"host":"a","block":3,"health":"DRAINING"}]}`} {
+		if err := w.order(list(older)); err == nil {
+			t.Fatalf("%s is believed", older)
+		}
+	}
+	older := w.leavers(list(`{"seq":7,"whole":true,"hosts":[{"host":"a","block":3,"health":"DRAINING"},{"host":"b","block":1,"health":"SERVING"},{"host":"c","health":"DELETED"}]}`))
+	w.take(older, clock, post)
+	if len(posted) != 2 || posted[1].Kind != logic.ListChanges || len(posted[1].Nodes) != 1 || posted[1].Nodes[0].Node != "a" || posted[1].Nodes[0].State != logic.Draining {
+		t.Errorf("%+v", posted)
+	}
+	if held := w.Held(); held.Seq != 41 || len(held.Hosts) != 1 {
+		t.Errorf("%+v", held)
+	}
+	if err := w.order(list(strings.Replace(wholeText, "41", "42", 1))); err != nil {
+		t.Error(err)
+	}
+}
