End a connection where nothing is owed: by who reads it, with its answers and the queue

- A connection was ended by the writer or by who wanted its place, after a look at its phase and its socket.
A request that had just been read, and not yet been noted, was dropped, or taken behind the end of file and sent to a node for nobody.
Only the goroutine that reads can tell: part() now wakes it, and leaves() decides under the connection's lock.
A request read at that moment is served, or refused where the place was given away.
- After SIGTERM and at the idle time the writer closed at once.
With unread input behind the answer that is a reset, which may overtake the answer.
All ends now give an end of file first and drop what comes behind.
- Close() closed the listener, which resets connections that the kernel has accepted and nobody has taken: requests on them are taken, by the protocol.
Accept now empties the queue first, without waiting. redcon closed those that it had not handed over yet when Serve ended; the listener waits for them.
- broker.Ending answered what was open at that moment.
Requests that came on open connections between then and the exit were taken and never answered.
Ending is now a state: what comes is refused, and fronts end each connection as soon as nothing is owed on it, read or not.
- Behind a malformed command nothing was read any more: the requests before it waited on though their client had left, and the close reset the error line.
The reader now drops what comes, and sees the end.
With 64 requests waiting on a connection nothing is read either; its end is looked for by poll.

Ruled out: eviction of a client half way in its command (refused, then ended, as before), a client that only says nothing.

--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -62,7 +62,7 @@
 	}
 	// Lagged tells how long whatever could run in this process has lately waited for a processor, in the mean.
 	Lagged struct{ Waited Micros }
-	// Ending tells that the process ends: what is owed is to be answered now.
+	// Ending tells that the process ends: what is owed is to be answered now, and so is what still comes.
 	Ending struct{}
 )
 
@@ -181,6 +181,7 @@
 	spare   []logic.Event // memory for it
 	effects []Effect
 	facts   []telemetry.Fact
+	ending  bool                      // the process ends
 	lag     Micros                    // how long work waits for a processor here
 	giving  map[uint64]telemetry.Fact // requests whose Lasting value is on its way to the client
 }
@@ -308,6 +309,7 @@
 
 // endAll guards what is still owed when the process ends: attempts stop, and what was never sent is refused.
 func (s *State) endAll() {
+	s.ending = true
 	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
 		r := s.entries[id]
 		if r.attempts == 0 && !r.answered {
@@ -329,6 +331,11 @@
 	}
 	*r = entry{req: req, arrived: s.now, deadline: s.now + max(0, req.Wait)}
 	s.entries[id] = r
+	if s.ending { // nobody would be left to answer it
+		s.answer(id, r, Final{Verdict: Refused})
+		s.forget(id, r)
+		return
+	}
 	r.overdue = s.wake(r.deadline, alarm{kind: overdue, id: id})
 	s.tell(logic.Request{ID: id, Class: req.Class, Plan: req.Plan, Key: req.Key, Remaining: req.Wait.Duration(),
 		Volume: req.Volume, Units: req.Units, Shard: req.Shard, Hosts: req.Hosts, Retry: req.Retry, Write: req.Write})
--- a/broker/reducer_test.go
+++ b/broker/reducer_test.go
@@ -271,6 +271,8 @@
 	r.final(1, Failed)
 	r.final(2, Refused)
 	r.final(3, Refused)
+	r.turn(Arrived{4, request("write", 0)}) // on a connection that stayed open
+	r.final(4, Refused)
 	if r.pass(Second); len(r.state.entries) > 0 || len(r.starts) != 2 {
 		t.Errorf("%d held, %d sent", len(r.state.entries), len(r.starts))
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -66,6 +66,8 @@
 	polite     list.List        // those that have sent none but greetings
 	known      list.List        // those that have had a request, by their last one
 	ln         net.Listener
+	lnEnded    chan struct{} // closed with ln
+	lnEnd      sync.Once
 	stage      stage
 	turn       func(net.Conn) // answers and ends a connection for which there is no room, nil for none
 	overloaded func() bool
@@ -89,14 +91,15 @@
 const (
 	open     stage = iota
 	draining       // guests leave as soon as they are idle, new ones after their first request
-	closed         // no new ones come
+	closed         // no new ones come but those that the kernel has accepted
+	ending         // guests leave as soon as they wait for no answer, whatever has come that was not read
 )
 
 // NewHall returns a hall for so many guests. Of those that have asked, more than easy do not stay idle: clients may have
 // room for fewer connections than the hall and keep those they do not use. But they are kept up to there, since a client
 // may have no other way in once the broker was told to end. log gets a line when the system refuses a connection.
 func NewHall(most, easy int, log *slog.Logger) *Hall {
-	return &Hall{log: log, easy: easy, room: room.New(most), places: map[Guest]*place{}}
+	return &Hall{log: log, easy: easy, room: room.New(most), places: map[Guest]*place{}, lnEnded: make(chan struct{})}
 }
 
 // TurnAway has connections for which there is no room, and nobody gives way, answered by turn, which ends them, up to so many
@@ -112,13 +115,18 @@
 // net.ErrClosed follows Close.
 func (h *Hall) Accept(ln net.Listener) (net.Conn, error) {
 	h.mu.Lock()
-	h.ln = ln
+	if h.ln = ln; ln != nil && h.stage >= closed {
+		h.shut(0)
+	}
 	h.mu.Unlock()
 	for {
 		if h.turn == nil {
 			h.makeRoom()
 		}
 		conn, err := ln.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) { // no time is left, but some may wait in the queue
+			conn, err = acceptWaiting(ln)
+		}
 		switch {
 		case err == nil && (h.turn == nil || h.hasRoom()):
 			return conn, nil
@@ -130,7 +138,7 @@
 				h.turn(conn)
 			}()
 			continue
-		case errors.Is(err, os.ErrDeadlineExceeded): // the queue is empty
+		case errors.Is(err, errNoneWaits):
 			ln.Close()
 			err = net.ErrClosed
 		}
@@ -138,6 +146,7 @@
 			h.room.Give()
 		}
 		if errors.Is(err, net.ErrClosed) {
+			h.lnEnd.Do(func() { close(h.lnEnded) })
 			return nil, err
 		}
 		h.log.Warn("accept failed", "reason", err)
@@ -312,8 +321,13 @@
 func (h *Hall) Shut() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.shut(queueTime)
+}
+
+// shut has Accept end after a while, with what the kernel has accepted by then; the caller holds h.mu.
+func (h *Hall) shut(after time.Duration) {
 	if ln, ok := h.ln.(interface{ SetDeadline(time.Time) error }); ok {
-		ln.SetDeadline(time.Now().Add(queueTime))
+		ln.SetDeadline(time.Now().Add(after))
 	} else if h.ln != nil {
 		h.ln.Close()
 	}
@@ -331,13 +345,19 @@
 	h.easy = easy
 }
 
-// Close takes no more connections.
+// Close takes no more connections but those that the kernel has accepted: requests on them count as taken. It waits for Accept to
+// take these, though not for long: others may want the places.
 func (h *Hall) Close() {
 	h.proceed(closed)
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.ln != nil {
-		h.ln.Close()
+	h.shut(0)
+	listens := h.ln != nil
+	h.mu.Unlock()
+	if listens {
+		select {
+		case <-h.lnEnded:
+		case <-time.After(queueTime):
+		}
 	}
 }
 
@@ -354,9 +374,13 @@
 // Leaving tells whether guests leave as soon as they are idle.
 func (h *Hall) Leaving() bool { return h.leaving.Load() }
 
-// Dismisses tells whether an idle connection should end; fresh says that it came late and has had no request.
-func (h *Hall) Dismisses(fresh bool) bool {
+// Dismisses tells whether an idle connection should end; fresh says that it came late and has had no request. last says that
+// it should even if something has come that was not read.
+func (h *Hall) Dismisses(fresh bool) (leaves, last bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.stage == closed || h.stage == draining && !fresh
+	return h.stage >= closed || h.stage == draining && !fresh, h.stage == ending
 }
+
+// Finish has all leave that wait for no answer: the process ends.
+func (h *Hall) Finish() { h.proceed(ending) }
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -132,8 +132,9 @@
 
 // Serve serves ln until Close.
 func (f *Front) Serve(ln net.Listener) error {
-	server := redcon.NewServerNetwork(ln.Addr().Network(), ln.Addr().String(), f.handle, nil, nil)
-	return server.Serve(&listener{Listener: ln, hall: f.Hall})
+	l := &listener{Listener: ln, hall: f.Hall}
+	server := redcon.NewServerNetwork(ln.Addr().Network(), ln.Addr().String(), f.handle, nil, func(redcon.Conn, error) { l.handed.Done() })
+	return server.Serve(l)
 }
 
 // turnAway answers a connection for which there is no room: a request gets its refusal at once, a greeting its answer, and
@@ -172,23 +173,33 @@
 // listener hands redcon guarded connections, as many as there is room for.
 type listener struct {
 	net.Listener
-	hall *front.Hall
+	hall   *front.Hall
+	handed sync.WaitGroup // connections that redcon has still
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Its end guards connections that were just accepted: redcon closes those that it still has.
 func (l *listener) Accept() (net.Conn, error) {
 	conn, err := l.hall.Accept(l.Listener)
 	if err != nil {
+		l.handed.Wait()
 		return nil, err
 	}
+	l.handed.Add(1)
 	return &guard{Conn: conn}, nil
 }
 
 // handle gets the guard's first command and takes the connection from redcon, whose own loop would read
 // nothing more before a request is answered.
 func (f *Front) handle(conn redcon.Conn, _ redcon.Command) {
-	c := &client{front: f, in: conn.Detach(), conn: conn.NetConn(), wake: make(chan struct{}, 1)}
-	c.guard, _ = c.conn.(*guard)
+	c := newClient(f, conn.Detach(), conn.NetConn())
+	c.fresh = f.Enter(c)
+	go c.read()
+	go c.write()
+}
+
+func newClient(f *Front, in redcon.DetachedConn, conn net.Conn) *client {
+	c := &client{front: f, in: in, conn: conn, wake: make(chan struct{}, 1)}
+	c.guard, _ = conn.(*guard)
 	c.room = sync.NewCond(&c.mu)
 	if c.guard != nil {
 		if f.loop != nil {
@@ -201,9 +212,7 @@
 			}
 		}
 	}
-	c.fresh = f.Enter(c)
-	go c.read()
-	go c.write()
+	return c
 }
 
 // client is one connection. Its slots are the answers owed, in the order of the commands.
@@ -222,6 +231,7 @@
 	asked   bool      // a request came
 	writing bool      // an answer is being written
 	direct  bool      // by the reader
+	leave   leave     // set by who wants it to end, but for left
 	ended   bool      // nothing more is read; what is owed is still written unless gone
 	gone    bool
 
@@ -267,32 +277,70 @@
 	return front.Busy, 0
 }
 
-// End implements front.Guest. It guards a request that crosses the end of its connection: were it met by a reset, its client
-// could not tell that it was never taken. So the client reads an end of file, behind a refusal if a part of a request has
-// come, and what it sends meanwhile is read and dropped. Of a crowd that has asked for nothing each is closed at once: those
-// behind it wait for the place.
-func (c *client) End() bool {
-	if c.guard != nil && !pool.Silent(c.guard.Conn) { // what has come, and was not read, may be a request
+// leave is whether a connection is to end.
+type leave int
+
+const (
+	stays   leave = iota
+	gently        // it is to end unless a request comes
+	lastly        // the same, but nobody will read a request that has come
+	evicted       // it ends: its place was given away
+	left          // its client has had an end of file, and nothing more is taken
+)
+
+// End implements front.Guest.
+func (c *client) End() bool { return c.part(evicted) }
+
+// part has the connection end unless an answer is owed or a request has come. It only asks: the goroutine that reads is woken and
+// does it, since no other can tell that nothing was read at this moment. Of a crowd that has asked for nothing each is closed at
+// once: those behind it wait for the place. It tells whether the connection is to end, and is false if it was to before.
+func (c *client) part(how leave) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.owes() || c.leave >= how || c.released {
 		return false
 	}
-	var half interface{ CloseWrite() error }
-	if c.guard != nil {
-		half, _ = c.guard.Conn.(interface{ CloseWrite() error })
+	if c.guard == nil {
+		c.leave = left
+		return c.conn.Close() == nil
 	}
-	c.mu.Lock()
-	asked := c.asked
-	c.mu.Unlock()
-	if half == nil || !asked && c.guard.phase.Load() == resting {
+	phase := c.guard.phase.Load()
+	if phase == working || phase == halfWay && how == gently || how != lastly && !pool.Silent(c.guard.Conn) {
+		return false
+	}
+	c.leave = how
+	if how == evicted && phase == resting && !c.asked {
 		c.conn.Close()
-		c.Wake()
-		return true
 	}
-	c.guard.part()
-	if c.guard.phase.Load() == halfWay {
-		c.guard.SetWriteDeadline(time.Now().Add(time.Millisecond)) // no answer waits, so that there is room for a line
-		writeAll(c.guard.Conn, answer(broker.Final{Verdict: broker.Refused, After: c.front.terms.Load().After}))
+	c.guard.poke()
+	return true
+}
+
+// leaves ends the connection if it is to end, and tells whether it did. It is for the goroutine that reads. It guards a request
+// that crosses the end: were it met by a reset, its client could not tell that it was never taken, and might lose an answer that
+// it has not read yet. So the client reads an end of file, and what it sends meanwhile is read and dropped. came says that a
+// request has been read: that is taken, or refused where the place is another's.
+func (c *client) leaves(came bool) bool {
+	c.mu.Lock()
+	how, half := c.leave, c.guard != nil && c.guard.phase.Load() == halfWay
+	stay := c.owes() || how == gently && (came || half || !pool.Silent(c.guard.Conn)) || how == lastly && came
+	if how == stays || stay {
+		if how != stays {
+			c.leave = stays
+			c.guard.rest()
+		}
+		c.mu.Unlock()
+		return false
+	}
+	c.leave = left
+	c.mu.Unlock()
+	conn := c.guard.Conn
+	if came || half {
+		conn.SetWriteDeadline(time.Now().Add(time.Millisecond)) // no answer waits, so that there is room for a line
+		writeAll(conn, answer(broker.Final{Verdict: broker.Refused, After: c.front.terms.Load().After}))
 	}
-	half.CloseWrite()
+	front.EndOfFile(conn)
+	c.drop(partTime)
 	return true
 }
 
@@ -309,16 +357,27 @@
 	defer c.stopPanic()
 	for {
 		cmd, err := c.in.ReadCommand()
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.owed() {
-			continue // it says nothing because it waits
-		}
-		if err != nil {
-			if (errors.Is(err, errProtocol) || errors.Is(err, errSlow)) && !c.parts() {
-				c.refuse(err)
-			}
+		idle := errors.Is(err, os.ErrDeadlineExceeded)
+		switch {
+		case (err == nil || idle) && c.leaves(err == nil):
+			return
+		case idle && (c.owed() || c.guard.woken() || !pool.Silent(c.guard.Conn)):
+			continue // it says nothing because it waits, it was asked to leave and stays, or a request has begun to come
+		case idle:
+			c.mu.Lock()
+			c.leave = evicted
+			c.mu.Unlock()
+			c.leaves(false)
+			return
+		case errors.Is(err, errProtocol) || errors.Is(err, errSlow):
+			c.refuse(err)
+			c.drop(0)
+			return
+		case err != nil:
 			return
 		}
 		if !c.take(cmd) {
+			c.drop(0)
 			return
 		}
 		if c.guard != nil {
@@ -327,8 +386,22 @@
 	}
 }
 
-// parts tells whether the client was told of the end; nothing more is taken.
-func (c *client) parts() bool { return c.guard != nil && c.guard.parting.Load() }
+// dropMost bounds the bytes that are read and dropped behind the last that counts.
+const dropMost = 16 << 20
+
+// drop reads what comes behind the last that counts and drops it: the end of a connection with unread input would be a reset,
+// which overtakes the answers. It ends with the connection, with a pause, or past a bound; a pause of 0 is none. Where the client ends
+// it while requests wait, it has left.
+func (c *client) drop(pause time.Duration) {
+	if c.guard == nil {
+		return
+	}
+	if front.Drop(c.guard.Conn, pause, dropMost) {
+		c.mu.Lock()
+		c.ended = c.ended && !slices.ContainsFunc(c.slots, func(s *slot) bool { return !s.ready })
+		c.mu.Unlock()
+	}
+}
 
 // owed tells whether the client waits for an answer or takes one.
 func (c *client) owed() bool {
@@ -434,7 +507,7 @@
 func (c *client) beginDirect() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.slots) > 0 || c.writing || c.parts() || c.released {
+	if len(c.slots) > 0 || c.writing || c.released {
 		return false
 	}
 	c.writing, c.direct, c.fresh, c.asked = true, true, false, true
@@ -465,10 +538,14 @@
 // push queues an answer owed. It waits while too many are owed.
 func (c *client) push(s *slot) bool {
 	c.mu.Lock()
-	for len(c.slots) >= maxPipeline && !c.released {
-		c.room.Wait()
+	if len(c.slots) >= maxPipeline && !c.released {
+		stop := c.watchEnd()
+		for len(c.slots) >= maxPipeline && !c.released {
+			c.room.Wait()
+		}
+		stop()
 	}
-	released := c.released || c.parts()
+	released := c.released
 	if released { // the writer has ended, so nobody would give the slot back
 		c.front.budget.Give(s.size)
 	} else {
@@ -488,10 +565,39 @@
 	return !released
 }
 
+// endPoll is how often a connection is asked whether its client has left while nothing is read from it.
+const endPoll = 50 * time.Millisecond
+
+// watchEnd looks, until it is stopped, whether the client has left. It guards requests that wait against being sent on for nobody:
+// behind what is not read the end of file can't be read either.
+func (c *client) watchEnd() (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		tick := time.NewTicker(endPoll)
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-tick.C:
+			}
+			if front.PeerLeft(c.socket()) {
+				c.mu.Lock()
+				c.gone = true
+				c.mu.Unlock()
+				c.conn.Close()
+				c.Wake() // the writer releases who waits for room
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
 // end follows the last read: but for an answer to malformed input, the client has gone away.
 func (c *client) end() {
 	c.mu.Lock()
-	gone := !c.ended
+	gone := !c.ended || c.leave == left
 	if gone {
 		c.gone = true
 	}
@@ -535,8 +641,8 @@
 				return
 			}
 		}
-		if c.dismissed() {
-			return
+		if c.dismissed() && c.guard == nil {
+			return // else the reader wakes it once the client has had its end of file
 		}
 	}
 }
@@ -558,7 +664,7 @@
 	return err == nil
 }
 
-// linger lets a client read why its connection ends, unless the room is wanted.
+// linger lets a client read why its connection ends, unless the room is wanted. The reader drops what comes meanwhile.
 func (c *client) linger() {
 	timer := time.NewTimer(lingerTime)
 	defer timer.Stop()
@@ -602,12 +708,15 @@
 	c.mu.Lock()
 	idle, fresh := len(c.slots) == 0 && !c.direct, c.fresh
 	c.mu.Unlock() // the hall asks its guests under its own lock
-	return idle && c.quiet() && c.front.Dismisses(fresh)
-}
-
-// quiet guards a request that crosses the end of its connection: nothing of a command has come, as far as can be seen.
-func (c *client) quiet() bool {
-	return c.guard == nil || c.guard.phase.Load() == resting && pool.Silent(c.guard.Conn)
+	if !idle {
+		return false
+	}
+	leaves, last := c.front.Dismisses(fresh)
+	how := gently
+	if last {
+		how = lastly
+	}
+	return leaves && c.part(how)
 }
 
 // release gives back what the connection held.
--- a/internal/resp/guard.go
+++ b/internal/resp/guard.go
@@ -32,6 +32,7 @@
 	net.Conn
 	attached bool
 	due      time.Time // when the command that is under way must be whole
+	until    time.Time // when the read that is under way is late
 	asked    bool      // a command came whole
 	state    guardState
 	figure   int // the length being read, -1 before its first digit
@@ -41,7 +42,7 @@
 	alone    bool
 
 	phase   atomic.Int32 // what it reads
-	parting atomic.Bool  // its client was told of the end
+	parting atomic.Bool  // who reads is to be woken
 
 	rested func()              // called when it begins to wait for a command, nil for none
 	refuse func(p []byte) bool // answers one whole command that came alone, without anything being kept of it; nil for never
@@ -86,9 +87,10 @@
 // read reads once. Afterwards alone tells whether what came is one command, whole.
 func (g *guard) read(p []byte) (int, error) {
 	g.alone = false
-	g.Conn.SetReadDeadline(g.limit(time.Now()))
+	g.until = g.limit(time.Now())
+	g.Conn.SetReadDeadline(g.until)
 	if g.parting.Load() { // since the deadline was reckoned
-		g.Conn.SetReadDeadline(time.Now().Add(partTime))
+		g.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 	if g.state == atCommand {
 		g.phase.Store(resting)
@@ -102,7 +104,7 @@
 	if n > 0 {
 		g.phase.Store(working)
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && g.state != atCommand {
+	if errors.Is(err, os.ErrDeadlineExceeded) && g.state != atCommand && !g.woken() {
 		err = errSlow
 	}
 	began, ended := g.state, g.ended
@@ -117,12 +119,18 @@
 	return n, err
 }
 
-// part has the connection end once its client has closed it, or soon.
-func (g *guard) part() {
+// poke wakes who reads, once, with os.ErrDeadlineExceeded.
+func (g *guard) poke() {
 	g.parting.Store(true)
-	g.Conn.SetReadDeadline(time.Now().Add(partTime))
+	g.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
+// rest has who was poked read on.
+func (g *guard) rest() { g.parting.Store(false) }
+
+// woken tells whether the last read ended by a poke, before its time was up.
+func (g *guard) woken() bool { return g != nil && time.Now().Before(g.until) }
+
 // limit tells until when the next bytes must come. It guards room and memory against clients that say nothing
 // or half a command; those that pause between commands may stay for longer.
 func (g *guard) limit(now time.Time) time.Time {
