Close only an empty connection, whole and at once; no linger behind a malformed command

Cause: linger() in internal/resp/front.go. Its half second had been cut short in practice by the reader's own wake; with a reader that goes on dropping, the connection stayed open behind the error line, and a whole request that came on it meanwhile was taken, by the protocol, and dropped.

The same holds for all other ends, so none is half closed first any more but behind a refusal in the middle of a command: the goroutine that reads closes a connection on which nothing is owed and nothing has come, at once. What has come is served while the broker drains, and refused where the place was given away. Hastened is a new event of the core: a client that sent noise and its end of file has left or waits still; what it is owed is answered now.

--- a/broker/loop.go
+++ b/broker/loop.go
@@ -212,6 +212,9 @@
 // Leave tells that the client of a request no longer waits.
 func (l *Loop) Leave(id uint64) { l.Post(Left{ID: id}) }
 
+// Hasten tells that the client of a request may have left, but wants an answer if it has not.
+func (l *Loop) Hasten(id uint64) { l.Post(Hastened{ID: id}) }
+
 // Open tells how many requests wait for their final answer.
 func (l *Loop) Open() int { return int(l.Figures.open.Load()) }
 
--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -22,6 +22,8 @@
 	}
 	// Left tells that a client no longer waits.
 	Left struct{ ID uint64 }
+	// Hastened tells that a client sends nothing more and may have left, while it is owed its answer: that is given now.
+	Hastened struct{ ID uint64 }
 	// Ended tells how an attempt ended by itself.
 	Ended struct {
 		ID      uint64
@@ -73,18 +75,19 @@
 	Born    Micros // its last start on the loop's clock, 0 for long ago
 }
 
-func (Arrived) event() {}
-func (Left) event()    {}
-func (Ended) event()   {}
-func (Stopped) event() {}
-func (Probed) event()  {}
-func (Listed) event()  {}
-func (Heard) event()   {}
-func (Retuned) event() {}
-func (Shared) event()  {}
-func (Given) event()   {}
-func (Lagged) event()  {}
-func (Ending) event()  {}
+func (Arrived) event()  {}
+func (Left) event()     {}
+func (Hastened) event() {}
+func (Ended) event()    {}
+func (Stopped) event()  {}
+func (Probed) event()   {}
+func (Listed) event()   {}
+func (Heard) event()    {}
+func (Retuned) event()  {}
+func (Shared) event()   {}
+func (Given) event()    {}
+func (Lagged) event()   {}
+func (Ending) event()   {}
 
 // Effect is something that the reducer wants done.
 type Effect interface{ effect() }
@@ -270,6 +273,8 @@
 			}
 			s.forget(e.ID, r)
 		}
+	case Hastened:
+		s.hasten(e.ID)
 	case Given:
 		s.given(e)
 	case Ended:
@@ -307,19 +312,27 @@
 	}
 }
 
-// endAll guards what is still owed when the process ends: attempts stop, and what was never sent is refused.
+// endAll guards what is still owed when the process ends.
 func (s *State) endAll() {
 	s.ending = true
 	for _, id := range slices.Sorted(maps.Keys(s.entries)) {
-		r := s.entries[id]
-		if r.attempts == 0 && !r.answered {
-			s.answer(id, r, Final{Verdict: Refused})
-			s.tell(logic.ClientGone{ID: id})
-			s.forget(id, r)
-			continue
-		}
-		s.ring(alarm{kind: overdue, id: id})
+		s.hasten(id)
+	}
+}
+
+// hasten answers a request now: an attempt that is out stops, and what was never sent is refused.
+func (s *State) hasten(id uint64) {
+	r := s.entries[id]
+	if r == nil {
+		return
+	}
+	if r.attempts == 0 && !r.answered {
+		s.answer(id, r, Final{Verdict: Refused})
+		s.tell(logic.ClientGone{ID: id})
+		s.forget(id, r)
+		return
 	}
+	s.ring(alarm{kind: overdue, id: id})
 }
 
 func (s *State) arrive(id uint64, req *Request) {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -389,9 +389,6 @@
 		if !told && time.Since(began) >= t.answer {
 			told = true
 			s.loop.Post(broker.Ending{})
-			for _, front := range s.fronts {
-				front.Finish()
-			}
 		}
 	}
 	s.reporter.Finish(began.Add(max(t.end, time.Since(began)+lastCheck))) // no client waits any more
@@ -408,7 +405,6 @@
 	Drain()
 	Shut()
 	Close()
-	Finish()
 	Clients() int
 }
 
--- a/internal/front/ends.go
+++ b/internal/front/ends.go
@@ -17,20 +17,35 @@
 	}
 }
 
-// dropTime bounds how long what comes is dropped where a pause would end it.
-const dropTime = time.Second / 2
+// AwaitEnd waits until a peer ends its connection, for so long at the most. It reads nothing.
+func AwaitEnd(conn net.Conn, most time.Duration) {
+	sys, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return
+	}
+	end := time.Now().Add(most)
+	conn.SetReadDeadline(end)
+	came := false
+	if raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		came = n > 0
+		return !errors.Is(err, unix.EAGAIN)
+	}) == nil && came {
+		time.Sleep(time.Until(end)) // behind what stands unread its end can't be seen
+	}
+}
 
-// Drop reads from a connection and drops what comes, until it or its peer ends it, or most bytes came; with a pause above 0 also once
-// nothing has come for that, or dropTime is over. It tells whether the peer ended it.
-func Drop(conn net.Conn, pause time.Duration, most int) (left bool) {
+// Drop reads from a connection and drops what comes, until it or its peer ends it, or most bytes came. It tells whether the peer
+// ended it.
+func Drop(conn net.Conn, most int) (left bool) {
+	conn.SetReadDeadline(time.Time{})
 	scratch := make([]byte, 4<<10)
-	end := time.Now().Add(dropTime)
-	for dropped := 0; dropped < most && (pause == 0 || time.Now().Before(end)); {
-		if pause > 0 {
-			conn.SetReadDeadline(time.Now().Add(pause))
-		} else {
-			conn.SetReadDeadline(time.Time{})
-		}
+	for dropped := 0; dropped < most; {
 		n, err := conn.Read(scratch)
 		if err != nil {
 			return !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -92,7 +92,6 @@
 	open     stage = iota
 	draining       // guests leave as soon as they are idle, new ones after their first request
 	closed         // no new ones come but those that the kernel has accepted
-	ending         // guests leave as soon as they wait for no answer, whatever has come that was not read
 )
 
 // NewHall returns a hall for so many guests. Of those that have asked, more than easy do not stay idle: clients may have
@@ -374,13 +373,9 @@
 // Leaving tells whether guests leave as soon as they are idle.
 func (h *Hall) Leaving() bool { return h.leaving.Load() }
 
-// Dismisses tells whether an idle connection should end; fresh says that it came late and has had no request. last says that
-// it should even if something has come that was not read.
-func (h *Hall) Dismisses(fresh bool) (leaves, last bool) {
+// Dismisses tells whether an idle connection should end; fresh says that it came late and has had no request.
+func (h *Hall) Dismisses(fresh bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.stage >= closed || h.stage == draining && !fresh, h.stage == ending
+	return h.stage == closed || h.stage == draining && !fresh
 }
-
-// Finish has all leave that wait for no answer: the process ends.
-func (h *Hall) Finish() { h.proceed(ending) }
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -24,7 +24,7 @@
 
 const (
 	maxPipeline = 64              // requests of one connection that wait for answers; beyond it nothing is read
-	lingerTime  = time.Second / 2 // between an error that ends a connection and its end, which slows down who repeats it
+	lingerTime  = time.Second / 2 // between the refusal of a connection for which there is no room and its end, at the most
 	logEvery    = 10 * time.Second
 )
 
@@ -283,9 +283,8 @@
 const (
 	stays   leave = iota
 	gently        // it is to end unless a request comes
-	lastly        // the same, but nobody will read a request that has come
 	evicted       // it ends: its place was given away
-	left          // its client has had an end of file, and nothing more is taken
+	left          // it has ended
 )
 
 // End implements front.Guest.
@@ -305,7 +304,7 @@
 		return c.conn.Close() == nil
 	}
 	phase := c.guard.phase.Load()
-	if phase == working || phase == halfWay && how == gently || how != lastly && !pool.Silent(c.guard.Conn) {
+	if phase == working || phase == halfWay && how == gently || !pool.Silent(c.guard.Conn) {
 		return false
 	}
 	c.leave = how
@@ -316,32 +315,47 @@
 	return true
 }
 
-// leaves ends the connection if it is to end, and tells whether it did. It is for the goroutine that reads. It guards a request
-// that crosses the end: were it met by a reset, its client could not tell that it was never taken, and might lose an answer that
-// it has not read yet. So the client reads an end of file, and what it sends meanwhile is read and dropped. came says that a
-// request has been read: that is taken, or refused where the place is another's.
-func (c *client) leaves(came bool) bool {
+// leaves ends the connection if it is to end and nothing has come. It is for the goroutine that reads. It guards a request that
+// crosses the end: what has been read, or stands to be read, is taken, or refused where the place is another's, and only an
+// empty connection is closed, whole and at once. Were it closed with unread input, the reset could overtake the answers before; were it
+// half closed first, a request that comes meanwhile would be taken, by the protocol. came says that a request has been read.
+func (c *client) leaves(came bool) (ended, done bool) {
 	c.mu.Lock()
-	how, half := c.leave, c.guard != nil && c.guard.phase.Load() == halfWay
-	stay := c.owes() || how == gently && (came || half || !pool.Silent(c.guard.Conn)) || how == lastly && came
-	if how == stays || stay {
-		if how != stays {
-			c.leave = stays
-			c.guard.rest()
-		}
+	how, half := c.leave, c.guard != nil && c.guard.phase.Load() == halfWay && !came
+	switch {
+	case how == stays:
 		c.mu.Unlock()
-		return false
+		return false, false
+	case c.owes() || how == gently && (came || half || !pool.Silent(c.guard.Conn)):
+		c.leave = stays
+		c.guard.rest()
+		c.mu.Unlock()
+		return false, false
+	case came:
+		c.guard.poke() // it looks again behind this
+		c.mu.Unlock()
+		c.busy()
+		return false, true
+	case !pool.Silent(c.guard.Conn):
+		c.guard.rest()
+		c.mu.Unlock()
+		return false, true
 	}
 	c.leave = left
 	c.mu.Unlock()
-	conn := c.guard.Conn
-	if came || half {
-		conn.SetWriteDeadline(time.Now().Add(time.Millisecond)) // no answer waits, so that there is room for a line
-		writeAll(conn, answer(broker.Final{Verdict: broker.Refused, After: c.front.terms.Load().After}))
+	if half {
+		c.busy()
+		front.EndOfFile(c.guard.Conn)
+		front.AwaitEnd(c.guard.Conn, partTime)
 	}
-	front.EndOfFile(conn)
-	c.drop(partTime)
-	return true
+	c.conn.Close()
+	return true, true
+}
+
+// busy refuses what has been read. No answer waits, so that there is room for a line.
+func (c *client) busy() {
+	c.guard.SetWriteDeadline(time.Now().Add(time.Millisecond))
+	writeAll(c.guard.Conn, answer(broker.Final{Verdict: broker.Refused, After: c.front.terms.Load().After}))
 }
 
 // stopPanic guards the process against a fault met by one connection.
@@ -358,26 +372,25 @@
 	for {
 		cmd, err := c.in.ReadCommand()
 		idle := errors.Is(err, os.ErrDeadlineExceeded)
+		if err == nil || idle {
+			if ended, done := c.leaves(err == nil); ended {
+				return
+			} else if done {
+				continue
+			}
+		}
 		switch {
-		case (err == nil || idle) && c.leaves(err == nil):
-			return
 		case idle && (c.owed() || c.guard.woken() || !pool.Silent(c.guard.Conn)):
 			continue // it says nothing because it waits, it was asked to leave and stays, or a request has begun to come
-		case idle:
-			c.mu.Lock()
-			c.leave = evicted
-			c.mu.Unlock()
-			c.leaves(false)
-			return
 		case errors.Is(err, errProtocol) || errors.Is(err, errSlow):
 			c.refuse(err)
-			c.drop(0)
+			c.drop()
 			return
 		case err != nil:
 			return
 		}
 		if !c.take(cmd) {
-			c.drop(0)
+			c.drop()
 			return
 		}
 		if c.guard != nil {
@@ -390,16 +403,22 @@
 const dropMost = 16 << 20
 
 // drop reads what comes behind the last that counts and drops it: the end of a connection with unread input would be a reset,
-// which overtakes the answers. It ends with the connection, with a pause, or past a bound; a pause of 0 is none. Where the client ends
-// it while requests wait, it has left.
-func (c *client) drop(pause time.Duration) {
-	if c.guard == nil {
+// which overtakes the answers. It ends with the connection, or past a bound. Where the client
+// sends its end of file while requests wait it has left, or it waits for its answers still: these are given at once.
+func (c *client) drop() {
+	if c.guard == nil || !front.Drop(c.guard.Conn, dropMost) {
 		return
 	}
-	if front.Drop(c.guard.Conn, pause, dropMost) {
-		c.mu.Lock()
-		c.ended = c.ended && !slices.ContainsFunc(c.slots, func(s *slot) bool { return !s.ready })
-		c.mu.Unlock()
+	c.mu.Lock()
+	var waiting []uint64
+	for _, s := range c.slots {
+		if !s.ready && s.id > 0 {
+			waiting = append(waiting, s.id)
+		}
+	}
+	c.mu.Unlock()
+	for _, id := range waiting {
+		c.front.loop.Hasten(id)
 	}
 }
 
@@ -664,13 +683,11 @@
 	return err == nil
 }
 
-// linger lets a client read why its connection ends, unless the room is wanted. The reader drops what comes meanwhile.
+// linger waits, not for long, until who reads has dropped what came behind a malformed command, so that the close is no reset. It
+// is no longer than that takes: a whole request that came on the open connection meanwhile would be taken, by the protocol.
 func (c *client) linger() {
-	timer := time.NewTimer(lingerTime)
-	defer timer.Stop()
-	select {
-	case <-c.wake:
-	case <-timer.C:
+	for end := time.Now().Add(partTime); c.guard != nil && !pool.Silent(c.guard.Conn) && time.Now().Before(end); {
+		time.Sleep(partTime / 10)
 	}
 }
 
@@ -711,12 +728,7 @@
 	if !idle {
 		return false
 	}
-	leaves, last := c.front.Dismisses(fresh)
-	how := gently
-	if last {
-		how = lastly
-	}
-	return leaves && c.part(how)
+	return c.front.Dismisses(fresh) && c.part(gently)
 }
 
 // release gives back what the connection held.
--- a/internal/sftp/front.go
+++ b/internal/sftp/front.go
@@ -226,7 +226,7 @@
 			s.writing = false
 			s.mu.Unlock()
 		}
-		if leaves, _ := s.front.Dismisses(fresh); stop || idle && leaves {
+		if stop || idle && s.front.Dismisses(fresh) {
 			return
 		}
 	}
