--- /dev/null
+++ b/internal/loopback/leavers_test.go
@@ -0,0 +1,115 @@
+package loopback
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"junctionwharf/broker"
+	"junctionwharf/internal/logs"
+	"junctionwharf/internal/pool"
+	"junctionwharf/internal/resp"
+	"junctionwharf/logic"
+)
+
+// leaverWorld is a broker whose connections to its one node come up when the test says, and a node that counts the bytes it is sent.
+type leaverWorld struct {
+	*testing.T
+	loop    *broker.Loop
+	address string
+	coming  chan struct{} // one for each connection that waits to come up
+	up      chan struct{} // closed to let them
+	bytes   atomic.Int64
+	ended   chan struct{} // one for each connection that the node has seen the end of
+}
+
+func newLeaverWorld(t *testing.T) *leaverWorld {
+	w := &leaverWorld{T: t, coming: make(chan struct{}, 64), up: make(chan struct{}), ended: make(chan struct{}, 64)}
+	state, err := broker.NewState(settings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nodes := pool.New(pool.Options{ConnectTimeout: 10 * time.Second, Idle: 30 * time.Second, Sockets: 64, Log: logs.Discard(),
+		Greet: func(net.Conn, *bufio.Reader) error {
+			w.coming <- struct{}{}
+			<-w.up
+			return nil
+		}})
+	w.loop = broker.NewLoop(state, broker.NewClock(), resp.NewNodes(nodes), broker.Outside{})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go w.loop.Run(ctx)
+	node := listen(t)
+	go func() {
+		for {
+			conn, err := node.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				n, _ := io.Copy(io.Discard, conn)
+				w.bytes.Add(n)
+				w.ended <- struct{}{}
+			}()
+		}
+	}()
+	w.loop.Post(broker.Listed{Kind: logic.ListFull, Version: 1, Nodes: []broker.Node{{NodeInfo: logic.NodeInfo{Node: "n", Weight: 1}, Address: node.Addr().String()}}})
+	ln := listen(t)
+	w.address = ln.Addr().String()
+	f := resp.NewFront(w.loop, resp.NewTerms(settings(), 0), 64, 64, 1<<20, logs.Discard())
+	go f.Serve(ln)
+	return w
+}
+
+// A burst of clients leaves, by end of file and by reset, while the connections for their requests come up or they are held behind
+// these. When the connections are up not one byte of any is sent on. The last line of the log is the count for the page of acceptance.
+func TestLeaversAreNotSentOn(t *testing.T) {
+	for _, k := range []kind{read, write} {
+		for _, reset := range []bool{false, true} {
+			w := newLeaverWorld(t)
+			const clients = 20
+			var conns []*net.TCPConn
+			for i := range clients {
+				conn, err := net.Dial("tcp", w.address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				c := &respClient{conn: conn, in: bufio.NewReader(conn), reads: "read"}
+				c.send(fmt.Sprint("l", i), k)
+				conns = append(conns, conn.(*net.TCPConn))
+			}
+			eventually(t, "all are taken", func() bool { return w.loop.Open() == clients })
+			<-w.coming
+			for _, conn := range conns {
+				if reset {
+					conn.SetLinger(0)
+				}
+				conn.Close()
+			}
+			eventually(t, "all have left", func() bool { return w.loop.Open() == 0 })
+			turned := make(chan struct{})
+			w.loop.Do(func() { close(turned) }) // behind the turn that heard of the last
+			<-turned
+			came := 1 + len(w.coming)
+			close(w.up)
+			for range came {
+				select {
+				case <-w.ended:
+				case <-time.After(5 * time.Second):
+					t.Fatal("a connection stays up for nobody")
+				}
+			}
+			if n := w.bytes.Load(); n > 0 {
+				t.Errorf("class %d, reset %v: %d bytes were sent on", k, reset, n)
+			}
+			t.Logf("%d leavers, %d bytes sent on", clients, w.bytes.Load())
+		}
+	}
+}
