End a connection of file commands only where nothing is owed or has come

Cause: session.End in internal/sftp/front.go closed the connection after a look that had been taken before, and its writer did so at a drain after another: a command that was read in between was taken and sent to a node for nobody. leave() now decides under the session's lock, by the same state from which submit takes, and stays while anything is unread.

--- a/internal/sftp/front.go
+++ b/internal/sftp/front.go
@@ -15,6 +15,7 @@
 
 	"junctionwharf/broker"
 	"junctionwharf/internal/front"
+	"junctionwharf/internal/pool"
 )
 
 const (
@@ -126,7 +127,19 @@
 }
 
 // End implements front.Guest.
-func (s *session) End() bool { return s.conn.Close() == nil }
+func (s *session) End() bool { return s.leave() && s.conn.Close() == nil }
+
+// leave has nothing more taken, unless an answer is owed or something has come. Both are one step under the session's lock: a
+// command may be read at this moment, and would be sent on for nobody.
+func (s *session) leave() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.ops) > 0 || s.writing || len(s.out) > 0 || s.partly || !pool.Silent(s.conn) {
+		return false
+	}
+	s.gone = true
+	return true
+}
 
 // stopPanic guards the process against a fault met by one connection.
 func (s *session) stopPanic() {
@@ -226,7 +239,7 @@
 			s.writing = false
 			s.mu.Unlock()
 		}
-		if stop || idle && s.front.Dismisses(fresh) {
+		if stop || idle && s.front.Dismisses(fresh) && s.leave() {
 			return
 		}
 	}
