Name the key of each figure of the settings that is out of range

Negative figures of rules, plans, classes and specifics were taken as they were, or named by their class alone; two plans of one name were one. ranges() in internal/config/config.go checks them before anything is served and names the key.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -243,6 +243,9 @@
 			return fmt.Errorf("classes[%d].deadline: it is not above 0", i)
 		}
 	}
+	if err := s.ranges(); err != nil {
+		return err
+	}
 	if s.Logic.Bounds.MaxAttempts < 1 {
 		return fmt.Errorf("bounds.maxAttempts: %d is not above 0", s.Logic.Bounds.MaxAttempts)
 	}
@@ -254,3 +257,43 @@
 	}
 	return s.Logic.Check()
 }
+
+// ranges names the key whose figure is out of range, before anything is served by it.
+func (s *Settings) ranges() error {
+	type figure struct {
+		key   string
+		value float64
+	}
+	set := &s.Logic
+	r, b := set.Rules, set.Bounds
+	figures := []figure{{"invariants.answerSlack", float64(r.AnswerSlack)}, {"invariants.drainGrace", float64(r.DrainGrace)}, {"invariants.cold", float64(r.ColdTime)},
+		{"invariants.coldShare", r.ColdShare}, {"invariants.fall", float64(r.FallTime)}, {"invariants.fallMultiple", r.FallMultiple},
+		{"invariants.mustAskIn", float64(r.MustAskIn)}, {"invariants.keyQuiet", float64(r.KeyQuiet)}, {"invariants.extraFloor", r.BudgetFloor},
+		{"invariants.resendRatio", r.BudgetRatio}, {"invariants.ratioSpan", float64(r.BudgetSpan)}, {"bounds.maxRetryAfter", float64(b.MaxRetryAfter)},
+		{"specifics.usualUnits", set.MeanUnits}, {"specifics.maxUnits", set.MaxUnits}, {"specifics.youngLimit", set.ColdUnits},
+		{"specifics.usePeriod", float64(set.MeterPeriod)}, {"specifics.withinShare", set.ShareWorth}, {"specifics.idleWorth", set.SpareWorth}}
+	for i, c := range set.Classes {
+		if c.Aim <= 0 {
+			return fmt.Errorf("classes[%d].aim: it is not above 0", i)
+		}
+		at := fmt.Sprintf("classes[%d].", i)
+		figures = append(figures, figure{at + "window", float64(c.Window)}, figure{at + "importance", c.Worth}, figure{at + "lateWorth", c.LateWorth},
+			figure{at + "aimStretch", c.AimStretch})
+	}
+	names := map[string]bool{}
+	for i, p := range set.Plans {
+		at := fmt.Sprintf("serviceLevels[%d].", i)
+		if p.Name == "" || names[p.Name] {
+			return fmt.Errorf("%sname: %q is missing or stands twice", at, p.Name)
+		}
+		names[p.Name] = true
+		figures = append(figures, figure{at + "nominal", p.Rate}, figure{at + "floorRate", p.Reserve}, figure{at + "ceilingRate", p.Limit},
+			figure{at + "capDepth", p.LimitBurst}, figure{at + "tolerance", p.LimitSlack}, figure{at + "parts", p.Weight}, figure{at + "price", p.Price})
+	}
+	for _, f := range figures {
+		if f.value < 0 {
+			return fmt.Errorf("%s: it is below 0", f.key)
+		}
+	}
+	return nil
+}
