Hold no broken connection against a node whose attempt was abandoned

TestAbandon failed in some of 100 plays on a busy machine: a node may have the whole message before the writer has noted it, and the attempt is then cut as one that is being written. The test now waits for the note. In the broker that crossing ended as Broken, which counts as a fault of the node though the broker itself had cut the connection: for a request whose client has left, an error is Void or Withdrawn.

--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -280,8 +280,11 @@
 	case Ended:
 		if r := s.entries[e.ID]; r != nil && r.out && r.attempts-1 == e.Attempt && !r.stopped {
 			outcome := e.Result.outcome()
-			if r.answered && outcome == logic.Unreachable { // abandoned before it was sent, which says nothing of the node
+			if r.answered && e.Result.Err != nil { // abandoned: that it broke says nothing of the node
 				outcome = logic.Void
+				if e.Result.Err.Progress == WrittenWhole {
+					outcome = logic.Withdrawn
+				}
 			}
 			s.end(e.ID, r, outcome, e.Result)
 		} else {
--- a/broker/reducer_test.go
+++ b/broker/reducer_test.go
@@ -177,7 +177,7 @@
 // What a client that has left asked for is not sent on, however late its connection comes up, and that says nothing of the
 // node: the next request goes there at once.
 func TestLeftBeforeItIsSent(t *testing.T) {
-	for _, progress := range []Progress{NotConnected, PartlyWritten} {
+	for _, progress := range []Progress{NotConnected, PartlyWritten, WrittenWhole} { // the last may become whole as it is cut
 		r := newRig(t)
 		r.turn(Arrived{1, request("write", 0)})
 		r.turn(Left{1})
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -327,9 +327,12 @@
 		t.Errorf("the message came whole: %v", err)
 	}
 
-	h, results = start(p, node.address, echo)
+	written := make(chan struct{}) // the node may have the whole before the writer knows of it
+	h = p.Start(node.address, echo, 0, func() { close(written) }, func(r broker.Result) { results <- r })
 	conn = node.next()
 	line, _ := bufio.NewReader(conn).ReadString('\n')
+	<-written
+	h.(*Session).progress() // behind the writer's own note
 	h.Abandon()
 	io.WriteString(conn, "answer\n")
 	if r := <-results; r.Err != nil || line != "line\n" || r.Value != "answer\n" {
