Say endings once: one refusal line, one cut of an attempt, one answer in the gateway's stead

Read again, without a change of what is decided. Stop, Halt and Abandon of internal/pool share bar() and cut(). The three places of the reducer that answer in the gateway's stead share overrule(), and a request that comes to an ending process goes through conclude(). Branches for clients without a guard, which only tests could reach, are dead and removed, as is the second condition in client.end(). Classes and plans of the settings are gone through for names and aims in one place, and ranges() only looks for figures below 0.

--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -330,14 +330,19 @@
 		return
 	}
 	if r.attempts == 0 && !r.answered {
-		s.answer(id, r, Final{Verdict: Refused})
-		s.tell(logic.ClientGone{ID: id})
-		s.forget(id, r)
+		s.overrule(id, r, Refused)
 		return
 	}
 	s.ring(alarm{kind: overdue, id: id})
 }
 
+// overrule gives a final answer in the gateway's stead, which forgets the request.
+func (s *State) overrule(id uint64, r *entry, verdict Verdict) {
+	s.answer(id, r, Final{Verdict: verdict})
+	s.tell(logic.ClientGone{ID: id})
+	s.forget(id, r)
+}
+
 func (s *State) arrive(id uint64, req *Request) {
 	var r *entry
 	if last := len(s.free) - 1; last >= 0 {
@@ -348,8 +353,7 @@
 	*r = entry{req: req, arrived: s.now, deadline: s.now + max(0, req.Wait)}
 	s.entries[id] = r
 	if s.ending { // nobody would be left to answer it
-		s.answer(id, r, Final{Verdict: Refused})
-		s.forget(id, r)
+		s.conclude(id, Final{Verdict: Refused})
 		return
 	}
 	r.overdue = s.wake(r.deadline, alarm{kind: overdue, id: id})
@@ -545,9 +549,7 @@
 		r.overdue = s.wake(s.now+grace, alarm{kind: overdue, id: a.id})
 	case !r.answered:
 		// Guards against a gateway that holds a request past its client's patience.
-		s.answer(a.id, r, Final{Verdict: Failed})
-		s.tell(logic.ClientGone{ID: a.id})
-		s.forget(a.id, r)
+		s.overrule(a.id, r, Failed)
 	}
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -242,6 +242,16 @@
 		if class.Deadline <= 0 {
 			return fmt.Errorf("classes[%d].deadline: it is not above 0", i)
 		}
+		if class.Aim <= 0 {
+			return fmt.Errorf("classes[%d].aim: it is not above 0", i)
+		}
+	}
+	names = map[string]bool{}
+	for i, plan := range s.Logic.Plans {
+		if plan.Name == "" || names[plan.Name] {
+			return fmt.Errorf("serviceLevels[%d].name: %q is missing or stands twice", i, plan.Name)
+		}
+		names[plan.Name] = true
 	}
 	if err := s.ranges(); err != nil {
 		return err
@@ -258,7 +268,7 @@
 	return s.Logic.Check()
 }
 
-// ranges names the key whose figure is out of range, before anything is served by it.
+// ranges names the key whose figure is below 0, before anything is served by it.
 func (s *Settings) ranges() error {
 	type figure struct {
 		key   string
@@ -273,20 +283,12 @@
 		{"specifics.usualUnits", set.MeanUnits}, {"specifics.maxUnits", set.MaxUnits}, {"specifics.youngLimit", set.ColdUnits},
 		{"specifics.usePeriod", float64(set.MeterPeriod)}, {"specifics.withinShare", set.ShareWorth}, {"specifics.idleWorth", set.SpareWorth}}
 	for i, c := range set.Classes {
-		if c.Aim <= 0 {
-			return fmt.Errorf("classes[%d].aim: it is not above 0", i)
-		}
 		at := fmt.Sprintf("classes[%d].", i)
 		figures = append(figures, figure{at + "window", float64(c.Window)}, figure{at + "importance", c.Worth}, figure{at + "lateWorth", c.LateWorth},
 			figure{at + "aimStretch", c.AimStretch})
 	}
-	names := map[string]bool{}
 	for i, p := range set.Plans {
 		at := fmt.Sprintf("serviceLevels[%d].", i)
-		if p.Name == "" || names[p.Name] {
-			return fmt.Errorf("%sname: %q is missing or stands twice", at, p.Name)
-		}
-		names[p.Name] = true
 		figures = append(figures, figure{at + "nominal", p.Rate}, figure{at + "floorRate", p.Reserve}, figure{at + "ceilingRate", p.Limit},
 			figure{at + "capDepth", p.LimitBurst}, figure{at + "tolerance", p.LimitSlack}, figure{at + "parts", p.Weight}, figure{at + "price", p.Price})
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -90,11 +90,11 @@
 	again     = 50 * time.Millisecond // the first wait after a failed call
 	behind    = 10 * time.Second      // for so long a list older than the one held is not believed
 	maxList   = 4 << 20               // bytes of an answer
+	dialTime  = time.Second
 
 	// A service that all brokers ask together is overbooked now and then, and is given time.
 	slackAsked = 2500 * time.Millisecond
 	againAsked = 3 * time.Second
-	dialAsked  = time.Second
 )
 
 // Options says whom a Watcher works for.
@@ -140,7 +140,7 @@
 
 // NewWatcher returns a watcher of the service at address.
 func NewWatcher(address string, opt Options) *Watcher {
-	dialer := net.Dialer{Timeout: dialAsked}
+	dialer := net.Dialer{Timeout: dialTime}
 	if opt.Local != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: opt.Local}
 	}
@@ -261,8 +261,7 @@
 		}
 		if err == nil {
 			if err = w.order(list); err != nil {
-				list = w.leavers(list)
-				w.take(list, clock, post)
+				w.take(w.leavers(list), clock, post)
 			}
 		}
 		if err != nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -214,10 +214,7 @@
 	s.over = true
 	conn := s.conn
 	s.mu.Unlock()
-	s.cancel()
-	if conn != nil {
-		conn.Close()
-	}
+	s.cut(conn)
 	s.writing.Lock()
 	defer s.writing.Unlock()
 	return s.progress()
@@ -226,32 +223,33 @@
 // Halt implements broker.Handle. What was written whole, or is being written, keeps its connection: it was on
 // its way before, and to cut it could lose the answer to what has run.
 func (s *Session) Halt() {
-	s.mu.Lock()
-	s.halted = true
-	conn, at := s.conn, s.at
-	s.mu.Unlock()
-	if at == broker.WrittenWhole || !s.writing.TryLock() {
+	conn, whole := s.bar()
+	if whole || !s.writing.TryLock() {
 		return
 	}
 	defer s.writing.Unlock()
-	if s.progress() == broker.WrittenWhole {
-		return
-	}
-	s.cancel()
-	if conn != nil {
-		conn.Close()
+	if s.progress() != broker.WrittenWhole {
+		s.cut(conn)
 	}
 }
 
 // Abandon implements broker.Handle. A message that is being written is cut: its client has left, so there is no answer to lose.
 func (s *Session) Abandon() {
+	if conn, whole := s.bar(); !whole {
+		s.cut(conn)
+	}
+}
+
+// bar has nothing more sent, and tells whether the attempt was written whole.
+func (s *Session) bar() (conn net.Conn, whole bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.halted = true
-	conn, whole := s.conn, s.at == broker.WrittenWhole
-	s.mu.Unlock()
-	if whole {
-		return
-	}
+	return s.conn, s.at == broker.WrittenWhole
+}
+
+// cut ends the exchange with its connection, nil for one that has none.
+func (s *Session) cut(conn net.Conn) {
 	s.cancel()
 	if conn != nil {
 		conn.Close()
--- a/internal/resp/command.go
+++ b/internal/resp/command.go
@@ -53,7 +53,6 @@
 		aim := slices.MinFunc(set.Classes, func(a, b logic.Class) int { return cmp.Compare(a.Aim, b.Aim) }).Aim
 		t.After = broker.MicrosOf(min(aim, set.Bounds.MaxRetryAfter))
 	}
-	t.busy = answer(broker.Final{Verdict: broker.Refused, After: t.After})[0]
 	for _, c := range set.Classes {
 		t.Classes[c.Name] = true
 		t.MaxWait = max(t.MaxWait, c.Deadline)
--- a/internal/resp/ends_test.go
+++ b/internal/resp/ends_test.go
@@ -251,15 +251,15 @@
 	c.fresh, c.asked = false, true
 	io.WriteString(peer, askFor("x"))
 	e.arrived(c)
-	if c.End() || c.dismissed() {
+	if c.End() || c.dismiss() {
 		t.Error("it ends with a request unread")
 	}
 	c.guard.phase.Store(working)
-	if _, err := io.ReadFull(c.guard.Conn, make([]byte, len(askFor("x")))); err != nil || c.End() || c.dismissed() {
+	if _, err := io.ReadFull(c.guard.Conn, make([]byte, len(askFor("x")))); err != nil || c.End() || c.dismiss() {
 		t.Errorf("it ends while a request is taken (%v)", err)
 	}
 	c.guard.phase.Store(resting)
-	if !c.dismissed() {
+	if !c.dismiss() {
 		t.Error("it stays with nothing owed")
 	}
 }
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -90,7 +90,10 @@
 func (f *Front) ResizeBudget(bytes int) { f.budget.Resize(bytes) }
 
 // Retune changes what requests may ask for from now on.
-func (f *Front) Retune(terms Terms) { f.terms.Store(&terms) }
+func (f *Front) Retune(terms Terms) {
+	terms.busy = answer(broker.Final{Verdict: broker.Refused, After: terms.After})[0]
+	f.terms.Store(&terms)
+}
 
 // enter notes the id of a request. It guards the one final answer, and the rule on second attempts at nodes,
 // against an id that is open already.
@@ -148,7 +151,7 @@
 	if n == 0 || err != nil {
 		return
 	}
-	text := answer(broker.Final{Verdict: broker.Refused, After: f.terms.Load().After})[0]
+	text := f.terms.Load().busy
 	if greeting := "*1\r\n$4\r\nPING\r\n"; strings.EqualFold(string((*buffer)[:n]), greeting) {
 		text = []byte("+PONG\r\n")
 	}
@@ -156,9 +159,7 @@
 	if _, err := conn.Write(text); err != nil {
 		return
 	}
-	if half, ok := conn.(interface{ CloseWrite() error }); ok {
-		half.CloseWrite()
-	}
+	front.EndOfFile(conn)
 	for end := time.Now().Add(lingerTime); err == nil && time.Now().Before(end); {
 		conn.SetReadDeadline(time.Now().Add(partTime))
 		_, err = conn.Read(*buffer)
@@ -191,25 +192,22 @@
 // handle gets the guard's first command and takes the connection from redcon, whose own loop would read
 // nothing more before a request is answered.
 func (f *Front) handle(conn redcon.Conn, _ redcon.Command) {
-	c := newClient(f, conn.Detach(), conn.NetConn())
+	c := newClient(f, conn.Detach(), conn.NetConn().(*guard))
 	c.fresh = f.Enter(c)
 	go c.read()
 	go c.write()
 }
 
-func newClient(f *Front, in redcon.DetachedConn, conn net.Conn) *client {
-	c := &client{front: f, in: in, conn: conn, wake: make(chan struct{}, 1)}
-	c.guard, _ = conn.(*guard)
+func newClient(f *Front, in redcon.DetachedConn, g *guard) *client {
+	c := &client{front: f, in: in, conn: g, guard: g, wake: make(chan struct{}, 1)}
 	c.room = sync.NewCond(&c.mu)
-	if c.guard != nil {
-		if f.loop != nil {
-			c.guard.refuse = c.refuseCrowd
-		}
-		// Guards against a guest that was taking a command when it was asked to leave: it looks again.
-		c.guard.rested = func() {
-			if f.Leaving() {
-				c.Wake()
-			}
+	if f.loop != nil {
+		g.refuse = c.refuseCrowd
+	}
+	// Guards against a guest that was taking a command when it was asked to leave: it looks again.
+	g.rested = func() {
+		if f.Leaving() {
+			c.Wake()
 		}
 	}
 	return c
@@ -299,10 +297,6 @@
 	if c.owes() || c.leave >= how || c.released {
 		return false
 	}
-	if c.guard == nil {
-		c.leave = left
-		return c.conn.Close() == nil
-	}
 	phase := c.guard.phase.Load()
 	if phase == working || phase == halfWay && how == gently || !pool.Silent(c.guard.Conn) {
 		return false
@@ -321,7 +315,7 @@
 // half closed first, a request that comes meanwhile would be taken, by the protocol. came says that a request has been read.
 func (c *client) leaves(came bool) (ended, done bool) {
 	c.mu.Lock()
-	how, half := c.leave, c.guard != nil && c.guard.phase.Load() == halfWay && !came
+	how, half := c.leave, c.guard.phase.Load() == halfWay && !came
 	switch {
 	case how == stays:
 		c.mu.Unlock()
@@ -346,7 +340,7 @@
 	if half {
 		c.busy()
 		front.EndOfFile(c.guard.Conn)
-		front.AwaitEnd(c.guard.Conn, partTime)
+		front.Drop(c.guard.Conn, time.Now().Add(partTime), dropMost) // the rest of what was refused
 	}
 	c.conn.Close()
 	return true, true
@@ -354,8 +348,7 @@
 
 // busy refuses what has been read. No answer waits, so that there is room for a line.
 func (c *client) busy() {
-	c.guard.SetWriteDeadline(time.Now().Add(time.Millisecond))
-	writeAll(c.guard.Conn, answer(broker.Final{Verdict: broker.Refused, After: c.front.terms.Load().After}))
+	writeAll(c.guard.Conn, net.Buffers{c.front.terms.Load().busy})
 }
 
 // stopPanic guards the process against a fault met by one connection.
@@ -393,9 +386,7 @@
 			c.drop()
 			return
 		}
-		if c.guard != nil {
-			c.guard.whole()
-		}
+		c.guard.whole()
 	}
 }
 
@@ -403,10 +394,9 @@
 const dropMost = 16 << 20
 
 // drop reads what comes behind the last that counts and drops it: the end of a connection with unread input would be a reset,
-// which overtakes the answers. It ends with the connection, or past a bound. Where the client
-// sends its end of file while requests wait it has left, or it waits for its answers still: these are given at once.
+// which overtakes the answers. It ends with the connection, or past a bound. Where the client sends its end of file while requests wait it has left, or it waits for its answers still: these are given at once.
 func (c *client) drop() {
-	if c.guard == nil || !front.Drop(c.guard.Conn, dropMost) {
+	if !front.Drop(c.guard.Conn, time.Time{}, dropMost) {
 		return
 	}
 	c.mu.Lock()
@@ -616,7 +606,7 @@
 // end follows the last read: but for an answer to malformed input, the client has gone away.
 func (c *client) end() {
 	c.mu.Lock()
-	gone := !c.ended || c.leave == left
+	gone := !c.ended
 	if gone {
 		c.gone = true
 	}
@@ -660,9 +650,7 @@
 				return
 			}
 		}
-		if c.dismissed() && c.guard == nil {
-			return // else the reader wakes it once the client has had its end of file
-		}
+		c.dismiss()
 	}
 }
 
@@ -686,7 +674,7 @@
 // linger waits, not for long, until who reads has dropped what came behind a malformed command, so that the close is no reset. It
 // is no longer than that takes: a whole request that came on the open connection meanwhile would be taken, by the protocol.
 func (c *client) linger() {
-	for end := time.Now().Add(partTime); c.guard != nil && !pool.Silent(c.guard.Conn) && time.Now().Before(end); {
+	for end := time.Now().Add(partTime); !pool.Silent(c.guard.Conn) && time.Now().Before(end); {
 		time.Sleep(partTime / 10)
 	}
 }
@@ -721,14 +709,12 @@
 	return b
 }
 
-func (c *client) dismissed() bool {
+// dismiss has an idle connection end where the hall dismisses it. Who reads ends it, and wakes the writer then.
+func (c *client) dismiss() bool {
 	c.mu.Lock()
 	idle, fresh := len(c.slots) == 0 && !c.direct, c.fresh
 	c.mu.Unlock() // the hall asks its guests under its own lock
-	if !idle {
-		return false
-	}
-	return c.front.Dismisses(fresh) && c.part(gently)
+	return idle && c.front.Dismisses(fresh) && c.part(gently)
 }
 
 // release gives back what the connection held.
--- a/internal/resp/guard.go
+++ b/internal/resp/guard.go
@@ -41,8 +41,8 @@
 	err      error
 	alone    bool
 
-	phase   atomic.Int32 // what it reads
-	parting atomic.Bool  // who reads is to be woken
+	phase atomic.Int32 // what it reads
+	poked atomic.Bool  // who reads is to be woken
 
 	rested func()              // called when it begins to wait for a command, nil for none
 	refuse func(p []byte) bool // answers one whole command that came alone, without anything being kept of it; nil for never
@@ -89,8 +89,8 @@
 	g.alone = false
 	g.until = g.limit(time.Now())
 	g.Conn.SetReadDeadline(g.until)
-	if g.parting.Load() { // since the deadline was reckoned
-		g.Conn.SetReadDeadline(time.Unix(1, 0))
+	if g.poked.Load() { // since the deadline was reckoned
+		g.Conn.SetReadDeadline(longAgo)
 	}
 	if g.state == atCommand {
 		g.phase.Store(resting)
@@ -119,17 +119,19 @@
 	return n, err
 }
 
+var longAgo = time.Unix(1, 0)
+
 // poke wakes who reads, once, with os.ErrDeadlineExceeded.
 func (g *guard) poke() {
-	g.parting.Store(true)
-	g.Conn.SetReadDeadline(time.Unix(1, 0))
+	g.poked.Store(true)
+	g.Conn.SetReadDeadline(longAgo)
 }
 
 // rest has who was poked read on.
-func (g *guard) rest() { g.parting.Store(false) }
+func (g *guard) rest() { g.poked.Store(false) }
 
 // woken tells whether the last read ended by a poke, before its time was up.
-func (g *guard) woken() bool { return g != nil && time.Now().Before(g.until) }
+func (g *guard) woken() bool { return time.Now().Before(g.until) }
 
 // limit tells until when the next bytes must come. It guards room and memory against clients that say nothing
 // or half a command; those that pause between commands may stay for longer.
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -417,7 +417,7 @@
 	go f.Accept(nil) // no room: it asks, and never comes to accept
 	<-a.began
 	c := &client{front: f}
-	go c.dismissed()
+	go c.dismiss()
 	for range 200 {
 		time.Sleep(100 * time.Microsecond)
 		if !c.mu.TryLock() {
