--- a/internal/daemon/ends_test.go
+++ b/internal/daemon/ends_test.go
@@ -13,9 +13,6 @@
 	"testing"
 	"time"
 
-	"github.com/tidwall/redcon"
-
-	"junctionwharf/internal/config"
 	"junctionwharf/internal/logs"
 	"junctionwharf/internal/standin"
 )
@@ -33,37 +30,18 @@
 	var mu sync.Mutex
 	seen := map[string]int{}
 	node := listen(t)
-	go func() {
-		for {
-			conn, err := node.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				for in := redcon.NewReader(conn); ; {
-					cmd, err := in.ReadCommand()
-					if err != nil {
-						return
-					}
-					mu.Lock()
-					id := string(cmd.Args[2])
-					seen[id]++
-					mu.Unlock()
-					if !strings.HasPrefix(id, "hang") {
-						io.WriteString(conn, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
-					}
-				}
-			}()
+	go serveNode(node, func(id string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		seen[id]++
+		if strings.HasPrefix(id, "hang") {
+			return ""
 		}
-	}()
+		return "v"
+	})
 	discovery := serveList(t, standin.Host{Host: "a", Dial: node.Addr().String(), Health: "SERVING", Share: 1})
 	address := free(t)
-	c, err := config.Parse(fmt.Appendf(nil, `{"name":"n1","listen":%q,"discovery":%q,"settings":%s}`, address, discovery.Address(), quickSettings),
-		func(string) string { return "" })
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := configWith(t, address, discovery.Address(), quickSettings)
 	c.NoHandover = true
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/daemon/serve_test.go
+++ b/internal/daemon/serve_test.go
@@ -62,6 +62,28 @@
 	}
 }
 
+// serveNode is a stand-in node: it gives each request the value that it has for its id, and says nothing where that is empty.
+func serveNode(node net.Listener, value func(id string) string) {
+	for {
+		conn, err := node.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			for in := redcon.NewReader(conn); ; {
+				cmd, err := in.ReadCommand()
+				if err != nil {
+					return
+				}
+				if v := value(string(cmd.Args[2])); v != "" {
+					fmt.Fprintf(conn, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(v), v)
+				}
+			}
+		}()
+	}
+}
+
 // TestServe starts the whole program, stops it with a request under way, and wants that request's answer.
 func TestServe(t *testing.T) {
 	t.Setenv("TMPDIR", t.TempDir())
@@ -141,7 +163,11 @@
 
 // brokerConfig is the configuration of one broker that listens at address and asks discovery there.
 func brokerConfig(t *testing.T, address, discovery string) *config.Config {
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"settings":%s}`, address, discovery, settingsText)
+	return configWith(t, address, discovery, settingsText)
+}
+
+func configWith(t *testing.T, address, discovery, settings string) *config.Config {
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"settings":%s}`, address, discovery, settings)
 	c, err := config.Parse([]byte(text), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
@@ -166,23 +192,7 @@
 	var services [2]string
 	for i := range services {
 		node := listen(t)
-		go func() {
-			for {
-				conn, err := node.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					defer conn.Close()
-					for in := redcon.NewReader(conn); ; {
-						if _, err := in.ReadCommand(); err != nil {
-							return
-						}
-						fmt.Fprintf(conn, "*3\r\n$1\r\n%d\r\n$-1\r\n$-1\r\n", i)
-					}
-				}()
-			}
-		}()
+		go serveNode(node, func(string) string { return fmt.Sprint(i) })
 		services[i] = serveList(t, standin.Host{Host: fmt.Sprint("n", i), Dial: node.Addr().String(), Health: "SERVING", Share: 1}).Address()
 	}
 	dir, address, files := t.TempDir(), free(t), free(t)
@@ -261,28 +271,13 @@
 func TestReplace(t *testing.T) {
 	t.Setenv("TMPDIR", t.TempDir())
 	node, held, release := listen(t), make(chan struct{}), make(chan struct{})
-	go func() {
-		for {
-			conn, err := node.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				for in := redcon.NewReader(conn); ; {
-					cmd, err := in.ReadCommand()
-					if err != nil {
-						return
-					}
-					if string(cmd.Args[2]) == "hold" {
-						close(held)
-						<-release
-					}
-					fmt.Fprintf(conn, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(cmd.Args[2]), cmd.Args[2])
-				}
-			}()
+	go serveNode(node, func(id string) string {
+		if id == "hold" {
+			close(held)
+			<-release
 		}
-	}()
+		return id
+	})
 	service := serveList(t, standin.Host{Host: "a", Dial: node.Addr().String(), Health: "SERVING", Share: 1})
 	address, files := free(t), free(t)
 	start := func() (door string, stop func(), ended chan error) {
--- a/internal/loopback/leavers_test.go
+++ b/internal/loopback/leavers_test.go
@@ -45,20 +45,12 @@
 	t.Cleanup(cancel)
 	go w.loop.Run(ctx)
 	node := listen(t)
-	go func() {
-		for {
-			conn, err := node.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				n, _ := io.Copy(io.Discard, conn)
-				w.bytes.Add(n)
-				w.ended <- struct{}{}
-			}()
-		}
-	}()
+	go accept(node, func(conn net.Conn) {
+		defer conn.Close()
+		n, _ := io.Copy(io.Discard, conn)
+		w.bytes.Add(n)
+		w.ended <- struct{}{}
+	})
 	w.loop.Post(broker.Listed{Kind: logic.ListFull, Version: 1, Nodes: []broker.Node{{NodeInfo: logic.NodeInfo{Node: "n", Weight: 1}, Address: node.Addr().String()}}})
 	ln := listen(t)
 	w.address = ln.Addr().String()
--- a/internal/loopback/suite_test.go
+++ b/internal/loopback/suite_test.go
@@ -106,15 +106,7 @@
 	go b.loop.Run(ctx)
 	for _, name := range []string{"n1", "n2"} {
 		ln := listen(t)
-		go func() {
-			for {
-				conn, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				go p.node(conn, name, b.world)
-			}
-		}()
+		go accept(ln, func(conn net.Conn) { p.node(conn, name, b.world) })
 		b.nodes = append(b.nodes, broker.Node{NodeInfo: logic.NodeInfo{Node: name, Weight: 1}, Address: ln.Addr().String()})
 	}
 	ln := listen(t)
@@ -135,6 +127,17 @@
 	return ln
 }
 
+// accept hands on each connection that comes.
+func accept(ln net.Listener, take func(net.Conn)) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go take(conn)
+	}
+}
+
 func (b *bench) list(nodes ...broker.Node) {
 	b.loop.Post(broker.Listed{Kind: logic.ListFull, Version: 1, Nodes: nodes})
 }
