Keep to half of a volume's limit where another process of the broker may live unseen

Ruled out: the part that a new process starts with, which is 0 already.

The account is now package quota, without I/O. A process that would not meet another keeps to half of its part; units on their way count against the burst, so that late connections can't add up with a refill; the plan's slack is a part of the burst, which starts empty.

--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -55,8 +55,9 @@
 	}
 	// Retuned brings new settings, which were checked. Requests under way keep their class.
 	Retuned struct{ Settings logic.Settings }
-	// Shared tells that so many processes are this broker together, as while one replaces another.
-	Shared struct{ Processes int }
+	// Shared tells that so many processes are this broker together, as while one replaces another, and how many more may be
+	// without its being known.
+	Shared struct{ Processes, Unseen int }
 	// Given tells that a Lasting value was given to its client whole, or never will be.
 	Given struct {
 		ID    uint64
@@ -307,7 +308,7 @@
 	case Retuned:
 		s.tell(logic.Retuned{Settings: e.Settings})
 	case Shared:
-		s.tell(logic.Shared{Processes: e.Processes})
+		s.tell(logic.Shared{Processes: e.Processes, Unseen: e.Unseen})
 	case Lagged:
 		s.lag += (e.Waited - s.lag) / 4
 	case Ending:
--- a/internal/daemon/succeed.go
+++ b/internal/daemon/succeed.go
@@ -12,13 +12,16 @@
 // join meets the process that this one replaces, if there is one, and waits for a successor from then on. Without a
 // place to meet, the broker serves all the same: its clients count for more than a smooth replacing.
 func (s *service) join() {
+	alone := broker.Shared{Processes: 1, Unseen: 1} // one that it replaces, or that replaces it, would not be met
 	if s.config.NoHandover {
+		s.loop.Post(alone)
 		s.log.Info("handover off", "reason", "--handover=false: a process that starts beside this one serves beside it and takes nothing over")
 		return
 	}
 	path := succession.Path(os.TempDir(), s.config.Listen)
 	office, met, err := succession.Open(path, succession.Side{Meet: s.meet, Take: s.take, Part: s.parted})
 	if err != nil {
+		s.loop.Post(alone)
 		s.log.Warn("succession off", "reason", err)
 		return
 	}
--- a/logic/api.go
+++ b/logic/api.go
@@ -205,8 +205,9 @@
 // Retuned brings new settings, which passed Check. Hosts and Ordinal count only when a Gateway starts.
 type Retuned struct{ Settings Settings }
 
-// Shared tells that so many processes are this host together, as while one replaces another.
-type Shared struct{ Processes int }
+// Shared tells that so many processes are this host together, as while one replaces another, and how many more may be without
+// its being known.
+type Shared struct{ Processes, Unseen int }
 
 // ListKind says how a NodeList is to be read.
 type ListKind int
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -13,6 +13,7 @@
 	"slices"
 	"time"
 
+	"junctionwharf/quota"
 	"junctionwharf/spread"
 )
 
@@ -47,6 +48,7 @@
 type Gateway struct {
 	set           Settings
 	processes     float64 // that are this host together: while one replaces another, 2
+	unseen        float64 // others that may be this host too without being known
 	classes       map[string]*Class
 	plans         map[string]*Plan
 	rng           *rand.Rand
@@ -210,7 +212,7 @@
 		g.follow(e.Settings)
 	case Shared:
 		g.stirred++
-		g.processes = float64(max(1, e.Processes))
+		g.processes, g.unseen = float64(max(1, e.Processes)), float64(max(0, e.Unseen))
 	}
 }
 
@@ -286,20 +288,19 @@
 	dueAt   Time    // when due was last filled
 	excess  float64 // units beyond the reserve, smoothed over ticks
 	told    news    // demand at all peers
-	limit   float64 // units left in this host's part of the limit
-	filled  Time    // when limit was last filled
-	asked   int     // tick of the last request
-	number  int     // of its first coming
-	tick    int     // up to which level, demand and excess are brought
-	tickAt  Time    // when that was
-	stirs   bool    // it stands among the active
+	limit   quota.Part
+	asked   int  // tick of the last request
+	number  int  // of its first coming
+	tick    int  // up to which level, demand and excess are brought
+	tickAt  Time // when that was
+	stirs   bool // it stands among the active
 }
 
 func (g *Gateway) volumeOf(e Request, plan *Plan) *volume {
 	v, h := g.volumes[e.Volume], fnv.New32a()
 	if v == nil {
 		h.Write([]byte(e.Volume))
-		v = &volume{name: e.Volume, id: h.Sum32(), plan: plan, filled: g.now}
+		v = &volume{name: e.Volume, id: h.Sum32(), plan: plan, limit: quota.NewPart(g.now)}
 		g.volumes[e.Volume], g.byID[v.id] = v, v
 		g.inOrder = append(g.inOrder, v)
 		v.number, v.tick, v.tickAt = g.volumesSeen, g.ticks, g.lastTick
@@ -335,17 +336,12 @@
 	return g.set.SpareWorth + (g.set.ShareWorth-g.set.SpareWorth)/(1+v.excess/max(1, usual))
 }
 
-// limitPart guards the limit: this host's even part starts empty, since a restart may follow a spent
-// burst, and fills at the even part of the rate up to the even part of the burst. It also holds when
-// peers or news fail, since it needs neither. It hurts a volume whose traffic leans on one host.
-func (g *Gateway) limitPart(v *volume) float64 {
-	if v.plan.Limit <= 0 {
-		return math.Inf(1)
-	}
-	part := 1 / v.hosts / g.processes
-	grown := v.limit + v.plan.Limit*part*(g.now-v.filled).Seconds()
-	v.limit, v.filled = min(grown, v.plan.LimitBurst*part), g.now
-	return v.limit
+// limit is this process's even part of a volume's limit. While another may live beside it unseen, as one that
+// starts before this one has ended, each keeps to half. It hurts a volume whose traffic leans on one host.
+func (g *Gateway) limit(v *volume) *quota.Part {
+	limit := quota.Limit{Rate: v.plan.Limit, Burst: v.plan.LimitBurst + v.plan.LimitSlack}
+	v.limit.Fill(g.now, limit, 1/v.hosts/(g.processes+g.unseen))
+	return &v.limit
 }
 
 // endTick grants tokens by equation 12 of the paper and tells peers this host's demand.
@@ -665,7 +661,7 @@
 	if unpaid {
 		floor = -v.size
 	}
-	if r.attempts == 0 && v.level-r.Units < floor || !r.counted && g.limitPart(v) < r.Units {
+	if r.attempts == 0 && v.level-r.Units < floor || !r.counted && !g.limit(v).Bears(r.Units) {
 		return false
 	}
 	return g.hasTurn(r) && (r.attempts == 0 || g.mayTryAgain(r))
@@ -677,8 +673,8 @@
 	} else {
 		g.extras = append(g.extras, g.now)
 	}
-	if !r.counted && r.volume.plan.Limit > 0 {
-		r.volume.limit -= r.Units
+	if !r.counted {
+		r.volume.limit.Take(r.ID, r.Units)
 	}
 	r.attempts++
 	r.counted, r.outAt, r.sentAt = true, n, g.now
@@ -729,6 +725,7 @@
 	ran := e.Outcome != Overloaded && e.Outcome != Unreachable && e.Outcome != Void
 	if ran && r.ranAt == nil {
 		r.ranAt, r.firstRun = n, r.sentAt
+		r.volume.limit.Arrive(r.ID)
 	}
 	if r.turn != nil && (e.Outcome == TimedOut || e.Outcome == Broken || e.Outcome == Withdrawn) {
 		r.turn.restTo = g.now + g.set.Rules.KeyQuiet + 1
@@ -814,7 +811,8 @@
 	case Void: // it never reached the node, which bears it still
 		n.savings += r.Units
 		if v := r.volume; r.over && r.attempts == 1 { // nor took anything of what its volume has
-			v.level, v.limit = v.level+r.Units, min(v.limit+r.Units, v.plan.LimitBurst)
+			v.level += r.Units
+			v.limit.Return(r.ID)
 		}
 	case Overloaded, Unreachable, Broken:
 		// One lost answer among good ones shows nothing of the node's room, two on end may. An error never
@@ -882,6 +880,7 @@
 		r.lane.drop(r)
 	}
 	if r.outAt == nil {
+		r.volume.limit.Arrive(r.ID)
 		delete(g.requests, r.ID)
 		g.leaveTurn(r)
 	}
--- a/logic/shared_test.go
+++ b/logic/shared_test.go
@@ -17,7 +17,7 @@
 			t.Fatal(err)
 		}
 		now, units, id := Time(time.Hour), 0.0, uint64(0)
-		events := []Event{Shared{processes}, NodeList{Kind: ListFull, Nodes: []NodeInfo{{Node: "n", UpSince: now}}}}
+		events := []Event{Shared{Processes: processes}, NodeList{Kind: ListFull, Nodes: []NodeInfo{{Node: "n", UpSince: now}}}}
 		for end := now + over; now < end; now += g.tick {
 			for range 4 {
 				id++
