Take the whole part of a limit where no other process listens at the broker's address

What a process can know by itself is who listens at its address: the system's list of sockets names all listeners first.

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -112,7 +112,7 @@
 	s.front = resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), size.clients, size.easy, size.requests, log)
 	s.front.TurnAway(size.aside)
 	s.fronts = []drainer{s.front}
-	s.classes.Store(&c.Settings.Logic.Classes)
+	s.took(c.Settings.Logic)
 	s.resize(1)
 	if c.Site.SFTP.Listen != "" {
 		options.Greet = sftp.Greet
@@ -188,6 +188,10 @@
 	}
 	s.reporter.Retune(reportOf(c))
 	go s.reporter.Run(running)
+	if s.beside {
+		s.loop.Post(broker.Shared{Processes: 1, Unseen: 1})
+		go s.lookBeside(running)
+	}
 	go func() { served <- s.front.Serve(ln) }()
 	go func() {
 		for current := c; ; {
@@ -279,9 +283,11 @@
 	log       *slog.Logger
 
 	office  *succession.Office // nil if there can be no succession
+	beside  bool               // another process may serve beside this one, and would not be met
 	handed  *discovery.List    // the list that the old process handed over
 	taking  atomic.Bool
 	classes atomic.Pointer[[]logic.Class] // as they are now
+	limited atomic.Bool                   // a plan has a limit
 }
 
 // renew loads the configuration and goes over to its discovery and settings; all else counts from the next start. It
@@ -334,7 +340,13 @@
 	}
 	s.watcher.Retune(s.watch(c))
 	s.reporter.Retune(reportOf(c))
-	s.classes.Store(&set.Logic.Classes)
+	s.took(set.Logic)
+}
+
+// took notes what the life of the process depends on in the settings that are in force.
+func (s *service) took(set logic.Settings) {
+	s.classes.Store(&set.Classes)
+	s.limited.Store(slices.ContainsFunc(set.Plans, func(p logic.Plan) bool { return p.Limit > 0 }))
 }
 
 // watch is what a configuration says of the watch of discovery.
--- a/internal/daemon/succeed.go
+++ b/internal/daemon/succeed.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"os"
 	"time"
 
@@ -12,16 +13,15 @@
 // join meets the process that this one replaces, if there is one, and waits for a successor from then on. Without a
 // place to meet, the broker serves all the same: its clients count for more than a smooth replacing.
 func (s *service) join() {
-	alone := broker.Shared{Processes: 1, Unseen: 1} // one that it replaces, or that replaces it, would not be met
 	if s.config.NoHandover {
-		s.loop.Post(alone)
+		s.beside = true
 		s.log.Info("handover off", "reason", "--handover=false: a process that starts beside this one serves beside it and takes nothing over")
 		return
 	}
 	path := succession.Path(os.TempDir(), s.config.Listen)
 	office, met, err := succession.Open(path, succession.Side{Meet: s.meet, Take: s.take, Part: s.parted})
 	if err != nil {
-		s.loop.Post(alone)
+		s.beside = true
 		s.log.Warn("succession off", "reason", err)
 		return
 	}
@@ -38,6 +38,18 @@
 	}
 }
 
+// lookBeside has the core keep to what it may do beside another process that it would not meet: one that it replaces, or that
+// replaces it. Until it has looked, it takes it that there is one. Nobody looks where no plan has a limit.
+func (s *service) lookBeside(ctx context.Context) {
+	succession.NewAlone(s.config.Listen).Run(ctx, s.limited.Load, func(alone bool) {
+		unseen := 1
+		if alone {
+			unseen = 0
+		}
+		s.loop.Post(broker.Shared{Processes: 1, Unseen: unseen})
+	})
+}
+
 func (s *service) part() {
 	if s.office != nil {
 		s.office.Close()
