--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -95,6 +95,10 @@
 	// A service that all brokers ask together is overbooked now and then, and is given time.
 	slackAsked = 2500 * time.Millisecond
 	againAsked = 3 * time.Second
+
+	// Whatever became of the calls before, a change counts as told so long after the service had it and could be reached.
+	toldAfter = 6 * time.Second
+	spreadOf  = 1.5 // the longest pause after a failed call, against its mean
 )
 
 // Options says whom a Watcher works for.
@@ -108,27 +112,38 @@
 
 // patience is how long a Watcher waits before it takes silence for loss.
 type patience struct {
-	answer time.Duration // for an answer, beyond the time for which a call may wait for news
+	hold   time.Duration // how long a call may wait for news
+	answer time.Duration // for an answer, beyond that time
 	again  time.Duration // the longest mean wait after a failed call; it is drawn from half of that up to one and a half
 }
 
 // patience guards the rule on drains. What the agent has counts as told, whether or not it says so: all that it got while it was
 // silent from the moment of its return, and what a call that fell silent misses 2 s after that call's wait was over. So a lost
-// call, the pause behind it and the next one together stay within the grace.
+// call, the pause behind it and the next one together stay within the grace. For any service, a call that was begun too soon and is
+// lost, the pause, another lost call, its pause and the answer that comes stay within toldAfter and the grace, and so does a call
+// that waits for news in vain, with the pause and the answer behind it.
 func (o Options) patience() patience {
-	p := patience{answer: slackAsked, again: againAsked}
+	hold := max(holdLeast, min(time.Duration(o.Brokers)*holdEach, holdMost))
+	within := toldAfter + o.Grace
+	most := time.Duration(float64(within) / (3 + 2*spreadOf) * toldMargin)
+	p := patience{answer: min(slackAsked, most), again: min(againAsked, most)}
 	if !o.Asked && o.Grace > 0 {
-		p.answer, p.again = min(slackAsked, o.Grace/3), min(againAsked, o.Grace/4)
+		p.answer, p.again = min(p.answer, o.Grace/3), min(p.again, o.Grace/4)
 	}
+	p.hold = min(hold, within-2*p.answer-time.Duration(spreadOf*float64(p.again))-holdMargin)
 	return p
 }
 
+const (
+	toldMargin = 0.9                    // of the time for what else takes some
+	holdMargin = 300 * time.Millisecond // the same behind a call that waited in vain
+)
+
 // Watcher follows discovery.
 type Watcher struct {
 	address string
 	moves   chan string // the latest address to move to
 	client  *http.Client
-	hold    time.Duration
 	log     *slog.Logger
 	waits   atomic.Pointer[patience]
 	held    uint64    // version of the list posted last
@@ -146,8 +161,7 @@
 	}
 	transport := &http.Transport{DialContext: dialer.DialContext,
 		MaxIdleConns: 1, MaxConnsPerHost: 2, DisableCompression: true}
-	w := &Watcher{address: address, moves: make(chan string, 1), client: &http.Client{Transport: transport}, log: opt.Log,
-		hold: max(holdLeast, min(time.Duration(opt.Brokers)*holdEach, holdMost))}
+	w := &Watcher{address: address, moves: make(chan string, 1), client: &http.Client{Transport: transport}, log: opt.Log}
 	w.Retune(opt)
 	return w
 }
@@ -299,10 +313,11 @@
 var errStatus = errors.New("status")
 
 func (w *Watcher) call(ctx context.Context, seq uint64, whole bool) (*List, error) {
-	url, wait := "http://"+w.address+"/registry/instances", w.waits.Load().answer
+	waits := w.waits.Load()
+	url, wait := "http://"+w.address+"/registry/instances", waits.answer
 	if !whole {
-		url = fmt.Sprintf("%s?index=%d&wait=%d", url, seq, w.hold.Milliseconds())
-		wait += w.hold
+		url = fmt.Sprintf("%s?index=%d&wait=%d", url, seq, waits.hold.Milliseconds())
+		wait += waits.hold
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,7 +121,7 @@
 	most := back
 	if !last.IsZero() {
 		// A watch that waits is silent to who asked, whatever the agent does; a call that wants the whole list is no watch.
-		if hold := w.hold; last.Before(silence) && told(last, silence, hold).After(most) {
+		if hold := w.waits.Load().hold; last.Before(silence) && told(last, silence, hold).After(most) {
 			most = told(last, silence, hold)
 		}
 	}
@@ -134,6 +135,81 @@
 	synctest.Wait()
 }
 
+// Whatever became of the calls before, refused, not connected or given up, and whether or not discovery is asked by all brokers: a
+// drain is known 6 s and the grace after discovery had it and could be reached.
+func TestToldAfterFailedCalls(t *testing.T) {
+	for _, asked := range []bool{false, true} {
+		for _, grace := range []time.Duration{0, 300 * time.Millisecond, time.Second, 2 * time.Second} {
+			for _, brokers := range []int{1, 300} {
+				for how := range 4 {
+					for down := 100 * time.Millisecond; down < 24*time.Second; down += down/3 + 700*time.Millisecond {
+						synctest.Test(t, func(t *testing.T) { toldAfterFailedCalls(t, asked, grace, brokers, how, down) })
+					}
+				}
+			}
+		}
+	}
+}
+
+func toldAfterFailedCalls(t *testing.T, asked bool, grace time.Duration, brokers, how int, down time.Duration) {
+	fails := time.Now().Add(400 * time.Millisecond)
+	back := fails.Add(down)
+	had := back
+	if how == 3 { // only the one call hangs, the others would be answered
+		had, back = fails.Add(down/2), fails
+	}
+	ln := newPipes()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		call, index := time.Now(), r.URL.Query().Get("index")
+		switch {
+		case call.Before(fails) && index == "":
+			fmt.Fprint(w, wholeText)
+		case call.Before(fails) && how < 3: // the watch ends as calls begin to fail
+			time.Sleep(time.Until(fails))
+			http.Error(w, "busy", http.StatusServiceUnavailable)
+		case call.Before(back) && how == 0:
+			http.Error(w, "busy", http.StatusServiceUnavailable)
+		case call.Before(back): // it says nothing any more; of a watch that hangs from before, how 3
+			<-r.Context().Done()
+		case index == "":
+			fmt.Fprint(w, strings.Replace(strings.Replace(wholeText, "41", "42", 1), "SERVING", "DRAINING", 1))
+		case index == "41":
+			fmt.Fprint(w, strings.Replace(changeText, "43", "42", 1))
+		default:
+			<-r.Context().Done()
+		}
+	})}
+	go server.Serve(ln)
+	w := NewWatcher("agent", Options{Brokers: brokers, Grace: grace, Asked: asked, Log: logs.Discard()})
+	w.client.Transport = &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		if now := time.Now(); how == 2 && !now.Before(fails) && now.Before(back) {
+			return nil, syscall.ECONNREFUSED
+		}
+		return ln.dial(ctx, network, address)
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	known, ended := make(chan time.Time, 1), make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.Run(ctx, broker.NewClock(), func(e broker.Event) {
+			if l := e.(broker.Listed); len(l.Nodes) == 1 && l.Nodes[0].State == logic.Draining {
+				select {
+				case known <- time.Now():
+				default:
+				}
+			}
+		})
+	}()
+	if late := (<-known).Sub(had.Add(toldAfter)); late > grace {
+		t.Errorf("asked %v, grace %v, %d brokers, way %d, down for %v: known %v after it counts as told", asked, grace, brokers, how, down, late)
+	}
+	cancel()
+	<-ended
+	w.client.CloseIdleConnections()
+	server.Close()
+	synctest.Wait()
+}
+
 // A whole list of an older count is not believed, but whom it names as draining gets nothing more. Changes of one are not taken.
 func TestOlderList(t *testing.T) {
 	w := NewWatcher("", Options{Brokers: 1, Log: logs.Discard()})
