Hear of clients that left before all else, also behind a full budget and a loop far behind

Two cases were open: a front held up by its byte budget read no end of file (Budget.Take in internal/resp/front.go), and Left stood in the loop's queue behind up to 16,384 events. Now what holds up who reads is watched by poll (50 ms) and given up when the client left, and Left goes before all that waits, or right behind the arrival of its request where that still waits.

--- a/broker/loop.go
+++ b/broker/loop.go
@@ -77,8 +77,11 @@
 	parts      atomic.Pointer[[]logic.Part]
 	partsAt    Micros // when parts is to be taken again
 
+	early map[uint64]struct{} // requests whose clients left while the request itself stands in inbox still
+
 	mu     sync.Mutex
 	inbox  []Event
+	leaves []Event // those of inbox that do not wait for their turn: what nobody waits for is not sent on
 	calls  []func()
 	added  map[uint64]client // of the requests in inbox
 	room   *sync.Cond        // told when inbox has become shorter
@@ -95,7 +98,7 @@
 		outside.Log = slog.New(slog.DiscardHandler)
 	}
 	l := &Loop{state: state, clock: clock, transport: transport, outside: outside,
-		clients: map[uint64]client{}, handles: map[attemptKey]Handle{}, added: map[uint64]client{},
+		clients: map[uint64]client{}, handles: map[attemptKey]Handle{}, added: map[uint64]client{}, early: map[uint64]struct{}{},
 		notify: make(chan struct{}, 1)}
 	l.room = sync.NewCond(&l.mu)
 	if outside.Door != nil {
@@ -189,6 +192,10 @@
 	if r, is := e.(Retuned); is && l.outside.Door != nil {
 		l.outside.Door.Retune(r.Settings)
 	}
+	if _, is := e.(Left); is {
+		l.leaves = append(l.leaves, e)
+		return
+	}
 	l.inbox = append(l.inbox, e)
 }
 
@@ -241,18 +248,25 @@
 	l.wake()
 }
 
-// mostEvents bounds a turn: deadlines and timers are looked at between turns, and what came later waits.
-const mostEvents = 1 << 12
+// mostEvents bounds a turn: deadlines, timers and clients that left are looked at between turns, and what came later waits.
+const mostEvents = 1 << 10
 
 // mostQueued bounds the events that wait for a turn before a front reads no further request.
-const mostQueued = 4 * mostEvents
+const mostQueued = 16 * mostEvents
 
-// Room waits while the loop is far behind. Fronts call it before they take a request, holding no lock: so what is read and
-// not yet decided is bounded, whatever clients send.
-func (l *Loop) Room() {
+// Full tells whether the loop is far behind, so that Room would wait.
+func (l *Loop) Full() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for len(l.inbox) >= mostQueued && !l.ended {
+	return len(l.inbox) >= mostQueued && !l.ended
+}
+
+// Room waits while the loop is far behind, unless given up is true at the end of a turn. Fronts call it before they take a request,
+// holding no lock: so what is read and not yet decided is bounded, whatever clients send.
+func (l *Loop) Room(givenUp func() bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.inbox) >= mostQueued && !l.ended && !givenUp() {
 		l.room.Wait()
 	}
 }
@@ -272,17 +286,48 @@
 		clear(events[mostEvents:])
 		events = events[:mostEvents]
 	}
-	if len(l.inbox) < mostQueued {
-		l.room.Broadcast()
-	}
+	l.room.Broadcast()
 	l.refused, l.turned = l.turned, l.refused[:0]
 	for id, c := range l.added {
 		l.clients[id] = c
 	}
 	clear(l.added)
+	events = l.place(l.leaves, events)
+	clear(l.leaves)
+	l.leaves = l.leaves[:0]
 	return events, calls, more
 }
 
+// place puts what clients that left are told of before all else, and behind the arrival of a request that is not known yet: so none
+// waits for as long as the loop is behind, and none goes to a storage node for nobody.
+func (l *Loop) place(leaves, events []Event) []Event {
+	if len(leaves) == 0 && len(l.early) == 0 {
+		return events
+	}
+	placed := make([]Event, 0, len(leaves)+len(events))
+	for _, e := range leaves {
+		id := e.(Left).ID
+		if _, waits := l.clients[id]; !waits {
+			continue
+		}
+		if l.state.Knows(id) {
+			placed = append(placed, e)
+		} else {
+			l.early[id] = struct{}{}
+		}
+	}
+	for _, e := range events {
+		placed = append(placed, e)
+		if a, is := e.(Arrived); is {
+			if _, left := l.early[a.ID]; left {
+				delete(l.early, a.ID)
+				placed = append(placed, Left{ID: a.ID})
+			}
+		}
+	}
+	return placed
+}
+
 // Run turns until ctx ends.
 func (l *Loop) Run(ctx context.Context) {
 	defer l.end()
--- a/broker/loop_test.go
+++ b/broker/loop_test.go
@@ -212,7 +212,7 @@
 		loop.Enter(req, func(f Final) { finals <- f })
 	}
 	passed := make(chan bool, 1)
-	go func() { loop.Room(); passed <- true }()
+	go func() { loop.Room(func() bool { return false }); passed <- true }()
 	for turn, left := 1, requests; left > 0; turn++ {
 		events, _, more := loop.collect(loop.clock.Now(), nil)
 		if want := min(left, mostEvents); len(events) != want || more != (left > mostEvents) {
@@ -230,11 +230,66 @@
 	for range requests {
 		loop.Enter(request("read", 1), func(f Final) { finals <- f })
 	}
-	go func() { loop.Room(); passed <- true }()
+	go func() { loop.Room(func() bool { return false }); passed <- true }()
 	loop.end()
 	<-passed
 }
 
+// starts notes which requests were started.
+type starts map[string]bool
+
+func (s starts) Start(a Attempt, _ func(Result)) Handle {
+	s[a.Request.Message.(string)] = true
+	return out{}
+}
+func (starts) Probe(string, func(Result)) {}
+func (starts) CloseIdle(string)           {}
+
+// The loop is far behind. Clients that leave are heard of in the next turn, before all that came earlier: one whose request is held,
+// one whose request stands far back in the queue, and one whose request is next. None of their requests is started, then or later, and
+// the others are.
+func TestLeaversOvertake(t *testing.T) {
+	state, err := NewState(testSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	started := starts{}
+	loop := NewLoop(state, NewClock(), started, Outside{})
+	enter := func(name string) uint64 {
+		req := request("read", 0)
+		req.Message = name
+		return loop.Enter(req, func(Final) {})
+	}
+	turn := func() bool {
+		now := loop.clock.Now()
+		events, _, more := loop.collect(now, nil)
+		loop.turn(now, events)
+		return more
+	}
+	held := enter("held")
+	turn()
+	next := enter("next")
+	for range mostQueued - 2 {
+		loop.Post(Heard{From: 1})
+	}
+	far := enter("far")
+	enter("stays")
+	for _, id := range []uint64{held, next, far, held} {
+		loop.Leave(id)
+	}
+	open := loop.Open()
+	loop.Post(Listed{Kind: logic.ListFull, Nodes: []Node{node("n1", 0, logic.Ready)}}) // last of all
+	turn()
+	if left := open - loop.Open(); left != 2 {
+		t.Errorf("%d have left after a turn, want the held one and the next", left)
+	}
+	for turn() {
+	}
+	if len(started) != 1 || !started["stays"] || loop.Open() != 1 || len(loop.early) != 0 {
+		t.Errorf("started %v, %d open, %d early", started, loop.Open(), len(loop.early))
+	}
+}
+
 // 10,000 nodes are replaced by as many others in one list: each leaves once, is forgotten, and the new ones serve.
 func TestReplaceAll(t *testing.T) {
 	r := newRig(t)
--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -241,6 +241,9 @@
 	return Micros(next), any
 }
 
+// Knows tells whether a request has arrived and is not over.
+func (s *State) Knows(id uint64) bool { return s.entries[id] != nil }
+
 // Open tells how many requests still wait for their final answer.
 func (s *State) Open() int {
 	open := 0
--- a/internal/front/budget.go
+++ b/internal/front/budget.go
@@ -17,14 +17,39 @@
 	return b
 }
 
-// Take waits until n bytes fit. What is larger than the whole budget fits when nothing else is held.
-func (b *Budget) Take(n int) {
+// TryTake takes n bytes if they fit. What is larger than the whole budget fits when nothing else is held.
+func (b *Budget) TryTake(n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for b.held > 0 && b.held+n > b.most {
+	return b.take(n)
+}
+
+func (b *Budget) take(n int) bool {
+	fits := b.held == 0 || b.held+n <= b.most
+	if fits {
+		b.held += n
+	}
+	return fits
+}
+
+// Take waits until n bytes fit, and takes them unless given up is true by then, which is looked at after each Look, too.
+func (b *Budget) Take(n int, givenUp func() bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for !givenUp() {
+		if b.take(n) {
+			return true
+		}
 		b.free.Wait()
 	}
-	b.held += n
+	return false
+}
+
+// Look has all that wait look again whether they gave up.
+func (b *Budget) Look() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.free.Broadcast()
 }
 
 // Add takes n bytes that are held already.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -5,6 +5,7 @@
 	"junctionwharf/internal/logs"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -168,11 +169,23 @@
 // A full budget holds up a reader until something is given back.
 func TestBudget(t *testing.T) {
 	b := NewBudget(10)
-	b.Take(25) // alone, anything fits
+	var gone atomic.Bool
+	stays := func() bool { return false }
+	b.Take(25, stays) // alone, anything fits
 	var wg sync.WaitGroup
 	taken := make(chan struct{}, 2)
 	for range 2 {
-		wg.Go(func() { b.Take(5); taken <- struct{}{} })
+		wg.Go(func() { b.Take(5, stays); taken <- struct{}{} })
+	}
+	wg.Go(func() {
+		if b.Take(1, gone.Load) {
+			t.Error("taken by one that is gone")
+		}
+	})
+	gone.Store(true)
+	b.Look()
+	if b.TryTake(1) {
+		t.Error("taken beyond the budget at once")
 	}
 	select {
 	case <-taken:
@@ -182,7 +195,7 @@
 	b.Give(25)
 	wg.Wait()
 	b.Add(3)
-	if b.held != 13 {
+	if b.held != 13 || b.TryTake(1) {
 		t.Errorf("%d held", b.held)
 	}
 }
--- a/internal/loopback/leavers_test.go
+++ b/internal/loopback/leavers_test.go
@@ -28,7 +28,7 @@
 	ended   chan struct{} // one for each connection that the node has seen the end of
 }
 
-func newLeaverWorld(t *testing.T) *leaverWorld {
+func newLeaverWorld(t *testing.T, budget int) *leaverWorld {
 	w := &leaverWorld{T: t, coming: make(chan struct{}, 64), up: make(chan struct{}), ended: make(chan struct{}, 64)}
 	state, err := broker.NewState(settings(), 1)
 	if err != nil {
@@ -51,10 +51,17 @@
 		w.bytes.Add(n)
 		w.ended <- struct{}{}
 	})
+	t.Cleanup(func() { // whatever failed, nothing waits any more
+		select {
+		case <-w.up:
+		default:
+			close(w.up)
+		}
+	})
 	w.loop.Post(broker.Listed{Kind: logic.ListFull, Version: 1, Nodes: []broker.Node{{NodeInfo: logic.NodeInfo{Node: "n", Weight: 1}, Address: node.Addr().String()}}})
 	ln := listen(t)
 	w.address = ln.Addr().String()
-	f := resp.NewFront(w.loop, resp.NewTerms(settings(), 0), 64, 64, 1<<20, logs.Discard())
+	f := resp.NewFront(w.loop, resp.NewTerms(settings(), 0), 64, 64, budget, logs.Discard())
 	go f.Serve(ln)
 	return w
 }
@@ -64,7 +71,7 @@
 func TestLeaversAreNotSentOn(t *testing.T) {
 	for _, k := range []kind{read, write} {
 		for _, reset := range []bool{false, true} {
-			w := newLeaverWorld(t)
+			w := newLeaverWorld(t, 1<<20)
 			const clients = 20
 			var conns []*net.TCPConn
 			for i := range clients {
@@ -105,3 +112,36 @@
 		}
 	}
 }
+
+// A client leaves whose next request is held up by a full budget, so that nobody reads its end of file. What it asked for before is not
+// sent on either; nor does it wait for its deadline, or for the budget.
+func TestLeaverBehindAFullBudget(t *testing.T) {
+	for _, k := range []kind{read, write} {
+		w := newLeaverWorld(t, 350)
+		conn, err := net.Dial("tcp", w.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		c := &respClient{conn: conn, in: bufio.NewReader(conn), reads: "read"}
+		for i := range 4 {
+			c.send(fmt.Sprint("l", i), k)
+		}
+		eventually(t, "the budget is full", func() bool { return w.loop.Open() == 2 })
+		<-w.coming
+		began := time.Now()
+		conn.Close()
+		eventually(t, "it has left", func() bool { return w.loop.Open() == 0 })
+		if took := time.Since(began); took > waits[k]/2 {
+			t.Errorf("class %d: its requests were open for %v", k, took)
+		}
+		came := 1 + len(w.coming)
+		close(w.up)
+		for range came {
+			<-w.ended
+		}
+		if n := w.bytes.Load(); n > 0 {
+			t.Errorf("class %d: %d bytes were sent on", k, n)
+		}
+	}
+}
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -220,6 +220,7 @@
 	conn  net.Conn
 	guard *guard
 	wake  chan struct{}
+	away  atomic.Bool // it has left, though its end of file is not read yet
 
 	mu      sync.Mutex
 	slots   []*slot
@@ -443,7 +444,9 @@
 		c.refuse(err)
 		return false
 	}
-	c.front.loop.Room()
+	if loop := c.front.loop; loop.Full() {
+		c.watching(func() { loop.Room(c.away.Load) })
+	}
 	if refused := c.front.loop.Ask(req); refused != nil {
 		return c.turnAway(refused)
 	}
@@ -452,7 +455,13 @@
 		c.refuse(err)
 		return false
 	}
-	c.front.budget.Take(s.size)
+	if budget := c.front.budget; !budget.TryTake(s.size) {
+		took := false
+		if c.watching(func() { took = budget.Take(s.size, c.away.Load) }); !took {
+			c.front.leave(s.name)
+			return false
+		}
+	}
 	if !c.push(s) {
 		c.front.leave(s.name)
 		return false
@@ -548,11 +557,11 @@
 func (c *client) push(s *slot) bool {
 	c.mu.Lock()
 	if len(c.slots) >= maxPipeline && !c.released {
-		stop := c.watchEnd()
-		for len(c.slots) >= maxPipeline && !c.released {
-			c.room.Wait()
-		}
-		stop()
+		c.watching(func() {
+			for len(c.slots) >= maxPipeline && !c.released {
+				c.room.Wait()
+			}
+		})
 	}
 	released := c.released
 	if released { // the writer has ended, so nobody would give the slot back
@@ -577,10 +586,11 @@
 // endPoll is how often a connection is asked whether its client has left while nothing is read from it.
 const endPoll = 50 * time.Millisecond
 
-// watchEnd looks, until it is stopped, whether the client has left. It guards requests that wait against being sent on for nobody:
-// behind what is not read the end of file can't be read either.
-func (c *client) watchEnd() (stop func()) {
+// watching looks whether the client has left while something has the goroutine that reads wait. It guards requests that wait
+// against being sent on for nobody: behind what is not read the end of file can't be read either.
+func (c *client) watching(wait func()) {
 	done := make(chan struct{})
+	defer close(done)
 	go func() {
 		tick := time.NewTicker(endPoll)
 		defer tick.Stop()
@@ -591,16 +601,19 @@
 			case <-tick.C:
 			}
 			if front.PeerLeft(c.socket()) {
+				c.away.Store(true)
 				c.mu.Lock()
 				c.gone = true
 				c.mu.Unlock()
 				c.conn.Close()
 				c.Wake() // the writer releases who waits for room
+				c.front.budget.Look()
+				c.leaveAll()
 				return
 			}
 		}
 	}()
-	return func() { close(done) }
+	wait()
 }
 
 // end follows the last read: but for an answer to malformed input, the client has gone away.
@@ -610,21 +623,28 @@
 	if gone {
 		c.gone = true
 	}
+	c.mu.Unlock()
+	if gone {
+		c.conn.Close()
+		c.leaveAll()
+	}
+	c.Wake()
+}
+
+// leaveAll tells the core that nobody waits for what is owed here.
+func (c *client) leaveAll() {
+	c.mu.Lock()
 	var left []*slot
 	for _, s := range c.slots {
-		if gone && !s.ready && s.id > 0 {
+		if !s.ready && s.id > 0 {
 			left = append(left, s)
 		}
 	}
 	c.mu.Unlock()
-	if gone {
-		c.conn.Close()
-	}
 	for _, s := range left {
 		c.front.loop.Leave(s.id)
 		c.front.leave(s.name)
 	}
-	c.Wake()
 }
 
 func (c *client) write() {
