Try a second connection to a node where the first is late, and take those given back

Now an attempt takes a connection that another gives back while its own comes up, and a second try is made after 8 times the usual time (a running median, 5 ms at the least), at most half as many as first tries. What comes up second is kept for others.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -42,9 +42,11 @@
 	opt     Options
 	slots   *room.Room // a place for each connection
 	mu      sync.Mutex
-	connect time.Duration      // the options' times as they are now
-	most    time.Duration      // so long idle, a connection is not used again
-	idle    map[string][]*link // the latest used last
+	connect time.Duration            // the options' times as they are now
+	most    time.Duration            // so long idle, a connection is not used again
+	idle    map[string][]*link       // the latest used last
+	news    map[string]chan struct{} // closed when one comes to idle, for those that wait for one to come up
+	usual   usual
 	closed  bool
 }
 
@@ -56,7 +58,7 @@
 
 // New returns an empty pool.
 func New(opt Options) *Pool {
-	p := &Pool{opt: opt, slots: room.New(opt.Sockets), idle: map[string][]*link{}}
+	p := &Pool{opt: opt, slots: room.New(opt.Sockets), idle: map[string][]*link{}, news: map[string]chan struct{}{}}
 	p.Retune(opt.ConnectTimeout, opt.Idle)
 	return p
 }
@@ -319,42 +321,41 @@
 	return x(s)
 }
 
+// get returns a connection: one that is kept, or a new one. While that comes up, one that its user gives back serves as well.
 func (p *Pool) get(ctx context.Context, address string) (*link, error) {
-	connect, most := p.times()
+	var d *dial
 	for {
-		l := p.take(address)
-		if l == nil {
-			break
-		}
-		if time.Since(l.used) < most && Silent(l.Conn) {
+		l, settles, news := p.take(address, d != nil)
+		switch {
+		case l == nil:
+		case p.sound(l):
+			if d != nil {
+				d.release()
+			}
 			return l, nil
-		}
-		p.drop(l)
-	}
-	ctx, cancel := context.WithTimeout(ctx, connect)
-	defer cancel()
-	if err := p.slot(ctx); err != nil {
-		return nil, err
-	}
-	dialer := net.Dialer{KeepAlive: -1}
-	if p.opt.Local != nil {
-		dialer.LocalAddr = &net.TCPAddr{IP: p.opt.Local}
-	}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		p.slots.Give()
-		return nil, err
-	}
-	l := &link{Conn: conn, in: bufio.NewReaderSize(conn, 4<<10), used: time.Now()}
-	if p.opt.Greet != nil {
-		stop := context.AfterFunc(ctx, func() { conn.Close() })
-		err := p.opt.Greet(conn, l.in)
-		if !stop() || err != nil {
+		default:
 			p.drop(l)
-			return nil, errors.Join(errors.New("no session"), err)
+			continue
+		}
+		if d == nil {
+			d = p.dial(ctx, address)
+		}
+		timer := time.NewTimer(settles)
+		select {
+		case up := <-d.up:
+			timer.Stop()
+			return up.link, up.err
+		case <-news:
+		case <-timer.C:
 		}
+		timer.Stop()
 	}
-	return l, nil
+}
+
+// sound tells whether a connection that was idle can be used.
+func (p *Pool) sound(l *link) bool {
+	_, most := p.times()
+	return time.Since(l.used) < most && Silent(l.Conn)
 }
 
 // slot waits for room for a connection; where all is taken, an idle one of any address gives way.
@@ -389,26 +390,48 @@
 }
 
 // take takes the connection used last of those that have settled. It guards against what follows an answer, be it
-// noise, a second copy or the end: it must not become the next request's answer.
-func (p *Pool) take(address string) *link {
+// noise, a second copy or the end: it must not become the next request's answer. For who waits it tells when to look again: when the
+// next has settled, or news is closed.
+func (p *Pool) take(address string, waits bool) (l *link, settles time.Duration, news <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	links, settled := p.idle[address], time.Now().Add(-p.opt.Settle)
+	links, now := p.idle[address], time.Now()
+	settles = time.Hour
 	for i := len(links) - 1; i >= 0; i-- {
-		if l := links[i]; !l.used.After(settled) {
+		if left := p.opt.Settle - now.Sub(links[i].used); left <= 0 {
+			l = links[i]
 			p.idle[address] = slices.Delete(links, i, i+1)
-			return l
+			return l, 0, nil
+		} else {
+			settles = min(settles, left)
 		}
 	}
-	return nil
+	if !waits {
+		return nil, 0, closed
+	}
+	if p.news[address] == nil {
+		p.news[address] = make(chan struct{})
+	}
+	return nil, settles, p.news[address]
 }
 
+// closed has who just began to wait look at once.
+var closed = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 func (p *Pool) put(address string, l *link) {
 	l.used = time.Now()
 	p.mu.Lock()
 	closed := p.closed || p.slots.Over() || p.slots.Wanted()
 	if !closed {
 		p.idle[address] = append(p.idle[address], l)
+		if news := p.news[address]; news != nil {
+			close(news)
+			delete(p.news, address)
+		}
 	}
 	p.mu.Unlock()
 	if closed {
