--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -58,7 +58,7 @@
 
 // New returns an empty pool.
 func New(opt Options) *Pool {
-	p := &Pool{opt: opt, slots: room.New(opt.Sockets), idle: map[string][]*link{}, news: map[string]chan struct{}{}}
+	p := &Pool{opt: opt, slots: room.New(opt.Sockets), idle: map[string][]*link{}, news: map[string]chan struct{}{}, usual: usual{tries: secondMost}}
 	p.Retune(opt.ConnectTimeout, opt.Idle)
 	return p
 }
