--- a/cmd/wharflab/fleet.go
+++ b/cmd/wharflab/fleet.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -140,6 +141,11 @@
 			fmt.Fprintln(w, a.Story)
 		}
 	}
+	printCold(w, r.Cold)
+	if n := len(r.ReadyMS); n > 0 {
+		at := func(part float64) float64 { return r.ReadyMS[min(n-1, int(part*float64(n)))] }
+		fmt.Fprintf(w, "%d brokers started again, ready after, ms: least %.0f, p50 %.0f, p90 %.0f, p99 %.0f, largest %.0f\n", n, r.ReadyMS[0], at(0.5), at(0.9), at(0.99), r.ReadyMS[n-1])
+	}
 	for i, b := range r.Breaches {
 		if i == 5 {
 			fmt.Fprintf(w, "and %d more breaches\n", len(r.Breaches)-i)
@@ -149,6 +155,30 @@
 	}
 }
 
+// printCold prints, for each second of a cold node's age, the fullest window over all nodes.
+func printCold(w io.Writer, seconds []fleetrig.ColdSecond) {
+	var fullest []fleetrig.ColdSecond
+	for _, c := range seconds {
+		for len(fullest) <= c.AgeS {
+			fullest = append(fullest, fleetrig.ColdSecond{AgeS: len(fullest)})
+		}
+		if f := &fullest[c.AgeS]; f.Bears == 0 || c.Units/c.Bears > f.Units/f.Bears {
+			*f = c
+		}
+	}
+	if len(fullest) == 0 {
+		return
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "age s\tnode\tunits in the window\tbears N\tpart\tN + 2 root N + 2\t")
+	for _, f := range fullest {
+		if f.Bears > 0 {
+			fmt.Fprintf(table, "%d\t%s\t%.0f\t%.0f\t%.2f\t%.0f\t\n", f.AgeS, f.Node, f.Units, f.Bears, f.Units/f.Bears, f.Bears+2*math.Sqrt(f.Bears)+2)
+		}
+	}
+	table.Flush()
+}
+
 func readRuns(path string) ([]fleetRun, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/fleetrig/fleetrig_test.go
+++ b/internal/fleetrig/fleetrig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -37,7 +38,7 @@
 // started starts a rig and has its rules checked at the end.
 func started(t *testing.T, s Scenario) (*Rig, context.Context) {
 	s.Rate, s.ForS, s.Seed = 1, 1, 7
-	s.Node.UnitMS = 0.2
+	s.Node.UnitMS = cmp.Or(s.Node.UnitMS, 0.2)
 	rig, err := New(daemon, &s)
 	if err != nil {
 		t.Fatal(err)
@@ -147,6 +148,61 @@
 	}
 }
 
+// Two nodes come back cold under more than they do, while one broker learns of it late and two are killed in the ramp and know of it only by
+// the list. What all send together stays within what a cold node bears, and the brokers that were killed serve again.
+func TestColdNodesWithRestarts(t *testing.T) {
+	rig, ctx := started(t, Scenario{Brokers: 5, Peers: true, Shards: 2, Node: Node{Count: 2, Slots: 1, UnitMS: 10}})
+	rig.Do(10, false)
+	if err := rig.Strike(ctx, Event{What: "late", Brokers: []int{4}, MS: 700}); err != nil {
+		t.Fatal(err)
+	}
+	if err := rig.Strike(ctx, Event{What: "crash", Nodes: []int{0, 1}, ForS: 0.05}); err != nil {
+		t.Fatal(err)
+	}
+	killed := make(chan error)
+	go func() { killed <- rig.Kill(ctx, 0, 1) }()
+	sum := rig.Do(40, false, 2, 3, 4)
+	if err := <-killed; err != nil {
+		t.Fatal(err)
+	}
+	for v, n := range rig.Do(40, false) {
+		sum[v] += n
+	}
+	if sum["served"] == 0 || sum["lost"] > 0 {
+		t.Errorf("%v", sum)
+	}
+	for _, n := range rig.nodes {
+		n.mu.Lock()
+		if len(n.cold) == 0 {
+			t.Errorf("%s got nothing while it was cold", n.name)
+		}
+		for _, c := range n.cold {
+			if c.Units > c.Bears {
+				t.Errorf("%s got %.0f units at age %d s and bears %.0f", c.Node, c.Units, c.AgeS, c.Bears)
+			}
+		}
+		n.mu.Unlock()
+	}
+}
+
+// What a cold node got is told by second of its age, with the fullest window against what it bore.
+func TestColdSeconds(t *testing.T) {
+	r := &Rig{scenario: &Scenario{Node: Node{Slots: 1, UnitMS: 20}}}
+	n := &node{rig: r, name: "n", speed: 1, born: time.Hour}
+	bears := 4 * 0.18 * 50 * 3 // of the youngest
+	for i := range 40 {
+		n.weigh(time.Hour+time.Duration(i)*100*time.Millisecond, 1)
+	}
+	if ok := n.weigh(time.Hour+4*time.Second, 2*bears); ok || len(n.cold) != 5 || n.cold[4].Units <= n.cold[4].Bears || n.cold[2].Units != 30 || n.cold[4].AgeS != 4 {
+		t.Errorf("%v, %+v", ok, n.cold)
+	}
+	n.born = 2 * time.Hour
+	n.weigh(n.born, 1)
+	if last := n.cold[len(n.cold)-1]; len(n.cold) != 6 || last.AgeS != 0 || last.Units != 1 {
+		t.Errorf("%+v", n.cold)
+	}
+}
+
 // A broker that was stopped for 3 s wakes with old knowledge: it blames no node for its own silence, and what it was not asked
 // meanwhile it does not make up for.
 func TestStoppedBroker(t *testing.T) {
--- a/internal/fleetrig/node.go
+++ b/internal/fleetrig/node.go
@@ -76,6 +76,7 @@
 	served  []int // by second
 	turned  int
 	units   []arrival // lately, of a cold node
+	cold    []ColdSecond
 	down    bool
 }
 
@@ -188,9 +189,30 @@
 	for _, a := range n.units {
 		sum += a.units
 	}
-	return sum <= max(youngLimit, fallMultiple*n.capacity(now)*n.full()*fallTime.Seconds())
+	bears := max(youngLimit, fallMultiple*n.capacity(now)*n.full()*fallTime.Seconds())
+	age := int((now - n.born) / time.Second)
+	if last := len(n.cold) - 1; last < 0 || n.cold[last].born != n.born || n.cold[last].AgeS != age {
+		n.cold = append(n.cold, ColdSecond{Node: n.name, AgeS: age, born: n.born})
+	}
+	if c := &n.cold[len(n.cold)-1]; sum/bears >= c.part() {
+		c.Units, c.Bears = sum, bears
+	}
+	return sum <= bears
+}
+
+// ColdSecond is the most that a cold node was sent by all brokers in any window of the rule's length that ended in one second of its
+// age, and what it bore then.
+type ColdSecond struct {
+	Node  string  `json:"node"`
+	AgeS  int     `json:"age_s"`
+	Units float64 `json:"units"`
+	Bears float64 `json:"bears"`
+
+	born time.Duration
 }
 
+func (c *ColdSecond) part() float64 { return c.Units / max(c.Bears, 1) }
+
 // nodeConn is a connection of a broker to a node.
 type nodeConn struct {
 	net.Conn
--- a/internal/fleetrig/play.go
+++ b/internal/fleetrig/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -44,7 +45,7 @@
 
 func (c *client) run(ctx context.Context, until time.Duration) {
 	for at := Now(); ; {
-		at += time.Duration(c.random.ExpFloat64() / c.rate * float64(time.Second))
+		at += time.Duration(c.random.ExpFloat64() / (c.rate * c.broker.busier()) * float64(time.Second))
 		if at >= until {
 			break
 		}
@@ -151,6 +152,14 @@
 	way
 	pace  float64 // bytes a second, 0 for no bound
 	cutAt int     // clients reset behind so many bytes, 0 for never
+	burst float64 // they ask so many times as often, 0 for as usual
+}
+
+// busier tells how many times as often as usual clients ask now.
+func (p *process) busier() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return cmp.Or(p.clients.burst, 1)
 }
 
 func (l clientLink) send(to io.Writer, text string, seed uint64) error {
@@ -404,9 +413,14 @@
 				if e.ForS > 0 {
 					r.sleep(ctx, seconds(e.ForS))
 					if ctx.Err() == nil {
+						began := Now()
 						err := r.launch(p, known)
 						if err == nil {
-							err = r.ready(ctx, p)
+							if err = r.ready(ctx, p); err == nil {
+								r.mu.Lock()
+								r.restarts = append(r.restarts, Now()-began)
+								r.mu.Unlock()
+							}
 						}
 						r.excuse(b)
 						p.setDown(false)
@@ -471,6 +485,8 @@
 		p.clients.pace = e.By
 	case "client_cut":
 		p.clients.cutAt = int(e.By)
+	case "burst":
+		p.clients.burst = e.By
 	default:
 		v := view{late: -1}
 		if on {
@@ -509,6 +525,8 @@
 	Bytes     int64            `json:"datagram_bytes"`
 	Breaches  []Breach         `json:"breaches"`
 	Agreement *AgreementReport `json:"agreement,omitempty"`
+	Cold      []ColdSecond     `json:"cold,omitempty"`     // by node and second of its age
+	ReadyMS   []float64        `json:"ready_ms,omitempty"` // of brokers that were started again, from the start to the first answer, in order
 	// EvenAfter is, for each event, the seconds from its end until load is even, -1 for not within the run.
 	EvenAfter []float64 `json:"even_after_s"`
 }
@@ -560,10 +578,17 @@
 		for _, c := range n.served {
 			rep.PerNode[n.name] += c
 		}
+		rep.Cold = append(rep.Cold, n.cold...)
 		rep.Dials += n.dials
 		rep.Peak = max(rep.Peak, n.peak)
 		n.mu.Unlock()
 	}
+	r.mu.Lock()
+	for _, took := range r.restarts {
+		rep.ReadyMS = append(rep.ReadyMS, took.Seconds()*1000)
+	}
+	r.mu.Unlock()
+	slices.Sort(rep.ReadyMS)
 	r.registry.mu.Lock()
 	rep.Calls = r.registry.calls
 	r.registry.mu.Unlock()
--- a/internal/fleetrig/rig.go
+++ b/internal/fleetrig/rig.go
@@ -44,8 +44,9 @@
 	over     atomic.Bool
 	random   *rand.Rand
 
-	mu      sync.Mutex
-	clients map[int]*client // of Do
+	mu       sync.Mutex
+	clients  map[int]*client // of Do
+	restarts []time.Duration // of brokers that were started again, until they answered
 }
 
 // process is one broker over its starts.
--- a/internal/fleetrig/scenario.go
+++ b/internal/fleetrig/scenario.go
@@ -63,13 +63,13 @@
 // (connections, once), crash (refuses connections), join (cold, under a new name in place of none), drain, lie (reports an idle node).
 // Of brokers: kill (and start again after for_s, if that is above 0), term, stop (SIGSTOP, then SIGCONT), deaf (peers' datagrams are
 // lost by the part by), datagrams (come ms later, and up to jitter_ms more: out of order), client_delay (what clients send comes ms later),
-// client_pace (at by bytes a second), client_cut (the client resets behind by bytes of each request).
+// client_pace (at by bytes a second), client_cut (the client resets behind by bytes of each request), burst (clients ask by times as often).
 // agree_cut, agree_mute, agree_deaf (the agreement's links between these brokers and all others carry nothing, nothing that these say,
 // nothing that these would hear).
 // Of a broker's view of discovery: stale (nothing new), late (everything new ms later), blind (refused), empty (a list without nodes),
 // contradict (nodes are listed as draining to these brokers alone).
 var nodeEvents = []string{"silent", "slow", "delay", "loss", "pace", "cut", "reset", "crash", "join", "drain", "lie", "oneway"}
-var brokerEvents = []string{"kill", "term", "stop", "deaf", "datagrams", "agree_cut", "agree_mute", "agree_deaf", "client_delay", "client_pace", "client_cut", "stale", "late", "blind", "empty", "contradict"}
+var brokerEvents = []string{"kill", "term", "stop", "deaf", "datagrams", "agree_cut", "agree_mute", "agree_deaf", "client_delay", "client_pace", "client_cut", "burst", "stale", "late", "blind", "empty", "contradict"}
 
 // The bounds of a scenario: it must run on one machine.
 const (
@@ -142,7 +142,7 @@
 			return fmt.Errorf("event[%d].at_s: %v is not within for_s", i, e.AtS)
 		case e.ForS < 0 || e.MS < 0 || e.JitterMS < 0 || e.By < 0 || e.Part < 0 || e.Part > 1:
 			return fmt.Errorf("event[%d]: for_s, ms, by and part can't be negative, nor part above 1", i)
-		case slices.Contains([]string{"slow", "pace", "cut", "loss", "client_pace", "client_cut"}, e.What) && !(e.By > 0):
+		case slices.Contains([]string{"slow", "pace", "cut", "loss", "client_pace", "client_cut", "burst"}, e.What) && !(e.By > 0):
 			return fmt.Errorf("event[%d].by: a figure above 0 is wanted", i)
 		case e.What == "loss" && e.By > 0.9:
 			return fmt.Errorf("event[%d].by: a loss of %v is over 0.9", i, e.By)
