--- a/internal/fleetrig/fleetrig_test.go
+++ b/internal/fleetrig/fleetrig_test.go
@@ -5,11 +5,13 @@
 	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -203,6 +205,65 @@
 	}
 }
 
+// Idle clients fill the broker's descriptors while discovery is down. Requests go on being served, new connections to nodes come up, and
+// the watch comes back: the broker hears of a drain and sends to the node that joined.
+func TestIdleClientsFillDescriptors(t *testing.T) {
+	rig, ctx := started(t, Scenario{Brokers: 1, Node: Node{Count: 2}})
+	most := unix.Rlimit{Cur: 256, Max: 256} // as the configuration says
+	if err := unix.Prlimit(rig.brokers[0].command.Process.Pid, unix.RLIMIT_NOFILE, &most, nil); err != nil {
+		t.Fatal(err)
+	}
+	rig.served(t, 10, false)
+	if err := rig.Strike(ctx, Event{What: "blind", Brokers: []int{0}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := rig.Strike(ctx, Event{What: "reset", Nodes: []int{0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := rig.Said(ctx, "broker-0", "discovery silent", 0); err != nil {
+		t.Fatal(err)
+	}
+	var crowd sync.WaitGroup
+	for i := range 500 {
+		conn, err := net.Dial("tcp", rig.brokers[0].address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		if i%2 == 0 { // half of them greet
+			crowd.Go(func() {
+				io.WriteString(conn, "*1\r\n$4\r\nPING\r\n")
+				conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+				conn.Read(make([]byte, 8)) // or it was shut
+			})
+		}
+	}
+	crowd.Wait()
+	rig.served(t, 20, false)
+	if err := rig.Strike(ctx, Event{What: "join", Nodes: []int{0}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := rig.Strike(ctx, Event{What: "drain", Nodes: []int{0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	rig.served(t, 5, false)
+	if at := rig.registry.toldLeaving("node-0", 0); at > 0 {
+		t.Error("told of a drain while discovery was down")
+	}
+	rig.registry.view(0, view{late: -1})
+	if _, err := rig.Said(ctx, "broker-0", "discovery back", 0); err != nil {
+		t.Fatal(err)
+	}
+	rig.Counts()
+	rig.served(t, 20, false)
+	if c := rig.Counts(); c[2] == 0 {
+		t.Errorf("the node that joined got nothing: %v", c)
+	}
+	if n := len(rig.Lines("accept failed")); n > 0 {
+		t.Errorf("%d times no descriptor was left", n)
+	}
+}
+
 // A broker that was stopped for 3 s wakes with old knowledge: it blames no node for its own silence, and what it was not asked
 // meanwhile it does not make up for.
 func TestStoppedBroker(t *testing.T) {
