Go by what the start saw where the system's list of sockets does not tell who is beside

Where nothing is known now, a process that found its address taken at its start (a bind without listening) keeps to half until its predecessor must have been ended, and so does one behind SIGTERM. That is weaker than the list: it trusts that SIGTERM follows the start within a second.

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -172,6 +172,7 @@
 		go retire(running, p)
 	}
 	served := make(chan error, 2)
+	met := succession.Taken(c.Listen)
 	ln, err := succession.Listen(c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -189,8 +190,7 @@
 	s.reporter.Retune(reportOf(c))
 	go s.reporter.Run(running)
 	if s.beside {
-		s.loop.Post(broker.Shared{Processes: 1, Unseen: 1})
-		go s.lookBeside(running)
+		go s.lookBeside(running, ctx, met)
 	}
 	go func() { served <- s.front.Serve(ln) }()
 	go func() {
--- a/internal/daemon/succeed.go
+++ b/internal/daemon/succeed.go
@@ -39,17 +39,42 @@
 }
 
 // lookBeside has the core keep to what it may do beside another process that it would not meet: one that it replaces, or that
-// replaces it. Until it has looked, it takes it that there is one. Nobody looks where no plan has a limit.
-func (s *service) lookBeside(ctx context.Context) {
-	succession.NewAlone(s.config.Listen).Run(ctx, s.limited.Load, func(alone bool) {
-		unseen := 1
-		if alone {
-			unseen = 0
+// replaces it. Nobody looks where no plan has a limit. Where the system's list of sockets does not tell, one that was there at the start
+// counts as there until it must have been ended, and one may be there from SIGTERM on.
+func (s *service) lookBeside(ctx, ending context.Context, met bool) {
+	tell := func(unseen bool) {
+		n := 0
+		if unseen {
+			n = 1
+		}
+		s.loop.Post(broker.Shared{Processes: 1, Unseen: n})
+	}
+	known, over := make(chan succession.Company, 1), time.NewTimer(besideTime)
+	defer over.Stop()
+	go succession.NewWatch(s.config.Listen).Run(ctx, s.limited.Load, func(c succession.Company) {
+		select {
+		case known <- c:
+		case <-ctx.Done():
 		}
-		s.loop.Post(broker.Shared{Processes: 1, Unseen: unseen})
 	})
+	company := succession.Unknown
+	ends := false
+	for tell(met); ; tell(company == succession.Beside || company == succession.Unknown && (met || ends)) {
+		select {
+		case company = <-known:
+		case <-over.C:
+			met = false
+		case <-ending.Done():
+			ends, ending = true, context.WithoutCancel(ending)
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
+// besideTime is how long a process that is replaced may live beside the one that replaces it: until SIGTERM comes, and then SIGKILL.
+const besideTime = time.Second + longestWait + killAfter
+
 func (s *service) part() {
 	if s.office != nil {
 		s.office.Close()
--- a/internal/succession/beside.go
+++ b/internal/succession/beside.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -20,43 +22,58 @@
 	listening  = "0A"
 )
 
-// Alone tells, as far as the system's list of sockets shows, whether this process is the only one that listens at an address. It
+// Company is whether another process listens at the same address.
+type Company int
+
+// What may be known of it.
+const (
+	Unknown Company = iota // the system's list cannot be read, or lacks this process's own listener
+	Beside                 // another process is there, or was a moment ago
+	Alone
+)
+
+// Watch tells, as far as the system's list of sockets shows, whether this process is the only one that listens at an address. It
 // needs no word from the other process, nor its good will: one that hangs still has its listener. It is not safe for concurrent use.
-type Alone struct {
+type Watch struct {
 	address string
 	list    func() (io.ReadCloser, error)
-	since   time.Time // when another listener was last seen, or this process's own was not
+	since   time.Time // when another listener was last seen
 }
 
-// NewAlone watches an address that this process listens at.
-func NewAlone(address string) *Alone {
-	return &Alone{address: address, list: func() (io.ReadCloser, error) { return os.Open(socketList) }}
+// NewWatch watches an address that this process listens at.
+func NewWatch(address string) *Watch {
+	return &Watch{address: address, list: func() (io.ReadCloser, error) { return os.Open(socketList) }}
 }
 
-// Look tells whether this process is alone, as of now. Where the system's list cannot be read, or lacks this process's own listener,
-// it may not be.
-func (a *Alone) Look(now time.Time) bool {
-	file, err := a.list()
-	if err != nil {
-		a.since = now
-		return false
+// Look tells what is known now.
+func (w *Watch) Look(now time.Time) Company {
+	count, err := 0, error(nil)
+	file, err := w.list()
+	if err == nil {
+		count, err = listenersAt(file, w.address)
+		file.Close()
+	}
+	if err != nil || count == 0 {
+		w.since = time.Time{}
+		return Unknown
+	}
+	if count > 1 || w.since.IsZero() {
+		w.since = now
 	}
-	defer file.Close()
-	count, err := listenersAt(file, a.address)
-	if err != nil || count != 1 || a.since.IsZero() {
-		a.since = now
+	if now.Sub(w.since) < quietTime {
+		return Beside
 	}
-	return now.Sub(a.since) >= quietTime
+	return Alone
 }
 
-// Run looks while it is asked to, and tells of each change until ctx ends. Before it tells anything, this process may not be alone.
-func (a *Alone) Run(ctx context.Context, asked func() bool, tell func(alone bool)) {
+// Run looks while it is asked to, and tells of each change until ctx ends. Before it tells anything, nothing is known.
+func (w *Watch) Run(ctx context.Context, asked func() bool, tell func(Company)) {
 	tick := time.NewTicker(lookEach)
 	defer tick.Stop()
-	for told := false; ; {
+	for told := Unknown; ; {
 		if !asked() {
-			a.since = time.Time{}
-		} else if now := a.Look(time.Now()); now != told {
+			w.since = time.Time{}
+		} else if now := w.Look(time.Now()); now != told {
 			told = now
 			tell(now)
 		}
@@ -68,6 +85,26 @@
 	}
 }
 
+// Taken tells whether another process listens at an address, which this one does not yet, or that may not be told. It listens nowhere
+// itself: no client meets it.
+func Taken(address string) bool {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return true
+	}
+	family, to := unix.AF_INET6, unix.Sockaddr(&unix.SockaddrInet6{Port: int(at.Port()), Addr: at.Addr().As16()})
+	if at.Addr().Is4() {
+		family, to = unix.AF_INET, &unix.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().As4()}
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return true
+	}
+	defer unix.Close(fd)
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1) // connections that ended do not count
+	return unix.Bind(fd, to) != nil
+}
+
 // listenersAt counts the sockets that listen at an address, in the kernel's list of TCP sockets over IPv4.
 func listenersAt(list io.Reader, address string) (int, error) {
 	at, err := netip.ParseAddrPort(address)
--- a/internal/succession/beside_test.go
+++ b/internal/succession/beside_test.go
@@ -19,7 +19,7 @@
 func TestAlone(t *testing.T) {
 	own, other, client := row("0204007F:18EB", listening), row("0204007F:18EC", listening), row("0204007F:18EB", "01")
 	text, broken := "", false
-	a := NewAlone("127.0.4.2:6379")
+	a := NewWatch("127.0.4.2:6379")
 	a.list = func() (io.ReadCloser, error) {
 		if broken {
 			return nil, errors.New("no such file")
@@ -27,34 +27,34 @@
 		return io.NopCloser(strings.NewReader(heading + text)), nil
 	}
 	now := time.Unix(1000, 0)
-	look := func(what string, want bool) {
+	look := func(what string, want Company) {
 		t.Helper()
 		if got := a.Look(now); got != want {
-			t.Errorf("%s: alone %v", what, got)
+			t.Errorf("%s: %v, want %v", what, got, want)
 		}
 	}
 	text = own + other + client + own // what stands behind a connection is none that listens
-	look("at the start", false)
+	look("at the start", Beside)
 	now = now.Add(quietTime - 1)
-	look("too soon", false)
+	look("too soon", Beside)
 	now = now.Add(1)
-	look("in time", true)
+	look("in time", Alone)
 	text = own + own + other
-	look("with another", false)
+	look("with another", Beside)
 	now = now.Add(quietTime)
-	look("still with another", false)
+	look("still with another", Beside)
 	text = own
-	look("as it goes", false)
+	look("as it goes", Beside)
 	now = now.Add(quietTime - 1)
-	look("soon after it went", false)
+	look("soon after it went", Beside)
 	now = now.Add(1)
-	look("after it went", true)
+	look("after it went", Alone)
 	for _, spoil := range []func(){func() { text = other }, func() { text = "" }, func() { text, broken = own, true }} {
 		spoil()
-		look("without a list of its own listener", false)
+		look("without a list of its own listener", Unknown)
 	}
-	if NewAlone("[::1]:6379").Look(now) || NewAlone("here").Look(now) {
-		t.Error("alone at an address that the list does not show")
+	if NewWatch("[::1]:6379").Look(now) != Unknown || NewWatch("here").Look(now) != Unknown {
+		t.Error("something is known of an address that the list does not show")
 	}
 }
 
@@ -66,7 +66,7 @@
 	}
 	defer first.Close()
 	count := func() int {
-		a := NewAlone(first.Addr().String())
+		a := NewWatch(first.Addr().String())
 		file, err := a.list()
 		if err != nil {
 			t.Fatal(err)
@@ -81,6 +81,9 @@
 	if n := count(); n != 1 {
 		t.Errorf("%d listeners, want one", n)
 	}
+	if !Taken(first.Addr().String()) {
+		t.Error("an address at which somebody listens is free")
+	}
 	second, err := Listen(first.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -92,4 +95,8 @@
 	if n := count(); n != 1 {
 		t.Errorf("%d listeners after one went", n)
 	}
+	first.Close()
+	if Taken(first.Addr().String()) {
+		t.Error("an address at which nobody listens is taken")
+	}
 }
