--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -21,6 +21,7 @@
 	"junctionwharf/internal/config"
 	"junctionwharf/internal/console"
 	"junctionwharf/internal/discovery"
+	"junctionwharf/internal/handover"
 	"junctionwharf/internal/members"
 	"junctionwharf/internal/metrics"
 	"junctionwharf/internal/peer"
@@ -28,7 +29,6 @@
 	"junctionwharf/internal/report"
 	"junctionwharf/internal/resp"
 	"junctionwharf/internal/sftp"
-	"junctionwharf/internal/succession"
 	"junctionwharf/logic"
 	"junctionwharf/node/agreement"
 )
@@ -56,14 +56,14 @@
 	// After SIGTERM clients go on with the connections they have, and where each request comes on a new one, with new
 	// ones; they have nowhere else to go. SIGKILL follows once the longest deadline (or longestWait) and killAfter have
 	// passed, and the next start comes no sooner, however early this one ends.
-	handover    = 450 * time.Millisecond
-	longestWait = 3 * time.Second
-	killAfter   = 700 * time.Millisecond
-	wrapUp      = 400 * time.Millisecond // before SIGKILL: connections end
-	crossing    = 100 * time.Millisecond // for requests that crossed the end of their connection
-	lastAnswers = 250 * time.Millisecond // before SIGKILL: what is still owed is answered
-	reserve     = 100 * time.Millisecond // before SIGKILL: the program ends at the latest
-	lastCheck   = 20 * time.Millisecond
+	handoverTime = 450 * time.Millisecond
+	longestWait  = 3 * time.Second
+	killAfter    = 700 * time.Millisecond
+	wrapUp       = 400 * time.Millisecond // before SIGKILL: connections end
+	crossing     = 100 * time.Millisecond // for requests that crossed the end of their connection
+	lastAnswers  = 250 * time.Millisecond // before SIGKILL: what is still owed is answered
+	reserve      = 100 * time.Millisecond // before SIGKILL: the program ends at the latest
+	lastCheck    = 20 * time.Millisecond
 )
 
 // Serve runs the broker until ctx ends, and then until what it took is answered. On reload it loads the
@@ -172,14 +172,14 @@
 		go retire(running, p)
 	}
 	served := make(chan error, 2)
-	met := succession.Taken(c.Listen)
-	ln, err := succession.Listen(c.Listen)
+	met := handover.Taken(c.Listen)
+	ln, err := handover.Listen(c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	s.listeners = append(s.listeners, ln)
 	if s.files != nil {
-		fileLn, err := succession.Listen(c.Site.SFTP.Listen)
+		fileLn, err := handover.Listen(c.Site.SFTP.Listen)
 		if err != nil {
 			return fmt.Errorf("sftp.listen: %w", err)
 		}
@@ -282,9 +282,9 @@
 	listeners []net.Listener
 	log       *slog.Logger
 
-	office  *succession.Office // nil if there can be no succession
-	beside  bool               // another process may serve beside this one, and would not be met
-	handed  *discovery.List    // the list that the old process handed over
+	office  *handover.Office // nil if there can be no handover
+	beside  bool             // another process may serve beside this one, and would not be met
+	handed  *discovery.List  // the list that the old process handed over
 	taking  atomic.Bool
 	classes atomic.Pointer[[]logic.Class] // as they are now
 	limited atomic.Bool                   // a plan has a limit
@@ -370,7 +370,7 @@
 		kill = max(kill, class.Deadline)
 	}
 	kill = min(kill, longestWait) + killAfter
-	t := timetable{drain: max(handover, kill-wrapUp), answer: kill - lastAnswers, end: kill - reserve}
+	t := timetable{drain: max(handoverTime, kill-wrapUp), answer: kill - lastAnswers, end: kill - reserve}
 	t.shut = t.drain + crossing
 	return t
 }
--- a/internal/daemon/succeed.go
+++ b/internal/daemon/succeed.go
@@ -7,7 +7,7 @@
 
 	"junctionwharf/broker"
 	"junctionwharf/internal/discovery"
-	"junctionwharf/internal/succession"
+	"junctionwharf/internal/handover"
 )
 
 // join meets the process that this one replaces, if there is one, and waits for a successor from then on. Without a
@@ -18,23 +18,23 @@
 		s.log.Info("handover off", "reason", "--handover=false: a process that starts beside this one serves beside it and takes nothing over")
 		return
 	}
-	path := succession.Path(os.TempDir(), s.config.Listen)
-	office, met, err := succession.Open(path, succession.Side{Meet: s.meet, Take: s.take, Part: s.parted})
+	path := handover.Path(os.TempDir(), s.config.Listen)
+	office, met, err := handover.Open(path, handover.Side{Meet: s.meet, Take: s.take, Part: s.parted})
 	if err != nil {
 		s.beside = true
-		s.log.Warn("succession off", "reason", err)
+		s.log.Warn("handover off", "reason", err)
 		return
 	}
 	s.office = office
 	s.front.Share(func(id string, opened bool) {
 		if opened {
-			office.Tell(succession.News{Opened: []string{id}})
+			office.Tell(handover.News{Opened: []string{id}})
 		} else {
-			office.Tell(succession.News{Ended: []string{id}})
+			office.Tell(handover.News{Ended: []string{id}})
 		}
 	})
 	if met {
-		s.log.Info("succession: replacing the process that serves now")
+		s.log.Info("handover: replacing the process that serves now")
 	}
 }
 
@@ -49,17 +49,17 @@
 		}
 		s.loop.Post(broker.Shared{Processes: 1, Unseen: n})
 	}
-	known, over := make(chan succession.Company, 1), time.NewTimer(besideTime)
+	known, over := make(chan handover.Company, 1), time.NewTimer(besideTime)
 	defer over.Stop()
-	go succession.NewWatch(s.config.Listen).Run(ctx, s.limited.Load, func(c succession.Company) {
+	go handover.NewWatch(s.config.Listen).Run(ctx, s.limited.Load, func(c handover.Company) {
 		select {
 		case known <- c:
 		case <-ctx.Done():
 		}
 	})
-	company := succession.Unknown
+	company := handover.Unknown
 	ends := false
-	for tell(met); ; tell(company == succession.Beside || company == succession.Unknown && (met || ends)) {
+	for tell(met); ; tell(company == handover.Beside || company == handover.Unknown && (met || ends)) {
 		select {
 		case company = <-known:
 		case <-over.C:
@@ -82,14 +82,14 @@
 }
 
 // meet shares the limits and the rules with the other process.
-func (s *service) meet() succession.News {
+func (s *service) meet() handover.News {
 	s.resize(2)
 	s.loop.Post(broker.Shared{Processes: 2})
-	return succession.News{List: s.watcher.Held(), Opened: s.front.Open()}
+	return handover.News{List: s.watcher.Held(), Opened: s.front.Open()}
 }
 
 // take takes what the other process tells.
-func (s *service) take(news succession.News) {
+func (s *service) take(news handover.News) {
 	if news.List != nil {
 		s.handed = news.List
 	}
@@ -104,7 +104,7 @@
 	s.front.Part()
 	s.resize(1)
 	s.loop.Post(broker.Shared{Processes: 1})
-	s.log.Info("succession: the other process is gone")
+	s.log.Info("handover: the other process is gone")
 }
 
 // known is the newest list that is held at the start.
@@ -121,7 +121,7 @@
 func (s *service) hear(e broker.Heard) {
 	s.loop.Post(e)
 	if s.office != nil {
-		s.office.Tell(succession.News{From: e.From, Heard: e.Data})
+		s.office.Tell(handover.News{From: e.From, Heard: e.Data})
 	}
 }
 
@@ -131,8 +131,8 @@
 // leadAway has new connections go to the successor and takes those that wait in the listeners' queues.
 func (s *service) leadAway() {
 	for _, ln := range s.listeners {
-		if err := succession.LeadAway(ln); err != nil {
-			s.log.Warn("succession failed", "reason", err)
+		if err := handover.LeadAway(ln); err != nil {
+			s.log.Warn("handover failed", "reason", err)
 		}
 	}
 	time.Sleep(leadTime)
--- a/internal/succession/beside.go
+++ b/internal/handover/beside.go
@@ -1,4 +1,4 @@
-package succession
+package handover
 
 import (
 	"bufio"
--- a/internal/succession/succession.go
+++ b/internal/handover/handover.go
@@ -1,6 +1,6 @@
-// Package succession lets a new process of a broker take over from the old one. The two meet over a Unix socket and
+// Package handover lets a new process of a broker take over from the old one. The two meet over a Unix socket and
 // share what the rules ask of them as one broker: the list of nodes, the ids of open requests, what peers say.
-package succession
+package handover
 
 import (
 	"encoding/json"
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,7 +8,7 @@
 	"net/netip"
 
 	"junctionwharf/broker"
-	"junctionwharf/internal/succession"
+	"junctionwharf/internal/handover"
 	"junctionwharf/logic"
 )
 
@@ -41,7 +41,7 @@
 		l.all = address
 	}
 	var err error
-	if l.conn, err = succession.ListenPacket(listen); err != nil {
+	if l.conn, err = handover.ListenPacket(listen); err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
 	return l, nil
