Count a client's time from when its request was read, not from the turn that takes it

Loop.Enter stamps it now. TestTimeRunsFromArrival fails without it. Not taken: refusing a request whose class new settings dropped in between; it stays failed, as for a class that never was.

--- a/broker/loop.go
+++ b/broker/loop.go
@@ -174,11 +174,11 @@
 
 // Enter is Submit for a request that the door has let in.
 func (l *Loop) Enter(req *Request, reply func(Final)) uint64 {
-	id := l.ids.Add(1)
+	id, at := l.ids.Add(1), l.clock.Now()
 	l.Figures.open.Add(1)
 	l.mu.Lock()
 	l.added[id] = client{req.Class, reply}
-	l.put(Arrived{ID: id, Request: req})
+	l.put(Arrived{ID: id, Request: req, At: at})
 	l.mu.Unlock()
 	l.wake()
 	return id
--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -15,10 +15,11 @@
 
 // The events.
 type (
-	// Arrived tells of a new request; its ID is new.
+	// Arrived tells of a new request; its ID is new. Its client's time runs from At, 0 for the turn that hears of it.
 	Arrived struct {
 		ID      uint64
 		Request *Request
+		At      Micros
 	}
 	// Left tells that a client no longer waits.
 	Left struct{ ID uint64 }
@@ -266,7 +267,7 @@
 func (s *State) take(event Event) {
 	switch e := event.(type) {
 	case Arrived:
-		s.arrive(e.ID, e.Request)
+		s.arrive(e)
 	case Left:
 		if r := s.entries[e.ID]; r != nil && !r.answered {
 			r.answered = true
@@ -347,21 +348,25 @@
 	s.forget(id, r)
 }
 
-func (s *State) arrive(id uint64, req *Request) {
+func (s *State) arrive(e Arrived) {
+	id, req, at := e.ID, e.Request, s.now
+	if e.At > 0 { // it waited for this turn: its client's time, and what is told to the gateway, is less by that
+		at = min(at, e.At)
+	}
 	var r *entry
 	if last := len(s.free) - 1; last >= 0 {
 		r, s.free = s.free[last], s.free[:last]
 	} else {
 		r = &entry{}
 	}
-	*r = entry{req: req, arrived: s.now, deadline: s.now + max(0, req.Wait)}
+	*r = entry{req: req, arrived: at, deadline: max(s.now, at+max(0, req.Wait))}
 	s.entries[id] = r
 	if s.ending { // nobody would be left to answer it
 		s.conclude(id, Final{Verdict: Refused})
 		return
 	}
 	r.overdue = s.wake(r.deadline, alarm{kind: overdue, id: id})
-	s.tell(logic.Request{ID: id, Class: req.Class, Plan: req.Plan, Key: req.Key, Remaining: req.Wait.Duration(),
+	s.tell(logic.Request{ID: id, Class: req.Class, Plan: req.Plan, Key: req.Key, Remaining: (r.deadline - s.now).Duration(),
 		Volume: req.Volume, Units: req.Units, Shard: req.Shard, Hosts: req.Hosts, Retry: req.Retry, Write: req.Write})
 }
 
--- a/broker/reducer_test.go
+++ b/broker/reducer_test.go
@@ -98,7 +98,7 @@
 
 func TestServed(t *testing.T) {
 	r := newRig(t)
-	r.turn(Arrived{1, request("read", 0)})
+	r.turn(Arrived{ID: 1, Request: request("read", 0)})
 	if len(r.starts) != 1 || r.starts[0].Attempt.Node != "n1" || r.starts[0].Attempt.Wait != 750_000 {
 		t.Fatalf("%+v", r.starts)
 	}
@@ -118,7 +118,7 @@
 func TestProgressDecides(t *testing.T) {
 	for progress, again := range map[Progress]bool{NotConnected: true, PartlyWritten: true, WrittenWhole: false} {
 		r := newRig(t)
-		r.turn(Arrived{1, request("write", 0)})
+		r.turn(Arrived{ID: 1, Request: request("write", 0)})
 		r.turn(Ended{1, 0, broke(progress)})
 		r.pass(200_000)
 		if got := len(r.starts) == 2; got != again {
@@ -134,7 +134,7 @@
 func TestStoppedAtDeadline(t *testing.T) {
 	for _, progress := range []Progress{NotConnected, PartlyWritten, WrittenWhole} {
 		r := newRig(t)
-		r.turn(Arrived{1, request("write", 0)})
+		r.turn(Arrived{ID: 1, Request: request("write", 0)})
 		r.pass(1_200_000)
 		if len(r.stops) != 1 || r.now != clockStart+1_200_000 {
 			t.Fatalf("%d stops", len(r.stops))
@@ -153,7 +153,7 @@
 // A request that no node can serve is answered before its client leaves.
 func TestNoNode(t *testing.T) {
 	r := newRig(t)
-	r.turn(Arrived{1, request("read", 7)})
+	r.turn(Arrived{ID: 1, Request: request("read", 7)})
 	r.pass(750_000)
 	if f := r.final(1, Refused); f.After <= 0 {
 		t.Errorf("%+v names no time to come again", f)
@@ -165,7 +165,7 @@
 
 func TestLeft(t *testing.T) {
 	r := newRig(t)
-	r.turn(Arrived{1, request("read", 0)})
+	r.turn(Arrived{ID: 1, Request: request("read", 0)})
 	r.turn(Left{1})
 	r.turn(Ended{1, 0, Result{Value: "v", Load: logic.NoLoad}})
 	r.pass(Second)
@@ -179,13 +179,13 @@
 func TestLeftBeforeItIsSent(t *testing.T) {
 	for _, progress := range []Progress{NotConnected, PartlyWritten, WrittenWhole} { // the last may become whole as it is cut
 		r := newRig(t)
-		r.turn(Arrived{1, request("write", 0)})
+		r.turn(Arrived{ID: 1, Request: request("write", 0)})
 		r.turn(Left{1})
 		if len(r.abandons) != 1 || r.abandons[0] != (Abandon{1, 0}) {
 			t.Fatalf("%+v", r.abandons)
 		}
 		r.turn(Ended{1, 0, broke(progress)})
-		r.turn(Arrived{2, request("write", 0)})
+		r.turn(Arrived{ID: 2, Request: request("write", 0)})
 		if len(r.starts) != 2 || r.starts[1].ID != 2 {
 			t.Errorf("%v: %d sent", progress, len(r.starts))
 		}
@@ -195,7 +195,7 @@
 // An attempt of several messages must not go on at a draining node past the rule's grace.
 func TestDrainHalts(t *testing.T) {
 	r := newRig(t)
-	r.turn(Arrived{1, request("write", 0)})
+	r.turn(Arrived{ID: 1, Request: request("write", 0)})
 	r.turn(Listed{Kind: logic.ListChanges, Version: 2, Nodes: []Node{node("n1", 0, logic.Draining), node("n3", 0, logic.Ready)}})
 	r.turn(Listed{Kind: logic.ListChanges, Version: 3, Nodes: []Node{node("n1", 0, logic.Draining)}})
 	if len(r.halts) != 1 {
@@ -212,7 +212,7 @@
 func TestMissingFromList(t *testing.T) {
 	r := newRig(t)
 	r.turn(Listed{Kind: logic.ListFull, Version: 2, Nodes: []Node{node("n2", 1, logic.Ready)}})
-	r.turn(Arrived{1, request("read", 0)})
+	r.turn(Arrived{ID: 1, Request: request("read", 0)})
 	r.pass(Second)
 	if len(r.starts) > 0 {
 		t.Error("sent to a node that is gone")
@@ -247,7 +247,7 @@
 	for i := range uint64(40) {
 		req := request("read", 1)
 		req.Hosts, req.Volume = 2, []string{"v", "w", "x", "y"}[i%4]
-		r.turn(Arrived{i + 1, req})
+		r.turn(Arrived{ID: i + 1, Request: req})
 		r.pass(25_000)
 	}
 	for _, e := range r.effects {
@@ -262,7 +262,7 @@
 // never sent may come again.
 func TestEnding(t *testing.T) {
 	r := newRig(t)
-	r.turn(Arrived{1, request("write", 0)}, Arrived{2, request("read", 0)}, Arrived{3, request("read", 7)})
+	r.turn(Arrived{ID: 1, Request: request("write", 0)}, Arrived{ID: 2, Request: request("read", 0)}, Arrived{ID: 3, Request: request("read", 7)})
 	r.turn(Ending{})
 	if len(r.stops) != 2 {
 		t.Fatalf("%d attempts stopped", len(r.stops))
@@ -271,7 +271,7 @@
 	r.final(1, Failed)
 	r.final(2, Refused)
 	r.final(3, Refused)
-	r.turn(Arrived{4, request("write", 0)}) // on a connection that stayed open
+	r.turn(Arrived{ID: 4, Request: request("write", 0)}) // on a connection that stayed open
 	r.final(4, Refused)
 	if r.pass(Second); len(r.state.entries) > 0 || len(r.starts) != 2 {
 		t.Errorf("%d held, %d sent", len(r.state.entries), len(r.starts))
@@ -288,3 +288,25 @@
 		t.Errorf("5 s ago is %d, now is %d", at, c.Now())
 	}
 }
+
+// A request that waited for its turn has that much less time: the attempt is told what is left, and the answer is owed as long after the
+// request came as its client waits. One whose time was up by then is answered at once and never sent.
+func TestTimeRunsFromArrival(t *testing.T) {
+	r := newRig(t)
+	req := request("read", 0)
+	came := r.now
+	r.now += req.Wait / 4
+	r.turn(Arrived{ID: 1, Request: req, At: came})
+	if len(r.starts) != 1 || r.starts[0].Attempt.Wait != req.Wait*3/4 {
+		t.Fatalf("%+v", r.starts)
+	}
+	if at, any := r.state.Next(); !any || at > came+req.Wait {
+		t.Errorf("looked at again at %v", at)
+	}
+	r.turn(Arrived{ID: 2, Request: req, At: r.now - 2*req.Wait})
+	r.now++
+	r.turn()
+	if len(r.starts) != 1 || len(r.finals[2]) != 1 {
+		t.Errorf("%d starts, %+v", len(r.starts), r.finals)
+	}
+}
