Run the control side of brokers hollow in the rig, by the daemon's own constructor

TestHollowSaysTheSame: a whole and a hollow broker make the same calls to discovery and tell the same keepers of the same volumes. The rig's figures of agreement now count the traffic's time alone, without the start.

--- /dev/null
+++ b/cmd/wharflab/capacity.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/urfave/cli/v3"
+
+	"junctionwharf/internal/capacity"
+)
+
+func capacityCommand() *cli.Command {
+	raw := &cli.StringFlag{Name: "raw", Value: "docs/measurements/capacity", Usage: "`FOLDER` of the raw runs"}
+	return &cli.Command{
+		Name:  "capacity",
+		Usage: "measure the control side of a fleet by role, and make the tables of docs/CAPACITY.md",
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "play the cells of the grid that have no raw run yet, one at a time",
+				Flags: []cli.Flag{raw, &cli.StringFlag{Name: "program", Value: "bin/junctionwharf", Usage: "the broker; wharflab stands beside it"},
+					&cli.StringSliceFlag{Name: "cell", Usage: "`NAME` of one cell; without it all"}}, Action: runCapacity},
+			{Name: "page", Usage: "write the tables into the page",
+				Flags: []cli.Flag{raw, &cli.StringFlag{Name: "page", Value: "docs/CAPACITY.md"},
+					&cli.BoolFlag{Name: "whole", Usage: "fail where a cell of the grid has no raw run"}}, Action: writeCapacity},
+		},
+	}
+}
+
+func runCapacity(ctx context.Context, cmd *cli.Command) error {
+	if err := os.MkdirAll(cmd.String("raw"), 0o755); err != nil {
+		return err
+	}
+	for _, c := range capacity.Grid {
+		path := filepath.Join(cmd.String("raw"), c.Name()+".json")
+		if some := cmd.StringSlice("cell"); len(some) > 0 && !slices.Contains(some, c.Name()) {
+			continue
+		}
+		if _, err := os.Stat(path); !errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		report, err := playFleet(ctx, cmd.String("program"), c.Scenario(), 0)
+		if err != nil {
+			return fmt.Errorf("%s: %w", c.Name(), err)
+		}
+		printFleet(os.Stdout, "now", report)
+		text, err := json.Marshal(report)
+		if err == nil {
+			err = os.WriteFile(path, append(text, '\n'), 0o644)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeCapacity(_ context.Context, cmd *cli.Command) error {
+	runs, missing, err := capacity.Load(cmd.String("raw"))
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("whole") && len(missing) > 0 {
+		return fmt.Errorf("%s: there is no run of it", missing[0])
+	}
+	section, err := capacity.Render(runs, missing)
+	if err != nil {
+		return err
+	}
+	text, err := os.ReadFile(cmd.String("page"))
+	if err != nil {
+		return err
+	}
+	page, err := capacity.Replace(string(text), section)
+	if err != nil {
+		return fmt.Errorf("%s: %w", cmd.String("page"), err)
+	}
+	return os.WriteFile(cmd.String("page"), []byte(page), 0o644)
+}
--- /dev/null
+++ b/internal/capacity/capacity.go
@@ -0,0 +1,330 @@
+// Package capacity makes the tables of docs/CAPACITY.md from raw runs of the rig: what the control side of a broker costs by role and by the
+// size of the fleet, against the operators' budgets.
+package capacity
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/template"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"junctionwharf/internal/fleetrig"
+)
+
+// Cell is one run of the grid.
+type Cell struct {
+	Brokers int     // in all
+	Nodes   int     // one for each shard
+	Volumes int     // active at a broker for each request a second; 0: none, and no requests
+	ChangeS float64 // seconds between two changes of the agreed document
+	Seed    uint64
+}
+
+// Name is the cell's, and that of its file.
+func (c Cell) Name() string {
+	return fmt.Sprintf("b%d-n%d-v%d-c%g-s%d", c.Brokers, c.Nodes, c.Volumes, c.ChangeS, c.Seed)
+}
+
+// The plan, and the grid by which it is measured.
+const (
+	Planned   = 930
+	realOnes  = 20 // brokers that are whole processes
+	requests  = 10 // a second and broker
+	planS     = 20 // seconds between changes
+	forS      = 21
+	planNodes = 400 // at which sizes of the fleet are compared
+)
+
+// Grid are the cells of the page, in the order in which they are run.
+var Grid = []Cell{
+	{Planned, planNodes, 1, planS, 1}, {480, planNodes, 1, planS, 1}, {240, planNodes, 1, planS, 1}, {60, planNodes, 1, planS, 1},
+	{Planned, planNodes, 1, planS, 2}, {Planned, planNodes, 1, planS, 3}, {Planned, 1600, 1, planS, 1}, {Planned, 100, 1, planS, 1},
+	{240, 1600, 1, planS, 1}, {240, 100, 1, planS, 1}, {240, planNodes, 0, planS, 1}, {240, planNodes, 8, planS, 1},
+	{Planned, planNodes, 1, 1, 1}, {240, planNodes, 1, 1, 1},
+}
+
+// Scenario is what the rig plays for a cell.
+func (c Cell) Scenario() *fleetrig.Scenario {
+	s := &fleetrig.Scenario{Name: c.Name(), Seed: c.Seed, Brokers: min(realOnes, c.Brokers), Peers: true, Shards: c.Nodes, ForS: forS, Rate: requests, LimitMB: 192,
+		Node: fleetrig.Node{Count: c.Nodes, Zones: 6}, Agreement: fleetrig.Agreement{Voters: 7, ChangeS: c.ChangeS},
+		Hollow: fleetrig.Hollow{Brokers: max(0, c.Brokers-realOnes), Rate: requests, Volumes: requests * c.Volumes}}
+	if c.Volumes == 0 {
+		s.Rate, s.Hollow.Rate = 0.1, 0
+	}
+	return s
+}
+
+// Budget is what a broker's control side may cost.
+var Budget = struct{ Bytes, CPU, MemoryMB, ForceS float64 }{6000, 0.014, 256, 10}
+
+// Runs are the raw reports, by cell.
+type Runs map[string]*fleetrig.Report
+
+// Load reads the raw runs of all cells that a directory has, and names those that it lacks.
+func Load(dir string) (runs Runs, missing []string, err error) {
+	runs = Runs{}
+	for _, c := range Grid {
+		text, err := os.ReadFile(filepath.Join(dir, c.Name()+".json"))
+		if errors.Is(err, os.ErrNotExist) {
+			missing = append(missing, c.Name())
+			continue
+		}
+		var r fleetrig.Report
+		if err == nil {
+			err = json.Unmarshal(text, &r)
+		}
+		if err == nil && len(r.Costs) == 0 {
+			err = errors.New("no costs in it")
+		}
+		if err != nil {
+			return nil, nil, fmt.Errorf("%s: %w", c.Name(), err)
+		}
+		runs[c.Name()] = &r
+	}
+	return runs, missing, nil
+}
+
+// Roles are told apart by what a broker does for others.
+var Roles = []string{"leaf", "feeder", "voter", "leader"}
+
+// measures of a broker, and what of them a role is judged by: the one that has most of it.
+var measures = []struct {
+	name string
+	of   func(fleetrig.Cost) float64
+}{
+	{"bytes", func(c fleetrig.Cost) float64 { return c.Sent + c.Received }},
+	{"messages", func(c fleetrig.Cost) float64 { return c.Told + c.Heard }},
+	{"cpu", func(c fleetrig.Cost) float64 { return c.CPU }},
+	{"memory", func(c fleetrig.Cost) float64 { return c.MemoryMB }},
+}
+
+// of returns the mean and the most of a measure over the brokers of a role; processor time and memory are those of whole processes alone, where
+// there is one.
+func of(r *fleetrig.Report, role, measure string) (mean, most float64, n int) {
+	at := slices.IndexFunc(measures, func(m struct {
+		name string
+		of   func(fleetrig.Cost) float64
+	}) bool {
+		return m.name == measure
+	})
+	for _, c := range r.Costs {
+		if c.Role != role || c.Hollow && (measure == "cpu" || measure == "memory") {
+			continue
+		}
+		v := measures[at].of(c)
+		mean, most, n = mean+v, max(most, v), n+1
+	}
+	return mean / float64(max(1, n)), most, n
+}
+
+// Fit is how a measure grows with the number of brokers.
+type Fit struct {
+	Law  string // constant, linear, logarithmic or quadratic
+	A, B float64
+	R2   float64
+	N    int
+}
+
+// at is what it comes to.
+func (f Fit) at(x float64) float64 { return f.A + f.B*laws[f.Law](x) }
+
+var laws = map[string]func(float64) float64{
+	"constant": func(float64) float64 { return 0 }, "linear": func(x float64) float64 { return x }, "logarithmic": math.Log, "quadratic": func(x float64) float64 { return x * x },
+}
+
+// Best is the law that leaves least, of those with two figures each; where nothing changes it is constant.
+func Best(x, y []float64) Fit {
+	best := Fit{R2: math.Inf(-1), N: len(x)}
+	if slices.Max(y) == slices.Min(y) {
+		return Fit{Law: "constant", A: y[0], R2: 1, N: len(x)}
+	}
+	for _, law := range []string{"linear", "logarithmic", "quadratic"} {
+		t := make([]float64, len(x))
+		for i := range x {
+			t[i] = laws[law](x[i])
+		}
+		a, b := stat.LinearRegression(t, y, nil, false)
+		if r2 := stat.RSquared(t, y, nil, a, b); r2 > best.R2 {
+			best.Law, best.A, best.B, best.R2 = law, a, b, r2
+		}
+	}
+	return best
+}
+
+// interval is the half width of the 95% interval of a mean, 0 for a single value.
+func interval(values []float64) (mean, half float64) {
+	mean = stat.Mean(values, nil)
+	if n := float64(len(values)); n > 1 {
+		t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(0.975)
+		half = t * stat.StdDev(values, nil) / math.Sqrt(n)
+	}
+	return mean, half
+}
+
+// verdict compares with a budget: near is over two thirds.
+func verdict(v, budget float64) string {
+	switch {
+	case v > budget:
+		return fmt.Sprintf("beyond (%.1f times)", v/budget)
+	case v > budget*2/3:
+		return "near"
+	}
+	return "within"
+}
+
+// line is a row of the table by role.
+type line struct {
+	Role, Measure, Mean, Most, Budget, Verdict, Slope string
+}
+
+// view is what the template gets.
+type view struct {
+	Lines   []line
+	Cells   []string
+	Missing []string
+	Error   string
+}
+
+// Render makes the section of the page.
+func Render(runs Runs, missing []string) (string, error) {
+	v := view{Missing: missing}
+	var planned []*fleetrig.Report
+	for seed := uint64(1); seed <= 3; seed++ {
+		name := Cell{Planned, planNodes, 1, planS, seed}.Name()
+		if r := runs[name]; r != nil {
+			planned = append(planned, r)
+		}
+	}
+	if len(planned) == 0 {
+		return "", fmt.Errorf("%s: there is no run of it", Cell{Planned, planNodes, 1, planS, 1}.Name())
+	}
+	budgets := map[string]float64{"bytes": Budget.Bytes, "cpu": Budget.CPU, "memory": Budget.MemoryMB}
+	forms := map[string]string{"bytes": "%.0f", "messages": "%.1f", "cpu": "%.4f", "memory": "%.1f"}
+	words := map[string]string{"bytes": "bytes a second of agreement, sent and received", "messages": "messages a second to and from other brokers", "cpu": "part of a core, requests included", "memory": "MB, requests included"}
+	for _, role := range Roles {
+		for _, m := range measures {
+			var means, mosts []float64
+			for _, r := range planned {
+				if mean, most, n := of(r, role, m.name); n > 0 {
+					means, mosts = append(means, mean), append(mosts, most)
+				}
+			}
+			if len(means) == 0 {
+				continue
+			}
+			form := func(values []float64) string {
+				mean, half := interval(values)
+				if half == 0 {
+					return fmt.Sprintf(forms[m.name], mean)
+				}
+				return fmt.Sprintf(forms[m.name]+" ± "+forms[m.name], mean, half)
+			}
+			l := line{Role: role, Measure: words[m.name], Mean: form(means), Most: form(mosts)}
+			if b, has := budgets[m.name]; has {
+				l.Budget, l.Verdict = fmt.Sprintf("%g", b), verdict(slices.Max(mosts), b)
+			}
+			var x, y []float64
+			for _, c := range Grid {
+				if c.Nodes == planNodes && c.Volumes == 1 && c.ChangeS == planS && runs[c.Name()] != nil {
+					if _, most, n := of(runs[c.Name()], role, m.name); n > 0 {
+						x, y = append(x, float64(c.Brokers)), append(y, most)
+					}
+				}
+			}
+			if len(x) > 3 {
+				f := Best(x, y)
+				l.Slope = fmt.Sprintf("%s, R² %.2f of %d", f.Law, f.R2, f.N)
+			}
+			v.Lines = append(v.Lines, l)
+		}
+	}
+	for _, c := range Grid {
+		if r := runs[c.Name()]; r != nil {
+			v.Cells = append(v.Cells, row(c, r))
+		}
+	}
+	// how well a hollow broker stands for a real one: leaves of both kinds in the planned runs
+	var real, hollow []float64
+	for _, r := range planned {
+		for _, c := range r.Costs {
+			if c.Role == "leaf" && c.Hollow {
+				hollow = append(hollow, c.Sent+c.Received)
+			} else if c.Role == "leaf" {
+				real = append(real, c.Sent+c.Received)
+			}
+		}
+	}
+	if len(real) > 0 && len(hollow) > 0 {
+		a, b := stat.Mean(real, nil), stat.Mean(hollow, nil)
+		v.Error = fmt.Sprintf("Leaves of agreement at %d brokers: %.0f bytes a second for %d whole brokers, %.0f for %d hollow ones, %+.1f%%.", Planned, a, len(real), b, len(hollow), 100*(b/a-1))
+	}
+	var b strings.Builder
+	if err := page.Execute(&b, v); err != nil {
+		return "", err
+	}
+	return b.String(), nil
+}
+
+// row is what one cell came to.
+func row(c Cell, r *fleetrig.Report) string {
+	sum, most, cpu, whole := 0.0, 0.0, 0.0, 0
+	for _, k := range r.Costs {
+		sum += k.Sent + k.Received
+		most = max(most, k.Sent+k.Received)
+		if !k.Hollow {
+			cpu, whole = cpu+k.CPU, whole+1
+		}
+	}
+	force := "none"
+	longest := int64(0)
+	if a := r.Agreement; a != nil {
+		longest = a.LongestUS
+		if n := len(a.Spread); n > 0 {
+			force = fmt.Sprintf("%.0f, %.0f, %.0f (%d)", float64(a.Spread[n/2])/1000, float64(a.Spread[min(n-1, n*99/100)])/1000, float64(a.Spread[n-1])/1000, n)
+		}
+	}
+	return fmt.Sprintf("| %d | %d | %d | %g | %d | %d | %.0f | %.0f | %.4f | %.1f | %s | %.1f | %d |", c.Brokers, c.Nodes, c.Volumes, c.ChangeS, c.Seed, len(r.Costs),
+		sum/float64(len(r.Costs)), most, cpu/float64(max(1, whole)), float64(r.Sent)/forS/float64(c.Brokers), force, float64(longest)/1000, r.All.Lost+len(r.Breaches))
+}
+
+var page = template.Must(template.New("page").Parse(`By role at the planned size, three seeds where they were run: the mean over a role's brokers and the one with most, each with its 95%
+interval over seeds. The verdict is on the largest seen. Slopes are of the one with most, over 60, 240, 480 and 930 brokers.
+
+| role | measure | mean | most | budget | | grows with brokers |
+| --- | --- | --- | --- | --- | --- | --- |
+{{range .Lines}}| {{.Role}} | {{.Measure}} | {{.Mean}} | {{.Most}} | {{.Budget}} | {{.Verdict}} | {{.Slope}} |
+{{end}}
+{{.Error}}
+
+All cells that were run:
+
+| brokers | nodes | volumes a request | change each s | seed | brokers read | bytes/s mean | most | part of a core, whole brokers | datagrams/s a broker | in force, ms: p50, p99, largest (versions) | longest contradiction, ms | lost and breaches |
+| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |
+{{range .Cells}}{{.}}
+{{end}}
+{{if .Missing}}Not run: {{range $i, $c := .Missing}}{{if $i}}, {{end}}{{$c}}{{end}}.{{else}}All cells of the grid were run.{{end}}
+`))
+
+// The marks between which the section stands on the page.
+const (
+	Begin = "<!-- made by wharflab capacity page: begin -->\n"
+	End   = "<!-- made by wharflab capacity page: end -->\n"
+)
+
+// Replace puts the section into a page.
+func Replace(text, section string) (string, error) {
+	before, rest, begins := strings.Cut(text, Begin)
+	_, after, ends := strings.Cut(rest, End)
+	if !begins || !ends {
+		return "", errors.New("the page lacks the marks of the section")
+	}
+	return before + Begin + "\n" + section + "\n" + End + after, nil
+}
--- a/internal/daemon/agreement.go
+++ b/internal/daemon/agreement.go
@@ -19,19 +19,3 @@
 	}
 	return agreement.New(o, c.Settings.Logic, func(e broker.Event) { loop.Post(e) }, func() { loop.Wake() })
 }
-
-// agreed are the figures of the agreed document.
-func (s *service) agreed() []broker.Figure {
-	if s.agreement == nil {
-		return nil
-	}
-	return s.agreement.Figures()
-}
-
-// agreeCall answers operators, nil if there is nothing agreed.
-func (s *service) agreeCall() func(string) []byte {
-	if s.agreement == nil {
-		return nil
-	}
-	return s.agreement.Call
-}
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,156 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+
+	"junctionwharf/admission"
+	"junctionwharf/broker"
+	"junctionwharf/internal/config"
+	"junctionwharf/internal/console"
+	"junctionwharf/internal/discovery"
+	"junctionwharf/internal/members"
+	"junctionwharf/internal/metrics"
+	"junctionwharf/internal/peer"
+	"junctionwharf/internal/report"
+	"junctionwharf/logic"
+	"junctionwharf/node/agreement"
+)
+
+// control is what a broker does beside carrying requests: the core with its decisions, the watch of discovery and of other sources,
+// messages between brokers, the agreed document, and figures. The daemon puts fronts and connections to nodes to it; a hollow broker
+// draws what those would say.
+type control struct {
+	config    *config.Config // of the start
+	log       *slog.Logger
+	clock     *broker.Clock
+	loop      *broker.Loop
+	link      *peer.Link         // nil without peers
+	agreement *agreement.Service // nil if off
+	members   *members.Members
+	watcher   *discovery.Watcher
+	reporter  *report.Reporter
+	console   *console.Door          // nil if off
+	post      func(broker.Event)     // what discovery and the sources say
+	figures   func() []broker.Figure // the broker's own, as sinks get them
+	closes    []func()               // what ends with it, the last first
+}
+
+// newControl builds it; nothing runs yet, but ports are bound. Attempts of requests that name no transport go through transport; gate decides who
+// comes in, nil for everybody.
+func newControl(c *config.Config, transport broker.Transport, gate *admission.Door, log *slog.Logger) (k *control, err error) {
+	k = &control{config: c, log: log, clock: broker.NewClock()}
+	defer func() {
+		if err != nil {
+			k.close()
+		}
+	}()
+	c.Settings.Logic.Spread = c.Site.Spread.Options(c.Name)
+	state, err := broker.NewState(c.Settings.Logic, c.Seed)
+	if err != nil {
+		return nil, err
+	}
+	outside := broker.Outside{Log: log, Door: gate}
+	if c.PeerListen != "" && c.Settings.Logic.Bounds.Peers {
+		if k.link, err = peer.Open(c.PeerListen, c.Peers, c.PeersAll, c.Settings.Logic.Ordinal); err != nil {
+			return nil, err
+		}
+		k.closes = append(k.closes, func() { k.link.Close() })
+		outside.Tell = k.link.Tell
+	}
+	calls := &loopCalls{}
+	if c.Site.Agreement.On() {
+		if k.agreement, err = agreementOf(c, k.clock, calls, log); err != nil {
+			return nil, err
+		}
+		outside.Agreed = k.agreement.Turn
+	}
+	k.figures = func() []broker.Figure { return slices.Concat(k.loop.Figures.Read(), k.members.Figures(), k.agreed()) }
+	k.reporter = report.New(report.Options{Name: c.Name, Loop: calls, Figures: func() []broker.Figure { return k.figures() }, Log: log})
+	outside.Observe = k.reporter.Observe
+	k.loop = broker.NewLoop(state, k.clock, transport, outside)
+	calls.Loop = k.loop
+	k.post = k.loop.Post
+	if k.agreement != nil {
+		k.post = k.agreement.Listed
+	}
+	k.watcher = discovery.NewWatcher(c.Discovery, k.watch(c))
+	k.members = members.New(k.clock, k.post, log)
+	k.closes = append(k.closes, k.members.Close)
+	return k, nil
+}
+
+// open opens the operators' console, where there is one. check tells whether clients are taken, more are further figures.
+func (k *control) open(check func() error, more func() []broker.Figure) (err error) {
+	if k.config.Console == "" {
+		return nil
+	}
+	k.console, err = console.Open(k.config.Console, console.Calls{Check: check,
+		Vars: func() []byte {
+			return metrics.Statsd(slices.Concat(k.loop.Figures.Read(), k.reporter.Figures(), k.members.Figures(), k.agreed(), spreadFigures(k.loop.Parts()), more()))
+		}, Nodes: func() []byte { return append(k.members.Text(), spreadText(k.loop.Parts())...) }, Agree: k.agreeCall()}, k.log)
+	if err != nil {
+		return err
+	}
+	k.closes = append(k.closes, func() { k.console.Close() })
+	go k.console.Serve()
+	k.log.Info("serving", "what", "operators", "address", k.config.Console)
+	return nil
+}
+
+// run has it all run until ctx ends. known is the list that it held before, nil for none; hear takes peers' messages.
+func (k *control) run(ctx context.Context, known *discovery.List, hear func(broker.Heard)) error {
+	listed := k.post // what discovery says is the truth, or one word among others
+	if len(k.config.Site.Membership.Sources) > 0 {
+		if err := k.members.Follow(k.config.Site.Membership); err != nil {
+			return fmt.Errorf("membership: %w", err)
+		}
+		listed = k.members.Discovery
+		if known != nil {
+			k.members.Known(known.Event(logic.ListCached, k.clock))
+		}
+	} else if known != nil {
+		k.post(known.Event(logic.ListCached, k.clock))
+	}
+	go k.loop.Run(ctx)
+	if k.agreement != nil {
+		go k.agreement.Run(ctx)
+	}
+	go k.watcher.Run(ctx, k.clock, listed)
+	if k.link != nil {
+		go k.link.Run(hear)
+	}
+	return nil
+}
+
+// close ends what run does not.
+func (k *control) close() {
+	for _, end := range slices.Backward(k.closes) {
+		end()
+	}
+}
+
+// watch is what a configuration says of the watch of discovery.
+func (k *control) watch(c *config.Config) discovery.Options {
+	set := c.Settings.Logic
+	return discovery.Options{Brokers: set.Hosts, Grace: set.Rules.DrainGrace, Asked: set.Subscribe, Local: net.ParseIP(c.Local), Log: k.log}
+}
+
+// agreed are the figures of the agreed document.
+func (k *control) agreed() []broker.Figure {
+	if k.agreement == nil {
+		return nil
+	}
+	return k.agreement.Figures()
+}
+
+// agreeCall answers operators, nil if there is nothing agreed.
+func (k *control) agreeCall() func(string) []byte {
+	if k.agreement == nil {
+		return nil
+	}
+	return k.agreement.Call
+}
--- /dev/null
+++ b/internal/daemon/hollow.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"junctionwharf/broker"
+	"junctionwharf/internal/config"
+	"junctionwharf/logic"
+)
+
+// Demand is what a hollow broker's clients and nodes are drawn to do.
+type Demand struct {
+	Rate    float64       // requests a second, each of its own time; 0 for none
+	Volumes int           // drawn from evenly, the same ones at all brokers; at least 1
+	Answer  time.Duration // a node's time for a request, in the mean; exponential
+	Seed    uint64
+}
+
+// Hollow runs the side of a broker that carries no requests, as Serve builds it, until ctx ends: the watch of discovery, the agreed
+// document, messages between brokers, figures, and the decisions on requests that are drawn and never sent. Many may run in one process. It
+// measures what that side costs in a fleet larger than a machine could hold as processes.
+func Hollow(ctx context.Context, c *config.Config, demand Demand, log *slog.Logger) error {
+	k, err := newControl(c, &drawn{random: rand.New(rand.NewPCG(demand.Seed, 2)), answer: demand.Answer}, nil, log)
+	if err != nil {
+		return err
+	}
+	defer k.close()
+	if err := k.open(func() error { return errors.New("no clients are taken: this broker is hollow") }, func() []broker.Figure { return nil }); err != nil {
+		return err
+	}
+	if err := k.run(ctx, c.Known, func(e broker.Heard) { k.loop.Post(e) }); err != nil {
+		return err
+	}
+	k.reporter.Retune(reportOf(c))
+	go k.reporter.Run(ctx)
+	k.demand(ctx, demand)
+	<-ctx.Done()
+	return nil
+}
+
+// demand has drawn requests come until ctx ends.
+func (k *control) demand(ctx context.Context, d Demand) {
+	set := k.config.Settings.Logic
+	random := rand.New(rand.NewPCG(d.Seed, 1))
+	for d.Rate > 0 {
+		timer := time.NewTimer(time.Duration(random.ExpFloat64() / d.Rate * float64(time.Second)))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		class, volume := set.Classes[random.IntN(len(set.Classes))], random.IntN(max(1, d.Volumes))
+		k.loop.Submit(&broker.Request{Class: class.Name, Plan: set.Plans[volume%len(set.Plans)].Name, Volume: volumeName(volume), Units: 1,
+			Shard: random.IntN(max(1, k.config.Settings.Shards)), Hosts: set.Hosts, Wait: broker.MicrosOf(class.Deadline), Write: class.Effect != logic.Safe}, func(broker.Final) {})
+	}
+}
+
+func volumeName(n int) string {
+	const digits = "0123456789abcdef"
+	name := []byte("0000000000000000")
+	for i := len(name) - 1; n > 0; i, n = i-1, n>>4 {
+		name[i] = digits[n&15]
+	}
+	return string(name)
+}
+
+// drawn answers attempts after drawn times, without a node. The loop calls it from one goroutine.
+type drawn struct {
+	random *rand.Rand
+	answer time.Duration
+}
+
+// Start implements broker.Transport.
+func (d *drawn) Start(a broker.Attempt, done func(broker.Result)) broker.Handle {
+	a.Written()
+	took := time.Duration(d.random.ExpFloat64() * float64(d.answer))
+	return (*pending)(time.AfterFunc(took, func() { done(broker.Result{Load: logic.NoLoad}) }))
+}
+
+// Probe implements broker.Transport.
+func (d *drawn) Probe(_ string, done func(broker.Result)) {
+	go done(broker.Result{Load: logic.NoLoad})
+}
+
+// CloseIdle implements broker.Transport.
+func (d *drawn) CloseIdle(string) {}
+
+// pending is an attempt whose answer is drawn.
+type pending time.Timer
+
+// Stop implements broker.Handle.
+func (p *pending) Stop() broker.Progress {
+	(*time.Timer)(p).Stop()
+	return broker.WrittenWhole
+}
+
+// Halt implements broker.Handle. What was written whole stays.
+func (p *pending) Halt() {}
+
+// Abandon implements broker.Handle, as Halt.
+func (p *pending) Abandon() {}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -19,18 +19,13 @@
 	"junctionwharf/broker"
 	"junctionwharf/internal/collectd"
 	"junctionwharf/internal/config"
-	"junctionwharf/internal/console"
 	"junctionwharf/internal/discovery"
 	"junctionwharf/internal/handover"
-	"junctionwharf/internal/members"
-	"junctionwharf/internal/metrics"
-	"junctionwharf/internal/peer"
 	"junctionwharf/internal/pool"
 	"junctionwharf/internal/report"
 	"junctionwharf/internal/resp"
 	"junctionwharf/internal/sftp"
 	"junctionwharf/logic"
-	"junctionwharf/node/agreement"
 )
 
 const (
@@ -76,39 +71,22 @@
 		debug.SetGCPercent(gcPercent)
 	}
 
-	c.Settings.Logic.Spread = c.Site.Spread.Options(c.Name)
-	state, err := broker.NewState(c.Settings.Logic, c.Seed)
-	if err != nil {
-		return err
-	}
-	clock := broker.NewClock()
 	local := net.ParseIP(c.Local)
 	size := sizesOf(c, 1)
 	options := pool.Options{ConnectTimeout: c.Settings.ConnectTimeout.Duration(),
 		Idle: c.Settings.ConnIdle.Duration(), Settle: settle, Sockets: size.nodes, Local: local, Log: log}
 	nodes := pool.New(options)
-	outside := broker.Outside{Log: log, Door: c.Site.Admission.Door(c.Settings.Logic, size.crowd)}
-	var link *peer.Link
-	if c.PeerListen != "" && c.Settings.Logic.Bounds.Peers {
-		if link, err = peer.Open(c.PeerListen, c.Peers, c.PeersAll, c.Settings.Logic.Ordinal); err != nil {
-			return err
-		}
-		defer link.Close()
-		outside.Tell = link.Tell
-	}
-	s := &service{config: c, log: log}
-	calls := &loopCalls{}
-	if c.Site.Agreement.On() {
-		if s.agreement, err = agreementOf(c, clock, calls, log); err != nil {
-			return err
-		}
-		outside.Agreed = s.agreement.Turn
+	gate := c.Site.Admission.Door(c.Settings.Logic, size.crowd)
+	k, err := newControl(c, resp.NewNodes(nodes), gate, log)
+	if err != nil {
+		return err
+	}
+	defer k.close()
+	s, loop := &service{control: k}, k.loop
+	k.figures = func() []broker.Figure {
+		return slices.Concat(loop.Figures.Read(), s.members.Figures(), s.agreed(), []broker.Figure{{Name: "clients", Value: uint64(clients(s.fronts))}})
 	}
-	s.reporter = report.New(report.Options{Name: c.Name, Loop: calls, Figures: s.figures, Log: log})
-	outside.Observe = s.reporter.Observe
-	loop := broker.NewLoop(state, clock, resp.NewNodes(nodes), outside)
-	calls.Loop = loop
-	s.loop, s.watcher, s.pools = loop, discovery.NewWatcher(c.Discovery, s.watch(c)), []*pool.Pool{nodes}
+	s.pools = []*pool.Pool{nodes}
 	s.front = resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), size.clients, size.easy, size.requests, log)
 	s.front.TurnAway(size.aside)
 	s.fronts = []drainer{s.front}
@@ -123,51 +101,19 @@
 
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	post := loop.Post // what discovery and the sources say
-	if s.agreement != nil {
-		post = s.agreement.Listed
-	}
-	s.members = members.New(clock, post, log)
-	defer s.members.Close()
-	if c.Console != "" {
-		door, err := console.Open(c.Console, console.Calls{Check: s.check,
-			Vars: func() []byte {
-				return metrics.Statsd(slices.Concat(loop.Figures.Read(), s.reporter.Figures(), s.members.Figures(), s.agreed(),
-					spreadFigures(loop.Parts()), []broker.Figure{{Name: "connections_turned_away", Value: s.front.TurnedAway(), Counter: true}}))
-			}, Nodes: func() []byte { return append(s.members.Text(), spreadText(loop.Parts())...) }, Agree: s.agreeCall()}, log)
-		if err != nil {
-			return err
-		}
-		defer door.Close()
-		go door.Serve()
-		log.Info("serving", "what", "operators", "address", c.Console)
+	if err := k.open(s.check, func() []broker.Figure {
+		return []broker.Figure{{Name: "connections_turned_away", Value: s.front.TurnedAway(), Counter: true}}
+	}); err != nil {
+		return err
 	}
 	s.join()
 	defer s.part()
-	listed := post // what discovery says is the truth, or one word among others
-	known := s.known()
-	if len(c.Site.Membership.Sources) > 0 {
-		if err := s.members.Follow(c.Site.Membership); err != nil {
-			return fmt.Errorf("membership: %w", err)
-		}
-		listed = s.members.Discovery
-		if known != nil {
-			s.members.Known(known.Event(logic.ListCached, clock))
-		}
-	} else if known != nil {
-		post(known.Event(logic.ListCached, clock))
-	}
-	go loop.Run(running)
-	if s.agreement != nil {
-		go s.agreement.Run(running)
+	if err := k.run(running, s.known(), s.hear); err != nil {
+		return err
 	}
-	if outside.Door != nil {
+	if gate != nil {
 		go watchPressure(running, loop)
 	}
-	go s.watcher.Run(running, clock, listed)
-	if link != nil {
-		go link.Run(s.hear)
-	}
 	for _, p := range s.pools {
 		go retire(running, p)
 	}
@@ -269,18 +215,12 @@
 
 // service is a running broker.
 type service struct {
-	config    *config.Config // of the start
-	loop      *broker.Loop
-	watcher   *discovery.Watcher
+	*control
 	pools     []*pool.Pool
-	reporter  *report.Reporter
-	members   *members.Members
-	agreement *agreement.Service // nil if off
 	front     *resp.Front
 	files     *sftp.Front // nil if off
 	fronts    []drainer
 	listeners []net.Listener
-	log       *slog.Logger
 
 	office  *handover.Office // nil if there can be no handover
 	beside  bool             // another process may serve beside this one, and would not be met
@@ -349,12 +289,6 @@
 	s.limited.Store(slices.ContainsFunc(set.Plans, func(p logic.Plan) bool { return p.Limit > 0 }))
 }
 
-// watch is what a configuration says of the watch of discovery.
-func (s *service) watch(c *config.Config) discovery.Options {
-	set := c.Settings.Logic
-	return discovery.Options{Brokers: set.Hosts, Grace: set.Rules.DrainGrace, Asked: set.Subscribe, Local: net.ParseIP(c.Local), Log: s.log}
-}
-
 // reportOf is what a configuration says of sinks of figures.
 func reportOf(c *config.Config) report.Settings {
 	return report.Settings{Registry: c.Site.Telemetry.Options(c.Settings.Logic), Graphite: c.Site.Graphite, Collectd: c.Site.Collectd}
@@ -428,11 +362,6 @@
 	return sum
 }
 
-// figures are the broker's own, as sinks get them.
-func (s *service) figures() []broker.Figure {
-	return slices.Concat(s.loop.Figures.Read(), s.members.Figures(), s.agreed(), []broker.Figure{{Name: "clients", Value: uint64(clients(s.fronts))}})
-}
-
 // loopCalls stands for the loop before there is one: the reporter hears its facts, and asks it for cuts.
 type loopCalls struct{ *broker.Loop }
 
--- a/internal/fleetrig/agreement.go
+++ b/internal/fleetrig/agreement.go
@@ -280,33 +280,13 @@
 	return ends
 }
 
-// spent reads what agreeing costs the brokers that run.
-func (r *Rig) spent(rep *AgreementReport) {
-	span := (Now() - r.journal.began).Seconds()
-	brokers := 0.0
-	for i, p := range r.brokers {
-		if p.isDown() {
-			continue
-		}
-		text, err := console.Ask(r.address(1, i, 7001), "vars", 2*time.Second)
-		if err != nil {
-			continue
-		}
-		for line := range strings.SplitSeq(string(text), "\n") {
-			if _, value, found := strings.Cut(line, "agree_bytes_sent:"); found {
-				n, _ := strconv.ParseFloat(strings.TrimSuffix(value, "|c"), 64)
-				rep.BytesS += n / span
-				rep.MostS = max(rep.MostS, n/span)
-			}
-		}
-		if status, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.command.Process.Pid)); err == nil {
-			var size, resident float64
-			fmt.Sscan(string(status), &size, &resident)
-			rep.MemoryMB += resident * float64(os.Getpagesize()) / (1 << 20)
-		}
-		brokers++
+// spent sums up what agreeing cost the brokers.
+func (rep *AgreementReport) spent(costs []Cost) {
+	for _, c := range costs {
+		rep.BytesS += c.Sent / float64(len(costs))
+		rep.MostS = max(rep.MostS, c.Sent)
+		rep.MemoryMB += c.MemoryMB / float64(len(costs))
 	}
-	rep.BytesS, rep.MemoryMB = rep.BytesS/max(1, brokers), rep.MemoryMB/max(1, brokers)
 }
 
 // span is for how long a process acted on one view.
--- a/internal/fleetrig/steps.go
+++ b/internal/fleetrig/steps.go
@@ -16,7 +16,7 @@
 // broker means all.
 func (r *Rig) Do(requests int, write bool, brokers ...int) map[string]int {
 	if len(brokers) == 0 {
-		for i := range r.brokers {
+		for i := range r.brokers[:r.scenario.Brokers] {
 			brokers = append(brokers, i)
 		}
 	}
