Let machines set aside carry the agreed document: junctionwharf control

A process without clients that votes and feeds (daemon.Control, by the constructor that Serve and Hollow use); brokers without agreement.listen feed nobody and keep to what they serve. Off unless set up so; [agreement] control = true in a scenario of the rig.

--- a/cmd/junctionwharf/main.go
+++ b/cmd/junctionwharf/main.go
@@ -54,6 +54,7 @@
 		Usage: "broker in front of storage nodes",
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "serve until SIGTERM; SIGHUP rereads the configuration", Flags: slices.Concat(logFlags, flags, serveFlags), Action: serveCommand},
+			{Name: "control", Usage: "vote on the agreed document and feed brokers until SIGTERM, without clients: for machines set aside", Flags: slices.Concat(logFlags, flags), Action: controlCommand},
 			{Name: "check", Usage: "check the configuration and say what it holds", Flags: flags, Action: checkCommand},
 			{Name: "nodes", Usage: "print the list of storage nodes, from a running broker's console or else from its sources", Flags: flags, Action: nodesCommand},
 			agreeCommand(),
@@ -93,6 +94,20 @@
 	return daemon.Serve(ctx, c, log, reload, func() (*config.Config, error) { return load(cmd) })
 }
 
+func controlCommand(ctx context.Context, cmd *cli.Command) error {
+	c, err := load(cmd)
+	if err != nil {
+		return err
+	}
+	log, err := logger(cmd, c.Name)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return daemon.Control(ctx, c, log)
+}
+
 // askTime is how long sources are asked where no broker runs.
 const askTime = 3 * time.Second
 
--- a/internal/daemon/hollow.go
+++ b/internal/daemon/hollow.go
@@ -9,6 +9,7 @@
 
 	"junctionwharf/broker"
 	"junctionwharf/internal/config"
+	"junctionwharf/internal/pool"
 	"junctionwharf/logic"
 )
 
@@ -42,6 +43,47 @@
 	return nil
 }
 
+// Control runs what a machine set aside for control does, until ctx ends: it votes on the agreed document, and feeds brokers that feed
+// nobody themselves. It takes no clients and sends nothing to storage nodes.
+func Control(ctx context.Context, c *config.Config, log *slog.Logger) error {
+	if !c.Site.Agreement.On() || c.Site.Agreement.Listen == "" {
+		return errors.New("agreement: no cluster and listen: a process for control has nothing else to do")
+	}
+	k, err := newControl(c, nowhere{}, nil, log)
+	if err != nil {
+		return err
+	}
+	defer k.close()
+	if err := k.open(func() error { return nil }, func() []broker.Figure { return nil }); err != nil {
+		return err
+	}
+	if err := k.run(ctx, c.Known, func(e broker.Heard) { k.loop.Post(e) }); err != nil {
+		return err
+	}
+	k.reporter.Retune(reportOf(c))
+	go k.reporter.Run(ctx)
+	log.Info("serving", "what", "control", "address", c.Site.Agreement.Listen)
+	<-ctx.Done()
+	log.Info("stopped")
+	return nil
+}
+
+// nowhere is the transport of a process that has no requests: none is ever started.
+type nowhere struct{}
+
+// Start implements broker.Transport.
+func (nowhere) Start(_ broker.Attempt, done func(broker.Result)) broker.Handle {
+	return pool.Refuse(errors.New("a process for control sends nothing"), done)
+}
+
+// Probe implements broker.Transport.
+func (nowhere) Probe(_ string, done func(broker.Result)) {
+	go done(broker.Result{Err: &broker.AttemptError{Progress: broker.NotConnected, Err: errors.New("a process for control sends nothing")}, Load: logic.NoLoad})
+}
+
+// CloseIdle implements broker.Transport.
+func (nowhere) CloseIdle(string) {}
+
 // demand has drawn requests come until ctx ends.
 func (k *control) demand(ctx context.Context, d Demand) {
 	set := k.config.Settings.Logic
--- a/internal/fleetrig/agreement.go
+++ b/internal/fleetrig/agreement.go
@@ -27,6 +27,7 @@
 	Feeds   int     `toml:"feeds"`    // brokers that hear from one; 0: the daemon's own
 	Disk    bool    `toml:"disk"`     // voters keep their state over restarts
 	Floor   float64 `toml:"floor"`    // of the limit of plan basico; 0: it is not agreed on
+	Control bool    `toml:"control"`  // the voters are processes for control, without clients, and all others feed nobody
 	ChangeS float64 `toml:"change_s"` // a change is proposed at a drawn broker each so many seconds; 0: none
 }
 
@@ -36,6 +37,8 @@
 		return fmt.Errorf("agreement.voters: %d is none of 3, 5 and 7, or more than brokers", a.Voters)
 	case a.BoundMS < 0 || a.Feeds < 0 || a.Floor < 0 || a.ChangeS < 0:
 		return fmt.Errorf("agreement: bound_ms, feeds, floor and change_s can't be negative")
+	case a.Control && (a.Voters == 0 || a.Voters == brokers):
+		return fmt.Errorf("agreement.control: voters and brokers beside them are wanted")
 	case a.Voters == 0 && a.ChangeS > 0:
 		return fmt.Errorf("agreement.change_s: there are no voters")
 	}
@@ -49,12 +52,17 @@
 		return ""
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "\n[agreement]\ncluster = \"rig\"\nlisten = %q\n", r.address(1, number, 7003))
+	b.WriteString("\n[agreement]\ncluster = \"rig\"\n")
+	if !a.Control || number < a.Voters {
+		fmt.Fprintf(&b, "listen = %q\n", r.address(1, number, 7003))
+	}
 	if a.BoundMS > 0 {
 		fmt.Fprintf(&b, "bound_ms = %v\n", a.BoundMS)
 	}
-	if a.Feeds > 0 {
-		fmt.Fprintf(&b, "feeds = %d\n", a.Feeds)
+	if feeds := a.Feeds; feeds > 0 {
+		fmt.Fprintf(&b, "feeds = %d\n", feeds)
+	} else if a.Control { // with two of them gone the others still feed all
+		fmt.Fprintf(&b, "feeds = %d\n", max(2, r.scenario.total()/max(1, a.Voters-2)))
 	}
 	if a.Disk && number < a.Voters {
 		dir := filepath.Join(home, "state")
@@ -239,6 +247,11 @@
 	return -1, fmt.Errorf("nobody leads")
 }
 
+// controls tells whether a broker is a process for control.
+func (r *Rig) controls(number int) bool {
+	return r.scenario.Agreement.Control && number < r.scenario.Agreement.Voters
+}
+
 // AgreementReport is what a run's agreement came to.
 type AgreementReport struct {
 	Contradiction
--- a/internal/fleetrig/agreement_test.go
+++ b/internal/fleetrig/agreement_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -392,3 +393,87 @@
 	rig.served(t, 10, true)
 	rig.served(t, 10, false)
 }
+
+// Control by machines set aside: brokers feed nobody, the voters take no clients. The leader dies in the middle of a change: it is in force at
+// all or at none, and the next one is in force at all. Requests go on all the while.
+func TestControlDiesInAChange(t *testing.T) {
+	rig, ctx, leader := agreeing(t, Agreement{Control: true})
+	for b := 3; b < len(rig.brokers); b++ {
+		s, err := rig.agreeStatus(b)
+		if err != nil || s.Role != "follower" || len(s.Children) > 0 || len(s.Path) != 1 {
+			t.Errorf("broker-%d: %+v, %v", b, s, err)
+		}
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		rig.change(t, 4, 1, "plan.basico.limit", "2000")
+	}()
+	if _, err := rig.AgreeUntil(ctx, 4, func(s agreement.Status) bool { return s.Preparing == 2 || s.Version >= 2 }); err != nil {
+		t.Fatal(err)
+	}
+	rig.end(rig.brokers[leader], syscall.SIGKILL)
+	rig.served(t, 10, false)
+	<-ended
+	left := slices.DeleteFunc([]int{0, 1, 2}, func(b int) bool { return b == leader })
+	s, err := rig.AgreeUntil(ctx, left[0], func(s agreement.Status) bool { return !s.Restricted && s.Preparing == 0 })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for version := uint64(0); version == 0; {
+		if ctx.Err() != nil {
+			t.Fatal("no change was taken")
+		}
+		if s, err = rig.agreeStatus(5); err != nil {
+			t.Fatal(err)
+		}
+		if version, _ = rig.change(t, 5, s.Version, "plan.basico.limit", "3000"); version > 0 {
+			rig.all(t, ctx, at(version), leader)
+		}
+	}
+	rig.served(t, 10, false)
+}
+
+// All machines of control are gone: brokers serve on, restricted, and say so. When they are back, with nothing kept, the brokers have what was
+// in force again, and a change is in force at all.
+func TestControlIsGone(t *testing.T) {
+	rig, ctx, _ := agreeing(t, Agreement{Control: true})
+	v, kind := rig.change(t, 3, 1, "plan.basico.limit", "2000")
+	if v != 2 {
+		t.Fatalf("%d, %q", v, kind)
+	}
+	rig.all(t, ctx, at(2))
+	for b := range 3 {
+		rig.end(rig.brokers[b], syscall.SIGKILL)
+	}
+	rig.all(t, ctx, func(s agreement.Status) bool { return s.Restricted }, 0, 1, 2)
+	rig.served(t, 20, false)
+	if v, _ := rig.change(t, 3, 2, "plan.basico.limit", "3000"); v > 0 {
+		t.Error("a change was taken by nobody")
+	}
+	for b := range 3 {
+		if err := rig.launch(rig.brokers[b], rig.registry.known()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for b := range 3 {
+		if err := rig.ready(ctx, rig.brokers[b]); err != nil {
+			t.Fatal(err)
+		}
+		rig.brokers[b].setDown(false)
+	}
+	rig.all(t, ctx, at(2))
+	if text, err := rig.Agree(4, "export"); err != nil || !strings.Contains(text, "2000") {
+		t.Errorf("%s, %v", text, err)
+	}
+	s, err := rig.agreeStatus(4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v, kind := rig.change(t, 4, s.Version, "plan.basico.limit", "3000"); v <= s.Version {
+		t.Errorf("version %d, %q", v, kind)
+	} else {
+		rig.all(t, ctx, at(v))
+	}
+	rig.served(t, 10, false)
+}
--- a/internal/fleetrig/play.go
+++ b/internal/fleetrig/play.go
@@ -220,6 +220,9 @@
 		usual = s.Rate * (float64(s.Brokers) - float64(hot)*s.Uneven) / float64(s.Brokers-hot)
 	}
 	for i, p := range r.brokers[:s.Brokers] {
+		if r.controls(i) {
+			continue
+		}
 		c := &client{rig: r, broker: p, random: rand.New(rand.NewPCG(s.Seed, 5000+uint64(i))), rate: max(usual, s.Rate/10)}
 		if i < hot {
 			c.rate = s.Rate * s.Uneven
--- a/internal/fleetrig/steps.go
+++ b/internal/fleetrig/steps.go
@@ -17,7 +17,9 @@
 func (r *Rig) Do(requests int, write bool, brokers ...int) map[string]int {
 	if len(brokers) == 0 {
 		for i := range r.brokers[:r.scenario.Brokers] {
-			brokers = append(brokers, i)
+			if !r.controls(i) {
+				brokers = append(brokers, i)
+			}
 		}
 	}
 	var wait sync.WaitGroup
