--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -110,11 +110,14 @@
 	{"bytes", func(c fleetrig.Cost) float64 { return c.Sent + c.Received }},
 	{"messages", func(c fleetrig.Cost) float64 { return c.Told + c.Heard }},
 	{"cpu", func(c fleetrig.Cost) float64 { return c.CPU }},
+	{"hollow cpu", func(c fleetrig.Cost) float64 { return c.CPU }},
 	{"memory", func(c fleetrig.Cost) float64 { return c.MemoryMB }},
 }
 
-// of returns the mean and the most of a measure over the brokers of a role; processor time and memory are those of whole processes alone, where
-// there is one.
+// whole tells whether a measure is taken of whole brokers alone, or of hollow ones alone.
+var whole = map[string]bool{"cpu": true, "memory": true, "hollow cpu": false}
+
+// of returns the mean and the most of a measure over the brokers of a role.
 func of(r *fleetrig.Report, role, measure string) (mean, most float64, n int) {
 	at := slices.IndexFunc(measures, func(m struct {
 		name string
@@ -123,7 +126,7 @@
 		return m.name == measure
 	})
 	for _, c := range r.Costs {
-		if c.Role != role || c.Hollow && (measure == "cpu" || measure == "memory") {
+		if is, only := whole[measure]; c.Role != role || only && c.Hollow == is {
 			continue
 		}
 		v := measures[at].of(c)
@@ -200,6 +203,12 @@
 	Error   string
 }
 
+// A law is named over so many sizes at least, and where it explains most of what differs.
+const (
+	leastSizes = 3
+	leastR2    = 0.7
+)
+
 // plannedRuns are those at the planned size, by seed.
 func plannedRuns(runs Runs, control bool) (planned []*fleetrig.Report) {
 	for seed := uint64(1); seed <= 3; seed++ {
@@ -211,10 +220,10 @@
 }
 
 var (
-	budgets = map[string]float64{"bytes": Budget.Bytes, "cpu": Budget.CPU, "memory": Budget.MemoryMB}
-	forms   = map[string]string{"bytes": "%.0f", "messages": "%.1f", "cpu": "%.4f", "memory": "%.1f"}
+	budgets = map[string]float64{"bytes": Budget.Bytes, "hollow cpu": Budget.CPU, "memory": Budget.MemoryMB}
+	forms   = map[string]string{"bytes": "%.0f", "messages": "%.1f", "cpu": "%.4f", "hollow cpu": "%.4f", "memory": "%.1f"}
 	words   = map[string]string{"bytes": "bytes a second of agreement, sent and received", "messages": "messages a second to and from other brokers",
-		"cpu": "part of a core, requests included", "memory": "MB, requests included"}
+		"cpu": "part of a core, whole brokers, their requests included", "hollow cpu": "part of a core, hollow brokers: their part of a process", "memory": "MB, requests included"}
 )
 
 // lineOf is the row of a role and a measure; any is false where no run has the role.
@@ -253,8 +262,12 @@
 			}
 		}
 	}
-	if len(x) > 3 {
-		f := Best(x, y)
+	if len(slices.Compact(slices.Sorted(slices.Values(x)))) < leastSizes {
+		return l, true
+	}
+	if f := Best(x, y); f.R2 < leastR2 {
+		l.Slope = fmt.Sprintf("not clear: the best, %s, has R² %.2f of %d", f.Law, f.R2, f.N)
+	} else {
 		l.Slope = fmt.Sprintf("%s, R² %.2f of %d", f.Law, f.R2, f.N)
 	}
 	return l, true
@@ -296,6 +309,12 @@
 		a, b := stat.Mean(real, nil), stat.Mean(hollow, nil)
 		v.Error = fmt.Sprintf("Leaves of agreement at %d brokers: %.0f bytes a second for %d whole brokers, %.0f for %d hollow ones, %+.1f%%.", Planned, a, len(real), b, len(hollow), 100*(b/a-1))
 	}
+	if r := runs[Cell{240, planNodes, 0, planS, 1, false}.Name()]; r != nil {
+		a, _, n := of(r, "leaf", "cpu")
+		if b, _, m := of(r, "leaf", "hollow cpu"); n > 0 && m > 0 {
+			v.Error += fmt.Sprintf(" Processor time of leaves without requests, 240 brokers: %.4f of a core for %d whole ones, %.4f for %d hollow ones, %+.0f%%.", a, n, b, m, 100*(b/a-1))
+		}
+	}
 	var b strings.Builder
 	if err := page.Execute(&b, v); err != nil {
 		return "", err
@@ -325,8 +344,8 @@
 	if c.Control {
 		by = "set aside"
 	}
-	return fmt.Sprintf("| %s | %d | %d | %d | %g | %d | %d | %.0f | %.0f | %.4f | %.1f | %s | %.1f | %d |", by, c.Brokers, c.Nodes, c.Volumes, c.ChangeS, c.Seed, len(r.Costs),
-		sum/float64(len(r.Costs)), most, cpu/float64(max(1, whole)), float64(r.Sent)/forS/float64(c.Brokers), force, float64(longest)/1000, r.All.Lost+len(r.Breaches))
+	return fmt.Sprintf("| %s | %d | %d | %d | %g | %d | %d | %.0f | %.0f | %.4f | %.0f | %s | %.1f | %d |", by, c.Brokers, c.Nodes, c.Volumes, c.ChangeS, c.Seed, len(r.Costs),
+		sum/float64(len(r.Costs)), most, cpu/float64(max(1, whole)), float64(r.Sent)/float64(c.Brokers), force, float64(longest)/1000, r.All.Lost+len(r.Breaches))
 }
 
 var page = template.Must(template.New("page").Parse(`By role at the planned size, three seeds where they were run: the mean over a role's brokers and the one with most, each with its 95%
@@ -340,7 +359,7 @@
 
 All cells that were run:
 
-| control by | brokers | nodes | volumes a request | change each s | seed | brokers read | bytes/s mean | most | part of a core, whole brokers | datagrams/s a broker | in force, ms: p50, p99, largest (versions) | longest contradiction, ms | lost and breaches |
+| control by | brokers | nodes | volumes a request | change each s | seed | brokers read | bytes/s mean | most | part of a core, whole brokers | datagrams a broker, start included | in force, ms: p50, p99, largest (versions) | longest contradiction, ms | lost and breaches |
 | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |
 {{range .Cells}}{{.}}
 {{end}}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -64,6 +64,25 @@
 	}
 }
 
+// The page and the raw runs agree: nothing between its marks was written by hand.
+func TestPageIsOfTheRawRuns(t *testing.T) {
+	runs, missing, err := Load("../../docs/measurements/capacity")
+	if err != nil {
+		t.Fatal(err)
+	}
+	section, err := Render(runs, missing)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile("../../docs/CAPACITY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if page, err := Replace(string(text), section); err != nil || page != string(text) {
+		t.Errorf("docs/CAPACITY.md is not what `wharflab capacity page` makes of docs/measurements/capacity: %v", err)
+	}
+}
+
 // A raw file that can't be read, or says nothing, is named; one that is not there is missing.
 func TestLoad(t *testing.T) {
 	dir := t.TempDir()
