Keep the rig's lines at their moment when the axis of a run begins

With short starts the error was small; figures of agreement's tests do not pass through Play. TestLinesKeepTheirMoment fails without the change.

--- a/internal/fleetrig/fleetrig_test.go
+++ b/internal/fleetrig/fleetrig_test.go
@@ -567,6 +567,31 @@
 	}
 }
 
+// A broker acted on a version as the rig started, long before the traffic that the axis begins with, and on the next one in it. Once the axis of
+// the first was not moved along, and it seemed to have acted on it seconds after others acted on the next.
+func TestLinesKeepTheirMoment(t *testing.T) {
+	j := &journal{stories: map[string]*story{}, began: Now() - 9*time.Second}
+	r := &Rig{journal: j}
+	acts := func(process string, at time.Duration, version string) {
+		j.line(Line{At: at - j.began, Process: process, Text: "acts", Keys: map[string]string{"epoch": "7", "version": version, "before_us": "1000"}})
+	}
+	now := Now()
+	for _, p := range []string{"a", "b"} {
+		acts(p, now-2*time.Second, "1")
+	}
+	j.begin(now)
+	acts("a", now+time.Second, "2")
+	acts("b", now+time.Second, "2")
+	if c := r.Contradictions(); c.LongestUS > 0 || c.Versions != 2 || c.Spans != 4 {
+		t.Errorf("%+v", c)
+	}
+	acts("b", now+1500*time.Millisecond, "1")
+	acts("b", now+2*time.Second, "2")
+	if c := r.Contradictions(); c.LongestUS < 900_000 {
+		t.Errorf("one that went back is not found: %+v", c)
+	}
+}
+
 // The checker finds what it is there to find.
 func TestCheckerFindsBreaches(t *testing.T) {
 	j := &journal{stories: map[string]*story{}, began: Now(), seed: 3}
--- a/internal/fleetrig/journal.go
+++ b/internal/fleetrig/journal.go
@@ -180,6 +180,16 @@
 	}
 }
 
+// begin has the axis begin at a time. Lines that came before keep their moment: they stand below 0.
+func (j *journal) begin(at time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for i := range j.lines {
+		j.lines[i].At -= at - j.began
+	}
+	j.began = at
+}
+
 // heard is closed with the next line; the caller holds j.mu.
 func (j *journal) heard() <-chan struct{} {
 	if j.news == nil {
--- a/internal/fleetrig/play.go
+++ b/internal/fleetrig/play.go
@@ -206,9 +206,7 @@
 func (r *Rig) Play(ctx context.Context) (*Report, error) {
 	s := r.scenario
 	before := r.readMeters()
-	r.journal.mu.Lock()
-	r.journal.began = Now()
-	r.journal.mu.Unlock()
+	r.journal.begin(Now())
 	until := r.journal.began + seconds(s.ForS)
 	var wait sync.WaitGroup
 	hot := 0
