--- a/internal/fleetrig/fleetrig_test.go
+++ b/internal/fleetrig/fleetrig_test.go
@@ -570,12 +570,12 @@
 // A broker acted on a version as the rig started, long before the traffic that the axis begins with, and on the next one in it. Once the axis of
 // the first was not moved along, and it seemed to have acted on it seconds after others acted on the next.
 func TestLinesKeepTheirMoment(t *testing.T) {
-	j := &journal{stories: map[string]*story{}, began: Now() - 9*time.Second}
+	j := &journal{stories: map[string]*story{}, began: Now() - 14*time.Second}
 	r := &Rig{journal: j}
 	acts := func(process string, at time.Duration, version string) {
 		j.line(Line{At: at - j.began, Process: process, Text: "acts", Keys: map[string]string{"epoch": "7", "version": version, "before_us": "1000"}})
 	}
-	now := Now()
+	now := Now() - 5*time.Second // the checker looks up to Now
 	for _, p := range []string{"a", "b"} {
 		acts(p, now-2*time.Second, "1")
 	}
