Forget in the pool who waited for connections to nodes that are gone

Pool.news, which came with second tries, kept one entry for each address at which a connection had come up while somebody waited, until one was given back there: never, for nodes that are replaced. Retire empties it with what else it forgets; who waits still looks again. The bound is asserted in TestSecondTriesAreBounded and fails without the change.

--- a/internal/daemon/hollow.go
+++ b/internal/daemon/hollow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -30,14 +31,9 @@
 		return err
 	}
 	defer k.close()
-	if err := k.open(func() error { return errors.New("no clients are taken: this broker is hollow") }, func() []broker.Figure { return nil }); err != nil {
+	if err := k.begin(ctx, func() error { return errors.New("no clients are taken: this broker is hollow") }); err != nil {
 		return err
 	}
-	if err := k.run(ctx, c.Known, func(e broker.Heard) { k.loop.Post(e) }); err != nil {
-		return err
-	}
-	k.reporter.Retune(reportOf(c))
-	go k.reporter.Run(ctx)
 	k.demand(ctx, demand)
 	<-ctx.Done()
 	return nil
@@ -54,20 +50,28 @@
 		return err
 	}
 	defer k.close()
-	if err := k.open(func() error { return nil }, func() []broker.Figure { return nil }); err != nil {
-		return err
-	}
-	if err := k.run(ctx, c.Known, func(e broker.Heard) { k.loop.Post(e) }); err != nil {
+	if err := k.begin(ctx, func() error { return nil }); err != nil {
 		return err
 	}
-	k.reporter.Retune(reportOf(c))
-	go k.reporter.Run(ctx)
 	log.Info("serving", "what", "control", "address", c.Site.Agreement.Listen)
 	<-ctx.Done()
 	log.Info("stopped")
 	return nil
 }
 
+// begin has a control run by itself, without fronts and nodes.
+func (k *control) begin(ctx context.Context, check func() error) error {
+	if err := k.open(check, func() []broker.Figure { return nil }); err != nil {
+		return err
+	}
+	if err := k.run(ctx, k.config.Known, func(e broker.Heard) { k.loop.Post(e) }); err != nil {
+		return err
+	}
+	k.reporter.Retune(reportOf(k.config))
+	go k.reporter.Run(ctx)
+	return nil
+}
+
 // nowhere is the transport of a process that has no requests: none is ever started.
 type nowhere struct{}
 
@@ -97,20 +101,11 @@
 		case <-timer.C:
 		}
 		class, volume := set.Classes[random.IntN(len(set.Classes))], random.IntN(max(1, d.Volumes))
-		k.loop.Submit(&broker.Request{Class: class.Name, Plan: set.Plans[volume%len(set.Plans)].Name, Volume: volumeName(volume), Units: 1,
+		k.loop.Submit(&broker.Request{Class: class.Name, Plan: set.Plans[volume%len(set.Plans)].Name, Volume: fmt.Sprintf("%016x", volume), Units: 1,
 			Shard: random.IntN(max(1, k.config.Settings.Shards)), Hosts: set.Hosts, Wait: broker.MicrosOf(class.Deadline), Write: class.Effect != logic.Safe}, func(broker.Final) {})
 	}
 }
 
-func volumeName(n int) string {
-	const digits = "0123456789abcdef"
-	name := []byte("0000000000000000")
-	for i := len(name) - 1; n > 0; i, n = i-1, n>>4 {
-		name[i] = digits[n&15]
-	}
-	return string(name)
-}
-
 // drawn answers attempts after drawn times, without a node. The loop calls it from one goroutine.
 type drawn struct {
 	random *rand.Rand
--- a/internal/daemon/hollow_test.go
+++ b/internal/daemon/hollow_test.go
@@ -24,7 +24,6 @@
 	*testing.T
 	discovery *httptest.Server
 	peers     []*net.UDPConn
-	at        string // where its datagrams come from
 
 	mu    sync.Mutex
 	asked []string        // of discovery, in order
--- a/internal/pool/dial_test.go
+++ b/internal/pool/dial_test.go
@@ -120,6 +120,9 @@
 	for ; len(node.conns) > 0; tries++ {
 		<-node.conns
 	}
+	if p.Retire(time.Now()); len(p.news) > 0 {
+		t.Errorf("%d addresses are kept at which nobody waits", len(p.news))
+	}
 	if tries > attempts+attempts/2 {
 		t.Errorf("%d tries for %d attempts", tries, attempts)
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -480,6 +480,10 @@
 			delete(p.idle, address)
 		}
 	}
+	for _, news := range p.news { // who waits still asks for news again; the others are gone
+		close(news)
+	}
+	clear(p.news)
 	p.mu.Unlock()
 	for _, l := range old {
 		p.drop(l)
