Run the load generator's test on a virtual clock, so that its counts are exact

The test sent 500 requests a second over 8 real connections with the machine's clock; open-loop clients of load.Run may not open a ninth, so any standstill of a busy machine of 16 ms leaves requests unsent. That was no fault of load.Run: it counted them rightly.

Change: Options.Dial, by which the test plays the server over pipes in a synctest bubble. The replacement is stricter: it holds with 256 and with 8 connections, has the server stand still for 100 ms, and wants exact numbers of unsent requests and of answers that show the standstill in their latency, which the old test named in its comment but did not check.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -184,6 +184,9 @@
 	Connections int      // open at once, at the most
 	Bounded     bool     // a request waits for one of these while all are busy, which hides from the broker what it can't take
 	Progress    func(done time.Duration, sent int)
+
+	// Dial opens a connection to a broker, or fails within the given time; nil stands for TCP.
+	Dial func(address string, within time.Duration) (net.Conn, error)
 }
 
 // Run sends the traffic until its end, or until ctx ends; then it waits for the answers that are owed.
@@ -196,6 +199,11 @@
 	}
 	r := &runner{traffic: traffic, opt: opt, places: make(chan struct{}, cmp.Or(opt.Connections, 256)),
 		result: &Result{Traffic: traffic, Began: time.Now(), All: newTally()}}
+	if r.opt.Dial == nil {
+		r.opt.Dial = func(address string, within time.Duration) (net.Conn, error) {
+			return net.DialTimeout("tcp", address, within)
+		}
+	}
 	r.idle = make([][]*client, len(opt.Addresses))
 	for range traffic.Kinds {
 		r.result.ByKind = append(r.result.ByKind, newTally())
@@ -355,7 +363,7 @@
 	}
 	r.mu.Unlock()
 	r.dials.Add(1)
-	conn, err := net.DialTimeout("tcp", r.opt.Addresses[to], max(time.Millisecond, time.Until(until)))
+	conn, err := r.opt.Dial(r.opt.Addresses[to], max(time.Millisecond, time.Until(until)))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -1,13 +1,13 @@
 package load
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -56,48 +56,75 @@
 	}
 }
 
-// Answers are told apart, and a server that stands still shows in the latency of all requests that it held up.
-func TestRun(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
+// serve answers on conn by the units that a request names; during the standstill nothing is answered.
+func serve(conn net.Conn, began time.Time, stillFrom, stillUntil time.Duration) {
+	defer conn.Close()
 	answers := map[string]string{"1": "$2\r\nok\r\n", "2": "-BUSY 100\r\n", "3": "-ERR failed\r\n", "4": ""}
-	go func() {
-		for {
-			conn, err := ln.Accept()
+	for in := redcon.NewReader(conn); ; {
+		cmd, err := in.ReadCommand()
+		if err != nil {
+			return
+		}
+		if since := time.Since(began); since >= stillFrom && since < stillUntil {
+			time.Sleep(stillUntil - since)
+		}
+		_, rest, _ := strings.Cut(string(cmd.Args[3]), "units=")
+		answer := answers[rest[:1]]
+		if answer == "" {
+			return
+		}
+		io.WriteString(conn, answer)
+	}
+}
+
+// Answers are told apart, and a server that stands still shows in the latency of all requests that it held up; what the
+// clients had no connection left for is counted as that. All on a virtual clock, so that the counts are exact.
+func TestRun(t *testing.T) {
+	const stillFrom, stillUntil = 500 * time.Millisecond, 600 * time.Millisecond
+	verdictOf := [...]Verdict{Served, Busy, Failed, Closed}
+	for _, connections := range []int{256, 8} {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			x := traffic()
+			r, err := Run(context.Background(), x, Options{Addresses: []string{"broker"}, Connections: connections,
+				Dial: func(string, time.Duration) (net.Conn, error) {
+					near, far := net.Pipe()
+					go serve(far, began, stillFrom, stillUntil)
+					return near, nil
+				}})
 			if err != nil {
-				return
+				t.Fatal(err)
 			}
-			go func() {
-				defer conn.Close()
-				for in := redcon.NewReader(bufio.NewReader(conn)); ; {
-					cmd, err := in.ReadCommand()
-					if err != nil {
-						return
-					}
-					_, rest, _ := strings.Cut(string(cmd.Args[3]), "units=")
-					answer := answers[rest[:1]]
-					if answer == "" {
-						return
+			var want [verdicts]int
+			heldUp, inStill := 0, 0
+			for a := range x.Arrivals {
+				v := verdictOf[a.Units-1]
+				if a.At >= stillFrom && a.At < stillUntil {
+					if inStill++; inStill > connections {
+						v = Unsent
+					} else if v < Lost {
+						heldUp++
 					}
-					io.WriteString(conn, answer)
 				}
-			}()
-		}
-	}()
-	x := traffic()
-	r, err := Run(context.Background(), x, Options{Addresses: []string{ln.Addr().String()}, Connections: 8})
-	if err != nil {
-		t.Fatal(err)
-	}
-	var want [verdicts]int
-	for a := range x.Arrivals {
-		want[[...]Verdict{Served, Busy, Failed, Closed}[a.Units-1]]++
-	}
-	if r.All.Counts != want || r.All.Sent() != r.ByKind[0].Sent()+r.ByKind[1].Sent() || int(r.All.Latency.TotalCount()) != r.All.Sent()-want[Closed] || int(r.All.Refused.TotalCount()) != want[Busy] {
-		t.Errorf("%v, want %v", r.All.Counts, want)
+				want[v]++
+			}
+			if connections == 8 && want[Unsent] == 0 || connections > 8 && heldUp < 20 {
+				t.Fatalf("a standstill that shows nothing: %v, %d held up", want, heldUp)
+			}
+			if r.All.Counts != want || r.All.Sent() != r.ByKind[0].Sent()+r.ByKind[1].Sent() ||
+				int(r.All.Latency.TotalCount()) != want[Served]+want[Busy]+want[Failed] || int(r.All.Refused.TotalCount()) != want[Busy] {
+				t.Errorf("%d connections: %v, want %v", connections, r.All.Counts, want)
+			}
+			late := 0
+			for _, bar := range r.All.Latency.Distribution() {
+				if bar.From > 10 {
+					late += int(bar.Count)
+				}
+			}
+			if late != heldUp {
+				t.Errorf("%d connections: %d answers show the standstill, want %d", connections, late, heldUp)
+			}
+		})
 	}
 }
 
