End a keyed request's repeat that was not written whole within its window

Lines at fault: State.send, which set no alarm but the request's own.

Now the reducer notes when the first attempt that may have run was sent, and abandons a further one that is not written whole at the window's end, by the same effect as for a client that left. What follows is the module's: it fails the request, or refuses it where all nodes drop its repeats.

TestKeyedRepeats plays keyed classes by cell, zone and all, with windows of 150 ms to the whole deadline, inside, at and past the window, with a late connection, a node that leaves and settings told again; nine of its cases fail without the change.

--- /dev/null
+++ b/broker/keyed_test.go
@@ -0,0 +1,109 @@
+package broker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"junctionwharf/logic"
+)
+
+// keyedKinds are settings of deployments whose nodes drop repeats of a keyed request, each in its own way.
+var keyedKinds = []struct {
+	name  string
+	class logic.Class
+}{
+	{"by cell, for as long as clients wait", logic.Class{Aim: 600 * time.Millisecond, Deadline: 4 * time.Second, Effect: logic.Keyed, Scope: logic.ScopeShard, Window: 4 * time.Second}},
+	{"by cell, not for long", logic.Class{Aim: 500 * time.Millisecond, Deadline: 1200 * time.Millisecond, Effect: logic.Keyed, Scope: logic.ScopeShard, Window: 300 * time.Millisecond}},
+	{"by zone, not for long", logic.Class{Aim: 200 * time.Millisecond, Deadline: 900 * time.Millisecond, Effect: logic.Keyed, Scope: logic.ScopeZone, Window: 150 * time.Millisecond}},
+	{"by all, not for long", logic.Class{Aim: 200 * time.Millisecond, Deadline: 900 * time.Millisecond, Effect: logic.Keyed, Scope: logic.ScopeAll, Window: 150 * time.Millisecond}},
+}
+
+// A keyed request that may have run is repeated inside its window and its group or not at all: when it is decided, when its connection
+// comes up late, and when a list, new settings or a restart come between.
+func TestKeyedRepeats(t *testing.T) {
+	for _, kind := range keyedKinds {
+		for _, c := range []struct {
+			name    string
+			firstAt float64 // part of the window at which the first attempt breaks
+			second  float64 // and at which the second has come up and is answered; 0: never
+			between func(r *rig, set logic.Settings)
+			repeats int // at the most
+			served  bool
+		}{
+			{"inside the window", 0.2, 0.6, nil, 1, true},
+			{"inside, with a connection that comes up behind it", 0.2, 0, nil, 1, false},
+			{"broken just inside", 0.97, 0, nil, 1, false},
+			{"broken at its end", 1.0001, 0, nil, 0, false},
+			{"broken past it", 1.4, 0, nil, 0, false},
+			{"its node leaves", 0.2, 0, func(r *rig, _ logic.Settings) {
+				r.turn(Listed{Kind: logic.ListFull, Version: 2, Nodes: []Node{node("n1", 0, logic.Draining), node("n2", 1, logic.Ready)}})
+			}, 0, false},
+			{"settings are told again", 0.2, 0, func(r *rig, set logic.Settings) { r.turn(Retuned{Settings: set}) }, 1, false},
+		} {
+			t.Run(fmt.Sprint(kind.name, ", ", c.name), func(t *testing.T) {
+				set := testSettings()
+				class := kind.class
+				class.Name, class.Worth = "put", 2
+				set.Classes = append(set.Classes, class)
+				state, err := NewState(set, 1)
+				if err != nil {
+					t.Fatal(err)
+				}
+				r := &rig{T: t, state: state, now: clockStart, finals: map[uint64][]Final{}}
+				n1, n2 := node("n1", 0, logic.Ready), node("n2", 1, logic.Ready)
+				n1.Zone, n2.Zone = "a", "b"
+				r.turn(Listed{Kind: logic.ListFull, Version: 1, Nodes: []Node{n1, n2}})
+				began := r.now
+				r.turn(Arrived{ID: 1, Request: &Request{Class: "put", Plan: "plan", Key: "k", Volume: "v", Units: 2, Shard: 0, Hosts: 1, Wait: MicrosOf(class.Deadline), Write: true}})
+				if len(r.starts) != 1 {
+					t.Fatalf("%d attempts at once", len(r.starts))
+				}
+				window := MicrosOf(class.Window)
+				part := window // what is served in time comes within the aim, too
+				if c.served {
+					part = min(window, MicrosOf(class.Aim))
+				}
+				r.pass(Micros(c.firstAt * float64(part)))
+				if c.between != nil {
+					c.between(r, set)
+				}
+				if len(r.finals[1]) == 0 {
+					r.turn(Ended{1, 0, broke(WrittenWhole)})
+				}
+				r.pass(Micros(c.second * float64(part)))
+				if len(r.starts) > 1 && c.second > 0 {
+					r.turn(Ended{1, 1, Result{Value: "v", Load: logic.NoLoad}})
+				}
+				// from here on nodes drop its repeats no longer: nothing that is not written whole by now may be
+				r.pass(max(0, began+window+1-r.now))
+				if len(r.starts) == 2 && !c.served && len(r.abandons)+len(r.stops) == 0 && len(r.finals[1]) == 0 {
+					t.Errorf("the repeat may still be written past the window")
+				}
+				if len(r.abandons) > 0 {
+					r.turn(Ended{1, 1, broke(NotConnected)})
+				}
+				for _, stop := range r.stops {
+					r.turn(Stopped{stop.ID, stop.Number, NotConnected})
+				}
+				r.pass(MicrosOf(class.Deadline) + Second)
+				if n := len(r.starts) - 1; n > c.repeats || c.served && n != 1 {
+					t.Errorf("%d repeats, want %d at the most", n, c.repeats)
+				}
+				for _, s := range r.starts[1:] {
+					if s.Attempt.Node != "n1" {
+						t.Errorf("a repeat goes to %s", s.Attempt.Node)
+					}
+				}
+				want := Failed
+				switch {
+				case c.served:
+					want = Served
+				case class.Scope == logic.ScopeAll && len(r.finals[1]) == 1 && r.finals[1][0].Verdict == Refused:
+					want = Refused // harmless, as nodes of any group drop it
+				}
+				r.final(1, want)
+			})
+		}
+	}
+}
--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -112,7 +112,7 @@
 		ID     uint64
 		Number int
 	}
-	// Abandon ends an attempt whose client has left, unless it was written whole.
+	// Abandon ends an attempt whose client has left, or which came too late to its node, unless it was written whole.
 	Abandon struct {
 		ID     uint64
 		Number int
@@ -155,6 +155,8 @@
 	deadline Micros
 	begunAt  Micros // when the first attempt was sent, 0 before
 	sentAt   Micros
+	ranAt    Micros // when the first attempt that may have run was sent, if ran
+	ran      bool
 	attempts int
 	node     string // where an attempt is out
 	out      bool
@@ -163,6 +165,7 @@
 	answered bool
 	overdue  wheel.Handle // alarms that wait for it
 	timeout  wheel.Handle
+	window   wheel.Handle
 }
 
 // listing is what the list says of a node.
@@ -454,6 +457,9 @@
 // end tells the gateway of an attempt's one outcome and passes a served answer on.
 func (s *State) end(id uint64, r *entry, outcome logic.Outcome, result Result) {
 	r.out, r.stopped = false, false
+	if !r.ran && outcome != logic.Overloaded && outcome != logic.Unreachable && outcome != logic.Void {
+		r.ran, r.ranAt = true, r.sentAt
+	}
 	s.facts = append(s.facts, telemetry.Fact{Kind: telemetry.AttemptEnded, Outcome: outcomes[outcome], Class: r.req.Class, Plan: r.req.Plan,
 		Volume: r.req.Volume, Node: r.node, Units: r.req.Units, AtNode: int64(s.now - r.sentAt)})
 	if outcome == logic.Success && !r.answered {
@@ -523,6 +529,7 @@
 	if r.answered && !r.out {
 		s.alarms.Cancel(r.overdue)
 		s.alarms.Cancel(r.timeout)
+		s.alarms.Cancel(r.window)
 		delete(s.entries, id)
 		if len(s.free) < mostFree { // events name it by its id, which does not come again: none can meet its next use
 			*r = entry{}
@@ -553,6 +560,10 @@
 		if r.attempts-1 == a.attempt {
 			s.stop(a.id, r, logic.TimedOut)
 		}
+	case a.kind == window: // what is not written whole by now would run twice
+		if r.out && !r.stopped && r.attempts-1 == a.attempt {
+			s.do(Abandon{ID: a.id, Number: a.attempt})
+		}
 	case r.out:
 		s.stop(a.id, r, logic.TimedOut)
 		r.overdue = s.wake(s.now+grace, alarm{kind: overdue, id: a.id})
@@ -629,10 +640,29 @@
 	if r.begunAt == 0 {
 		r.begunAt = s.now
 	}
+	if at, ends := s.windowEnd(r); ends {
+		s.alarms.Cancel(r.window)
+		r.window = s.wake(at, alarm{kind: window, id: a.ID, attempt: r.attempts - 1})
+	}
 	s.do(Start{ID: a.ID, Number: r.attempts - 1,
 		Attempt: Attempt{Node: a.Node, Address: address, Request: r.req, Wait: wait}})
 }
 
+// windowEnd tells until when a further attempt of a request may be sent, if its class bounds that: nodes drop repeats of a keyed
+// request for no longer than its window, which runs from the first attempt that may have run. The gateway keeps to it as it
+// decides, but the connection may come up later than that.
+func (s *State) windowEnd(r *entry) (at Micros, ends bool) {
+	if !r.ran {
+		return 0, false
+	}
+	for _, class := range s.gateway.Classes() {
+		if class.Name == r.req.Class {
+			return r.ranAt + MicrosOf(class.Window), class.Effect == logic.Keyed
+		}
+	}
+	return 0, false
+}
+
 // ---- alarms
 
 type alarmKind int
@@ -640,6 +670,7 @@
 const (
 	timer alarmKind = iota
 	timeout
+	window
 	overdue
 )
 
