--- a/admission/admission.go
+++ b/admission/admission.go
@@ -1,9 +1,9 @@
-// Package admission decides at the door of a broker that has more offered than it can do: who is refused at once, by the
+// Package admission decides on admission to a broker that has more offered than it can do: who is refused at once, by the
 // cheapest path there is, so that those who come in are served in time. It does no I/O and is handed the clock; it is not
 // safe for concurrent use.
 //
 // The sign of overload is the broker's lag: how long what could run waits for a processor, or an event for the loop. A
-// request waits for as long several times. While the lag stays above its target the door lets fewer in from
+// request waits for as long several times. While the lag stays above its target the controller lets fewer in from
 // window to window, and more again once it is below ("overload control for scaling WeChat microservices", Zhou et al.
 // 2018, does so by priorities; the pace is additive increase, multiplicative decrease). Who comes in goes by rank: a
 // volume within its reserve before any other, then by the worth of the class. Of the rank that is let in by part, an
@@ -20,7 +20,7 @@
 // Micros is a time or span in whole microseconds, as in package broker.
 type Micros = int64
 
-// Settings of a Door. Spans are in µs.
+// Settings of a Controller. Spans are in µs.
 type Settings struct {
 	Target   Micros // the lag that is sought; 0: only the bound on open requests holds
 	MostOpen int    // requests that may wait for their answer, 0 for no bound
@@ -53,10 +53,10 @@
 	fading   = 1e-3 // of that most, a window
 	hops     = 6    // queues like the loop's that a request stands in: client, loop, node, node, loop, client
 	openRoom = 0.9  // of MostOpen, from where on only those within their reserve come in
-	calm     = 20   // windows with room for all after which the door stands open
+	calm     = 20   // windows with room for all after which nothing is refused any more
 )
 
-// Request is what the door sees of one.
+// Request is what admission control sees of one.
 type Request struct {
 	Class, Plan, Volume string
 	Units               float64
@@ -77,8 +77,8 @@
 
 func (r Reason) String() string { return [...]string{"none", "rank", "full", "too late"}[r] }
 
-// Door decides who comes in.
-type Door struct {
+// Controller decides who comes in.
+type Controller struct {
 	set     Settings
 	ranks   map[string]int // of a class, the worthiest first
 	plans   map[string]logic.Plan
@@ -96,7 +96,7 @@
 	arrived  []int  // by rank, in this window
 	came     int    // those let in
 	offered  []float64
-	shut     bool
+	shedding bool
 	allowed  float64 // a window, while it is shut
 	marginal int     // the rank that is let in by part
 	part     float64 // of it
@@ -117,71 +117,71 @@
 	at    Micros
 }
 
-// New returns a door that stands open.
-func New(set Settings, l logic.Settings) *Door {
-	d := &Door{set: set, volumes: map[string]*reserve{}, excess: 1}
-	d.set.Window, d.set.Volumes = cmp.Or(set.Window, DefaultWindow), cmp.Or(set.Volumes, DefaultVolumes)
-	d.Retune(l)
-	return d
+// New returns a controller that lets everybody in.
+func New(set Settings, l logic.Settings) *Controller {
+	ctl := &Controller{set: set, volumes: map[string]*reserve{}, excess: 1}
+	ctl.set.Window, ctl.set.Volumes = cmp.Or(set.Window, DefaultWindow), cmp.Or(set.Volumes, DefaultVolumes)
+	ctl.Retune(l)
+	return ctl
 }
 
 // Retune goes over to other classes and plans. Classes that vanished count least from now on.
-func (d *Door) Retune(l logic.Settings) {
+func (ctl *Controller) Retune(l logic.Settings) {
 	classes := slices.Clone(l.Classes)
 	slices.SortStableFunc(classes, func(a, b logic.Class) int { return cmp.Compare(b.Worth, a.Worth) })
-	d.ranks, d.plans, d.largest = map[string]int{}, map[string]logic.Plan{}, max(1, l.MaxUnits)
-	d.aim, d.latest = 0, 0
+	ctl.ranks, ctl.plans, ctl.largest = map[string]int{}, map[string]logic.Plan{}, max(1, l.MaxUnits)
+	ctl.aim, ctl.latest = 0, 0
 	rank := -1
 	for i, c := range classes {
 		if i == 0 || c.Worth != classes[i-1].Worth {
 			rank++
 		}
-		d.ranks[c.Name] = rank
-		if aim := c.Aim.Microseconds(); d.aim == 0 || aim < d.aim {
-			d.aim = aim
+		ctl.ranks[c.Name] = rank
+		if aim := c.Aim.Microseconds(); ctl.aim == 0 || aim < ctl.aim {
+			ctl.aim = aim
 		}
 	}
 	for _, p := range l.Plans {
-		d.plans[p.Name] = p
+		ctl.plans[p.Name] = p
 	}
 	if l.Bounds.RetryAfter {
-		d.latest = l.Bounds.MaxRetryAfter.Microseconds()
+		ctl.latest = l.Bounds.MaxRetryAfter.Microseconds()
 	}
 	ranks := 2 * (rank + 2) // within the reserve, and beyond it; the last of each is of unknown classes
-	d.arrived, d.offered = make([]int, ranks), make([]float64, ranks)
-	if d.shut { // the share of ranks is learnt anew
-		d.marginal, d.part = ranks-1, 1
+	ctl.arrived, ctl.offered = make([]int, ranks), make([]float64, ranks)
+	if ctl.shedding { // the share of ranks is learnt anew
+		ctl.marginal, ctl.part = ranks-1, 1
 	}
 }
 
 // rank is a request's place among all: 0 comes in first.
-func (d *Door) rank(now Micros, r *Request) int {
-	half := len(d.arrived) / 2
-	rank, known := d.ranks[r.Class]
+func (ctl *Controller) rank(now Micros, r *Request) int {
+	half := len(ctl.arrived) / 2
+	rank, known := ctl.ranks[r.Class]
 	if !known {
 		rank = half - 1
 	}
-	if !d.within(now, r) {
+	if !ctl.within(now, r) {
 		rank += half
 	}
 	return rank
 }
 
 // within tells whether a request is within its volume's reserve, and takes it from there.
-func (d *Door) within(now Micros, r *Request) bool {
-	rate := d.plans[r.Plan].Reserve / float64(max(1, r.Hosts))
+func (ctl *Controller) within(now Micros, r *Request) bool {
+	rate := ctl.plans[r.Plan].Reserve / float64(max(1, r.Hosts))
 	if rate <= 0 {
 		return false
 	}
-	most := rate + d.largest
-	v := d.volumes[r.Volume]
+	most := rate + ctl.largest
+	v := ctl.volumes[r.Volume]
 	if v == nil {
-		if len(d.volumes) >= d.set.Volumes && !d.forget(now) {
+		if len(ctl.volumes) >= ctl.set.Volumes && !ctl.forget(now) {
 			return false // more volumes than are followed: those that came first keep their reserve
 		}
 		v = &reserve{units: most, at: now}
-		d.volumes[r.Volume] = v
-		d.sweep = append(d.sweep, r.Volume)
+		ctl.volumes[r.Volume] = v
+		ctl.sweep = append(ctl.sweep, r.Volume)
 	}
 	v.units = min(most, v.units+rate*float64(now-v.at)/1e6)
 	v.at = now
@@ -196,146 +196,149 @@
 const forgetAfter Micros = 2_000_000
 
 // forget drops a volume that has been idle for long. It looks at two, so that its cost is bounded.
-func (d *Door) forget(now Micros) bool {
-	for range min(2, len(d.sweep)) {
-		name := d.sweep[0]
-		d.sweep = d.sweep[1:]
-		if v := d.volumes[name]; v != nil && now-v.at >= forgetAfter {
-			delete(d.volumes, name)
+func (ctl *Controller) forget(now Micros) bool {
+	for range min(2, len(ctl.sweep)) {
+		name := ctl.sweep[0]
+		ctl.sweep = ctl.sweep[1:]
+		if v := ctl.volumes[name]; v != nil && now-v.at >= forgetAfter {
+			delete(ctl.volumes, name)
 			return true
 		}
-		d.sweep = append(d.sweep, name)
+		ctl.sweep = append(ctl.sweep, name)
 	}
 	return false
 }
 
 // Ask tells whether a request comes in while so many wait for their answers, else why not and when it may come back, in µs
 // (0: not told).
-func (d *Door) Ask(now Micros, open int, r *Request) (why Reason, after Micros) {
-	d.turn(now)
-	rank := d.rank(now, r)
-	d.arrived[rank]++
-	switch within := rank < len(d.arrived)/2; {
-	case d.set.MostOpen > 0 && (open >= d.set.MostOpen || !within && float64(open) >= openRoom*float64(d.set.MostOpen)):
+func (ctl *Controller) Ask(now Micros, open int, r *Request) (why Reason, after Micros) {
+	ctl.turn(now)
+	rank := 0
+	if ctl.set.Target > 0 || ctl.set.MostOpen > 0 { // else no rank comes before another
+		rank = ctl.rank(now, r)
+	}
+	ctl.arrived[rank]++
+	switch within := rank < len(ctl.arrived)/2; {
+	case ctl.set.MostOpen > 0 && (open >= ctl.set.MostOpen || !within && float64(open) >= openRoom*float64(ctl.set.MostOpen)):
 		why = Full
-	case d.set.Crowd > 0 && open >= d.set.Crowd && d.smoothed > CrowdLag:
-		why, d.crowded = Full, true
-	case d.set.Target > 0 && hops*d.smoothed > r.Wait:
+	case ctl.set.Crowd > 0 && open >= ctl.set.Crowd && ctl.smoothed > CrowdLag:
+		why, ctl.crowded = Full, true
+	case ctl.set.Target > 0 && hops*ctl.smoothed > r.Wait:
 		why = TooLate
-	case d.shut && !d.admits(rank):
+	case ctl.shedding && !ctl.admits(rank):
 		why = Rank
 	default:
-		d.came++
+		ctl.came++
 		return None, 0
 	}
-	return why, d.after()
+	return why, ctl.after()
 }
 
 // after is when to come back: the later, the more are refused for each one let in.
-func (d *Door) after() Micros {
-	return min(d.latest, Micros(float64(d.aim)*max(1, d.excess)))
+func (ctl *Controller) after() Micros {
+	return min(ctl.latest, Micros(float64(ctl.aim)*max(1, ctl.excess)))
 }
 
-func (d *Door) admits(rank int) bool {
-	if rank != d.marginal {
-		return rank < d.marginal
+func (ctl *Controller) admits(rank int) bool {
+	if rank != ctl.marginal {
+		return rank < ctl.marginal
 	}
-	d.owed += d.part
-	if d.owed < 1 {
+	ctl.owed += ctl.part
+	if ctl.owed < 1 {
 		return false
 	}
-	d.owed--
+	ctl.owed--
 	return true
 }
 
 // Lag tells for how long work has waited since the last call.
-func (d *Door) Lag(now, lag Micros) {
-	d.lags++
-	d.lag += (lag - d.lag) / Micros(d.lags)
-	d.turn(now)
+func (ctl *Controller) Lag(now, lag Micros) {
+	ctl.lags++
+	ctl.lag += (lag - ctl.lag) / Micros(ctl.lags)
+	ctl.turn(now)
 }
 
 // turn ends the window when it is over. It guards against a clock that stood still: one window ends, however late.
-func (d *Door) turn(now Micros) {
-	if now < d.ends {
+func (ctl *Controller) turn(now Micros) {
+	if now < ctl.ends {
 		return
 	}
-	first := d.ends == 0
-	d.ends = now + d.set.Window
+	first := ctl.ends == 0
+	ctl.ends = now + ctl.set.Window
 	if first {
 		return
 	}
 	total := 0
-	for rank, n := range d.arrived {
+	for rank, n := range ctl.arrived {
 		total += n
-		d.offered[rank] += 0.5 * (float64(n) - d.offered[rank])
-		d.arrived[rank] = 0
+		ctl.offered[rank] += 0.5 * (float64(n) - ctl.offered[rank])
+		ctl.arrived[rank] = 0
 	}
-	if d.lags > 0 {
-		d.smoothed += (d.lag - d.smoothed) / 4
+	if ctl.lags > 0 {
+		ctl.smoothed += (ctl.lag - ctl.smoothed) / 4
 	} else if total == 0 {
-		d.smoothed /= 2 // nothing came, nothing waited
+		ctl.smoothed /= 2 // nothing came, nothing waited
 	}
-	if d.crowds--; d.crowded {
-		d.crowds = calm
+	if ctl.crowds--; ctl.crowded {
+		ctl.crowds = calm
 	}
-	d.crowded = false
-	lag, came := d.lag, d.came
-	over := d.set.Target > 0 && d.lags > 0 && min(lag, d.smoothed) > d.set.Target
-	d.lag, d.lags, d.came = 0, 0, 0
-	d.best *= 1 - fading
+	ctl.crowded = false
+	lag, came := ctl.lag, ctl.came
+	over := ctl.set.Target > 0 && ctl.lags > 0 && min(lag, ctl.smoothed) > ctl.set.Target
+	ctl.lag, ctl.lags, ctl.came = 0, 0, 0
+	ctl.best *= 1 - fading
 	if !over {
-		d.best += 0.1 * max(0, float64(came)-d.best)
+		ctl.best += 0.1 * max(0, float64(came)-ctl.best)
 	}
-	floor := max(fewest, least*d.best)
-	if d.usual += 0.1 * (float64(came) - d.usual); d.rests > 0 {
-		d.rests--
+	floor := max(fewest, least*ctl.best)
+	if ctl.usual += 0.1 * (float64(came) - ctl.usual); ctl.rests > 0 {
+		ctl.rests--
 	}
-	d.excess += 0.25 * (float64(total+1)/float64(came+1) - d.excess)
+	ctl.excess += 0.25 * (float64(total+1)/float64(came+1) - ctl.excess)
 	switch {
-	case over && !d.shut:
-		d.shut, d.quiet, d.owed, d.rests, d.cutAt = true, 0, 0, rest, d.usual
-		d.allowed = max(floor, less*d.usual)
-	case over && d.rests == 0:
-		d.rests, d.cutAt = rest, d.allowed
-		d.allowed = max(floor, less*d.allowed)
+	case over && !ctl.shedding:
+		ctl.shedding, ctl.quiet, ctl.owed, ctl.rests, ctl.cutAt = true, 0, 0, rest, ctl.usual
+		ctl.allowed = max(floor, less*ctl.usual)
+	case over && ctl.rests == 0:
+		ctl.rests, ctl.cutAt = rest, ctl.allowed
+		ctl.allowed = max(floor, less*ctl.allowed)
 	case over:
-	case d.shut && d.allowed < near*d.cutAt:
-		d.allowed *= back
-	case d.shut && float64(lag) < light*float64(d.set.Target) && d.allowed < near*d.best:
-		d.allowed = d.allowed*brisk + 1
-	case d.shut:
-		d.allowed = d.allowed*more + 1
+	case ctl.shedding && ctl.allowed < near*ctl.cutAt:
+		ctl.allowed *= back
+	case ctl.shedding && float64(lag) < light*float64(ctl.set.Target) && ctl.allowed < near*ctl.best:
+		ctl.allowed = ctl.allowed*brisk + 1
+	case ctl.shedding:
+		ctl.allowed = ctl.allowed*more + 1
 	}
-	if d.shut {
-		d.share()
+	if ctl.shedding {
+		ctl.share()
 	}
 }
 
 // share finds the rank up to which all come in, by what was offered lately, and the part of the next.
-func (d *Door) share() {
-	left := d.allowed
-	for rank, n := range d.offered {
+func (ctl *Controller) share() {
+	left := ctl.allowed
+	for rank, n := range ctl.offered {
 		if n > left {
-			d.marginal, d.part, d.quiet = rank, left/n, 0
+			ctl.marginal, ctl.part, ctl.quiet = rank, left/n, 0
 			return
 		}
 		left -= n
 	}
-	d.marginal, d.part = len(d.offered)-1, 1
-	if d.quiet++; d.quiet >= calm {
-		d.shut = false
+	ctl.marginal, ctl.part = len(ctl.offered)-1, 1
+	if ctl.quiet++; ctl.quiet >= calm {
+		ctl.shedding = false
 	}
 }
 
 // Crowd is Settings.Crowd.
-func (d *Door) Crowd() int { return d.set.Crowd }
+func (ctl *Controller) Crowd() int { return ctl.set.Crowd }
 
 // Slow tells whether the lag is above CrowdLag.
-func (d *Door) Slow() bool { return d.smoothed > CrowdLag }
+func (ctl *Controller) Slow() bool { return ctl.smoothed > CrowdLag }
 
 // Crowded notes that requests were refused for Settings.Crowd before they came here.
-func (d *Door) Crowded() { d.crowded = true }
+func (ctl *Controller) Crowded() { ctl.crowded = true }
 
-// Shut tells whether requests are refused now for want of the broker's own processor.
-func (d *Door) Shut() bool { return d.shut || d.crowded || d.crowds > 0 }
+// Shedding tells whether requests are refused now for want of the broker's own processor.
+func (ctl *Controller) Shedding() bool { return ctl.shedding || ctl.crowded || ctl.crowds > 0 }
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -16,7 +16,7 @@
 
 // server is a stand-in for a broker that serves so many a second, in order, and whose loop lags by its queue.
 type server struct {
-	d              *Door
+	d              *Controller
 	rate           float64
 	queue          float64
 	now            Micros
@@ -41,7 +41,7 @@
 }
 
 // TestOverload offers five times what can be done: the lag comes down to its target, the capacity is used, those within
-// their reserve come in, then the worthier class, and the door opens again afterwards.
+// their reserve come in, then the worthier class, and the controller opens again afterwards.
 func TestOverload(t *testing.T) {
 	s := &server{d: New(Settings{Target: 5000}, settings()), rate: 10_000, came: map[string]int{}, turned: map[string]int{}}
 	play := func(seconds, rate int) {
@@ -60,7 +60,7 @@
 		}
 	}
 	play(1, 8000)
-	if len(s.turned) > 0 || s.d.Shut() {
+	if len(s.turned) > 0 || s.d.Shedding() {
 		t.Fatalf("refused below the capacity: %v", s.turned)
 	}
 	play(2, 50_000) // it settles
@@ -87,8 +87,8 @@
 	play(3, 8000)
 	clear(s.turned)
 	play(1, 8000)
-	if len(s.turned) > 0 || s.d.Shut() {
-		t.Errorf("the door does not open again: %v", s.turned)
+	if len(s.turned) > 0 || s.d.Shedding() {
+		t.Errorf("the controller does not open again: %v", s.turned)
 	}
 }
 
@@ -143,7 +143,7 @@
 		now += 10_001
 		d.Lag(now, 5000)
 	}
-	if !d.Shut() {
+	if !d.Shedding() {
 		t.Fatal("not shut")
 	}
 	less := settings()
@@ -157,7 +157,7 @@
 		now += 10_001
 		d.Lag(now, 0)
 	}
-	if d.Shut() {
+	if d.Shedding() {
 		t.Error("shut for good")
 	}
 }
@@ -196,14 +196,14 @@
 		now += DefaultWindow
 		d.Lag(now, 4*CrowdLag)
 	}
-	if ask(now, 9) != None || ask(now, 10) != Full || !d.Shut() {
+	if ask(now, 9) != None || ask(now, 10) != Full || !d.Shedding() {
 		t.Error("a crowd waits for the processor and is let in")
 	}
 	for range 2 * calm {
 		now += DefaultWindow
 		d.Lag(now, 0)
 	}
-	if ask(now, 1000) != None || d.Shut() {
-		t.Error("the crowd has gone and the door stays shut")
+	if ask(now, 1000) != None || d.Shedding() {
+		t.Error("the crowd has gone and the controller stays shut")
 	}
 }
--- a/broker/loop.go
+++ b/broker/loop.go
@@ -38,11 +38,11 @@
 
 // Outside is what a Loop acts on besides transports. Its methods do not block.
 type Outside struct {
-	Tell    func(peer int, data []byte)  // nil without peers
-	Observe func(facts []telemetry.Fact) // nil for none; it does not keep the slice
-	Log     *slog.Logger                 // nil for none
-	Agreed  func(now Micros) []Event     // what a turn has to go over to before it decides anything, by the clock that it reads; nil for nothing agreed
-	Door    *admission.Door              // decides who comes in at all, nil for everybody; the loop's own from now on
+	Tell      func(peer int, data []byte)  // nil without peers
+	Observe   func(facts []telemetry.Fact) // nil for none; it does not keep the slice
+	Log       *slog.Logger                 // nil for none
+	Agreed    func(now Micros) []Event     // what a turn has to go over to before it decides anything, by the clock that it reads; nil for nothing agreed
+	Admission *admission.Controller        // decides who comes in at all, nil for everybody; the loop's own from now on
 }
 
 type attemptKey struct {
@@ -71,7 +71,8 @@
 	refused   []telemetry.Fact
 
 	overloaded atomic.Bool
-	slow       atomic.Bool // the door's lag is above that of a crowd
+	busy       chan struct{}
+	slow       atomic.Bool // the lag is above that of a crowd
 	crowd      int64       // admission.Settings.Crowd, 0 for none
 	crowded    atomic.Bool // requests were turned away by TurnCrowd since the last Lagged
 	parts      atomic.Pointer[[]logic.Part]
@@ -88,7 +89,7 @@
 	ended  bool              // it turns no more
 	since  Micros            // when the first event in inbox came
 	lag    Micros            // the longest that one waited since Lagged
-	turned []telemetry.Fact  // what the door refused
+	turned []telemetry.Fact  // what admission control refused
 	notify chan struct{}
 }
 
@@ -101,9 +102,10 @@
 		clients: map[uint64]client{}, handles: map[attemptKey]Handle{}, added: map[uint64]client{}, early: map[uint64]struct{}{},
 		notify: make(chan struct{}, 1)}
 	l.room = sync.NewCond(&l.mu)
-	if outside.Door != nil {
-		l.crowd = int64(outside.Door.Crowd())
+	if outside.Admission != nil {
+		l.crowd = int64(outside.Admission.Crowd())
 	}
+	l.busy = make(chan struct{}, 1)
 	l.Figures.list(state.gateway.Classes())
 	return l
 }
@@ -118,16 +120,16 @@
 	return l.Enter(req, reply)
 }
 
-// Ask has the door decide on a request. What it refuses has its final answer, which is returned, and must not be entered;
+// Ask has admission control decide on a request. What it refuses has its final answer, which is returned, and must not be entered;
 // nil lets it in.
 func (l *Loop) Ask(req *Request) *Final {
-	if l.outside.Door == nil {
+	if l.outside.Admission == nil {
 		return nil
 	}
 	asked := admission.Request{Class: req.Class, Plan: req.Plan, Volume: req.Volume, Units: req.Units, Hosts: req.Hosts, Wait: int64(req.Wait)}
 	now, open := int64(l.clock.Now()), l.Open()
 	l.mu.Lock()
-	why, after := l.outside.Door.Ask(now, open, &asked)
+	why, after := l.outside.Admission.Ask(now, open, &asked)
 	if why != admission.None && len(l.turned) < mostTurned && l.outside.Observe != nil {
 		l.turned = append(l.turned, telemetry.Fact{Kind: telemetry.RequestEnded, End: telemetry.Busy, Class: req.Class, Plan: req.Plan,
 			Volume: req.Volume, Units: req.Units})
@@ -166,16 +168,21 @@
 	}
 }
 
-// Overloaded tells whether the door refuses requests by rank.
+// Overloaded tells whether admission control refuses requests.
 func (l *Loop) Overloaded() bool { return l.overloaded.Load() }
 
 // mostTurned bounds the facts of refusals that wait for the loop; figures count the others too.
 const mostTurned = 1 << 12
 
-// Enter is Submit for a request that the door has let in.
+// Enter is Submit for a request that was let in.
 func (l *Loop) Enter(req *Request, reply func(Final)) uint64 {
 	id, at := l.ids.Add(1), l.clock.Now()
-	l.Figures.open.Add(1)
+	if l.Figures.open.Add(1) == l.many() && l.crowd > 0 {
+		select {
+		case l.busy <- struct{}{}:
+		default:
+		}
+	}
 	l.mu.Lock()
 	l.added[id] = client{req.Class, reply}
 	l.put(Arrived{ID: id, Request: req, At: at})
@@ -186,11 +193,11 @@
 
 // put queues an event; the caller holds l.mu.
 func (l *Loop) put(e Event) {
-	if len(l.inbox) == 0 && l.outside.Door != nil {
+	if len(l.inbox) == 0 && l.outside.Admission != nil {
 		l.since = l.clock.Now()
 	}
-	if r, is := e.(Retuned); is && l.outside.Door != nil {
-		l.outside.Door.Retune(r.Settings)
+	if r, is := e.(Retuned); is && l.outside.Admission != nil {
+		l.outside.Admission.Retune(r.Settings)
 	}
 	if _, is := e.(Left); is {
 		l.leaves = append(l.leaves, e)
@@ -199,23 +206,44 @@
 	l.inbox = append(l.inbox, e)
 }
 
-// Lagged tells the door, now and then, for how long whatever could run waited for a processor meanwhile. The loop's own
+// Lagged tells admission control, now and then, for how long whatever could run waited for a processor meanwhile. The loop's own
 // queue says less: Go runs next what was woken last, which may be the loop, while hundreds wait to read what has come.
 func (l *Loop) Lagged(waited Micros) {
 	l.mu.Lock()
-	if l.outside.Door != nil {
+	if l.outside.Admission != nil {
 		if l.crowded.Swap(false) {
-			l.outside.Door.Crowded()
+			l.outside.Admission.Crowded()
 		}
-		l.outside.Door.Lag(int64(l.clock.Now()), int64(max(waited, l.lag)))
-		l.slow.Store(l.outside.Door.Slow())
-		l.overloaded.Store(l.outside.Door.Shut())
+		l.outside.Admission.Lag(int64(l.clock.Now()), int64(max(waited, l.lag)))
+		l.slow.Store(l.outside.Admission.Slow())
+		l.overloaded.Store(l.outside.Admission.Shedding())
 	}
 	l.lag = 0
 	l.mu.Unlock()
 	l.Post(Lagged{Waited: waited}) // which wakes an idle loop: else this would wait for the next event, and count as its lag
 }
 
+// many is how many open requests are worth a look at how long work waits: half of those at which it decides.
+func (l *Loop) many() int64 { return max(1, l.crowd/2) }
+
+// Busy tells each time that many requests have come to be open at once, so that somebody may begin to measure.
+func (l *Loop) Busy() <-chan struct{} { return l.busy }
+
+// Starved tells whether it is worth measuring on: many requests are open, or work lately waited for a processor.
+func (l *Loop) Starved() bool {
+	return l.Figures.open.Load() >= l.many() || l.slow.Load() || l.overloaded.Load()
+}
+
+// Measured tells that Lagged will be called from now on, or not any more: what was known before counts no longer.
+func (l *Loop) Measured(begins bool) {
+	l.mu.Lock()
+	l.lag = 0
+	l.mu.Unlock()
+	if !begins {
+		l.Post(Lagged{Unknown: true})
+	}
+}
+
 // Leave tells that the client of a request no longer waits.
 func (l *Loop) Leave(id uint64) { l.Post(Left{ID: id}) }
 
@@ -371,8 +399,8 @@
 	}
 	l.mu.Lock()
 	for _, e := range first {
-		if r, is := e.(Retuned); is && l.outside.Door != nil {
-			l.outside.Door.Retune(r.Settings)
+		if r, is := e.(Retuned); is && l.outside.Admission != nil {
+			l.outside.Admission.Retune(r.Settings)
 		}
 	}
 	l.mu.Unlock()
--- a/broker/loop_test.go
+++ b/broker/loop_test.go
@@ -127,16 +127,16 @@
 	}
 }
 
-// What the door refuses has one answer, through Submit as through Ask, is counted, told to telemetry, and never reaches the module; the door
+// What admission control refuses has one answer, through Submit as through Ask, is counted, told to telemetry, and never reaches the module; it
 // follows new settings, and opens when the lag is over.
-func TestDoor(t *testing.T) {
+func TestAdmission(t *testing.T) {
 	state, err := NewState(testSettings(), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	facts := make(chan telemetry.Fact, 8)
-	door := admission.New(admission.Settings{MostOpen: 1}, testSettings())
-	loop := NewLoop(state, NewClock(), local{}, Outside{Door: door, Observe: func(all []telemetry.Fact) {
+	controller := admission.New(admission.Settings{MostOpen: 1}, testSettings())
+	loop := NewLoop(state, NewClock(), local{}, Outside{Admission: controller, Observe: func(all []telemetry.Fact) {
 		for _, f := range all {
 			if f.Kind == telemetry.RequestEnded {
 				facts <- f
@@ -175,6 +175,45 @@
 	loop.Leave(id)
 }
 
+// Nobody measures how long work waits while little is open: the loop says when it is worth it, at half of the crowd, and what was measured
+// before counts no longer once nobody does.
+func TestBusy(t *testing.T) {
+	state, err := NewState(testSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const crowd = 6
+	loop := NewLoop(state, NewClock(), local{}, Outside{Admission: admission.New(admission.Settings{Crowd: crowd, Window: 1}, testSettings())})
+	busy := func() bool {
+		select {
+		case <-loop.Busy():
+			return true
+		default:
+			return false
+		}
+	}
+	for i := range crowd + 1 {
+		loop.Enter(request("read", 0), func(Final) {})
+		if got := busy(); got != (i == crowd/2-1) || loop.Starved() != (i >= crowd/2-1) {
+			t.Errorf("with %d open: busy %v, starved %v", i+1, got, loop.Starved())
+		}
+	}
+	loop.Measured(true)
+	for end := time.Now().Add(5 * time.Second); !loop.Crowded(); loop.Lagged(50_000) {
+		if time.Now().After(end) {
+			t.Fatal("no crowd where work waits")
+		}
+	}
+	state.Reduce(loop.clock.Now(), []Event{Lagged{Waited: 50_000}})
+	if state.atNode(200_000) == 200_000 {
+		t.Error("the broker's own waits count as the node's")
+	}
+	state.Reduce(loop.clock.Now(), []Event{Lagged{Unknown: true}})
+	if took := state.atNode(200_000); took != 200_000 {
+		t.Errorf("%d µs of 200,000 are the node's where nobody measures", took)
+	}
+}
+
 // The broker's own waits are not the node's time: a busy broker must not think sound nodes slow.
 func TestOwnWaits(t *testing.T) {
 	r := newRig(t)
@@ -185,7 +224,7 @@
 		}
 	}
 	r.state.lag = 0
-	loop := NewLoop(r.state, NewClock(), local{}, Outside{Door: admission.New(admission.Settings{Target: 1000}, testSettings())})
+	loop := NewLoop(r.state, NewClock(), local{}, Outside{Admission: admission.New(admission.Settings{Target: 1000}, testSettings())})
 	if loop.Lagged(0); len(loop.notify) != 1 { // guards an idle broker against the lag of the news of its lag
 		t.Error("an idle loop is not woken")
 	}
--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -64,8 +64,11 @@
 		ID    uint64
 		Whole bool
 	}
-	// Lagged tells how long whatever could run in this process has lately waited for a processor, in the mean.
-	Lagged struct{ Waited Micros }
+	// Lagged tells how long whatever could run in this process has lately waited for a processor, in the mean. Unknown ends that.
+	Lagged struct {
+		Waited  Micros
+		Unknown bool
+	}
 	// Ending tells that the process ends: what is owed is to be answered now, and so is what still comes.
 	Ending struct{}
 )
@@ -317,7 +320,9 @@
 	case Shared:
 		s.tell(logic.Shared{Processes: e.Processes, Unseen: e.Unseen})
 	case Lagged:
-		s.lag += (e.Waited - s.lag) / 4
+		if s.lag += (e.Waited - s.lag) / 4; e.Unknown {
+			s.lag = 0
+		}
 	case Ending:
 		s.endAll()
 	}
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -55,7 +55,7 @@
 	return spread.Options{Off: s.Off, Nodes: s.Nodes, Away: s.Away, Trial: s.Trial, Alone: s.NoPeers, Own: name}
 }
 
-// Admission is when requests are refused at the door.
+// Admission is when requests are refused for want of room or processor.
 type Admission struct {
 	LagMS    float64 `toml:"lag_ms"`    // of the broker's loop, beyond which fewer come in; 0: off
 	MostOpen int     `toml:"most_open"` // requests that may wait for their answer; 0: no bound but those of connections and memory
@@ -76,8 +76,8 @@
 	return nil
 }
 
-// Door returns what decides at the door, nil for none. crowd is admission.Settings.Crowd, 0 for none.
-func (a Admission) Door(set logic.Settings, crowd int) *admission.Door {
+// Controller returns what decides on admission, nil for none. crowd is admission.Settings.Crowd, 0 for none.
+func (a Admission) Controller(set logic.Settings, crowd int) *admission.Controller {
 	if a.LagMS == 0 && a.MostOpen == 0 && crowd == 0 {
 		return nil
 	}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -41,7 +41,7 @@
 
 // newControl builds it; nothing runs yet, but ports are bound. Attempts of requests that name no transport go through transport; gate decides who
 // comes in, nil for everybody.
-func newControl(c *config.Config, transport broker.Transport, gate *admission.Door, log *slog.Logger) (k *control, err error) {
+func newControl(c *config.Config, transport broker.Transport, gate *admission.Controller, log *slog.Logger) (k *control, err error) {
 	k = &control{config: c, log: log, clock: broker.NewClock()}
 	defer func() {
 		if err != nil {
@@ -53,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	outside := broker.Outside{Log: log, Door: gate}
+	outside := broker.Outside{Log: log, Admission: gate}
 	if c.PeerListen != "" && c.Settings.Logic.Bounds.Peers {
 		if k.link, err = peer.Open(c.PeerListen, c.Peers, c.PeersAll, c.Settings.Logic.Ordinal); err != nil {
 			return nil, err
--- a/internal/daemon/pressure.go
+++ b/internal/daemon/pressure.go
@@ -44,18 +44,31 @@
 	return broker.Micros(sum / float64(n) * 1e6)
 }
 
-// watchPressure tells the door how long work waits, until ctx ends.
-func watchPressure(ctx context.Context, loop *broker.Loop) {
-	var p pressure
-	p.waited()
-	tick := time.NewTicker(time.Duration(admission.DefaultWindow) * time.Microsecond)
-	defer tick.Stop()
+// watchPressure tells admission control how long work waits, until ctx ends. Unless it is to be known always, it measures only from when
+// many requests wait at once until nothing waits for the processor any more: an idle broker is not woken for it.
+func watchPressure(ctx context.Context, loop *broker.Loop, always bool) {
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			loop.Lagged(p.waited())
+		if !always {
+			select {
+			case <-ctx.Done():
+				return
+			case <-loop.Busy():
+			}
 		}
+		var p pressure
+		p.waited()
+		loop.Measured(true)
+		tick := time.NewTicker(time.Duration(admission.DefaultWindow) * time.Microsecond)
+		for always || loop.Starved() {
+			select {
+			case <-ctx.Done():
+				tick.Stop()
+				return
+			case <-tick.C:
+				loop.Lagged(p.waited())
+			}
+		}
+		tick.Stop()
+		loop.Measured(false)
 	}
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -29,22 +29,22 @@
 )
 
 const (
-	memoryPart   = 0.6      // of the memory limit for the Go runtime: the rest is for the program itself, sockets and what is late
-	plentyPart   = 0.8      // of this limit, with memory to spare
-	clientBytes  = 20 << 10 // a client's connection with a request: buffers, stacks, and what the core holds of it
-	clientPart   = 0.5      // of Go's memory for these at the most: were live memory near its limit, collections would take the processor
-	asidePart    = 16       // a part of the sockets: connections that are turned away or on their way out at a time
-	leastAside   = 16
-	crowdClients = 1024 // with fewer connections than this these are the bound on what waits
-	crowdPerCore = 64
-	clientMemory = 0.2 // of the limit for requests and answers that wait
-	gcPercent    = 100 // the live heap is small: more would let it grow through the first hours of a small machine
-	gcPlenty     = 400 // with memory to spare: a collection takes a part of the processor for as long as there are connections
-	plentyMB     = 128
-	spareSockets = 40  // for all that is neither a client nor a node
-	nodePart     = 4   // a quarter of the sockets goes to nodes
-	easyPart     = 4   // beyond a quarter of the sockets idle clients end: they may hold a third, used or not
-	nodeSockets  = 256 // and no more than this
+	memoryPart    = 0.6      // of the memory limit for the Go runtime: the rest is for the program itself, sockets and what is late
+	plentyPart    = 0.8      // of this limit, with memory to spare
+	clientBytes   = 20 << 10 // a client's connection with a request: buffers, stacks, and what the core holds of it
+	clientPart    = 0.5      // of Go's memory for these at the most: were live memory near its limit, collections would take the processor
+	overflowPart  = 16       // a part of the sockets: connections that are rejected or on their way out at a time
+	leastOverflow = 16
+	crowdClients  = 1024 // with fewer connections than this these are the bound on what waits
+	crowdPerCore  = 64
+	clientMemory  = 0.2 // of the limit for requests and answers that wait
+	gcPercent     = 100 // the live heap is small: more would let it grow through the first hours of a small machine
+	gcPlenty      = 400 // with memory to spare: a collection takes a part of the processor for as long as there are connections
+	plentyMB      = 128
+	spareSockets  = 40  // for all that is neither a client nor a node
+	nodePart      = 4   // a quarter of the sockets goes to nodes
+	idlePart      = 4   // beyond a quarter of the sockets idle clients end: they may hold a third, used or not
+	nodeSockets   = 256 // and no more than this
 
 	settle = 5 * time.Millisecond
 
@@ -76,7 +76,7 @@
 	options := pool.Options{ConnectTimeout: c.Settings.ConnectTimeout.Duration(),
 		Idle: c.Settings.ConnIdle.Duration(), Settle: settle, Sockets: size.nodes, Local: local, Log: log}
 	nodes := pool.New(options)
-	gate := c.Site.Admission.Door(c.Settings.Logic, size.crowd)
+	gate := c.Site.Admission.Controller(c.Settings.Logic, size.crowd)
 	k, err := newControl(c, resp.NewNodes(nodes), gate, log)
 	if err != nil {
 		return err
@@ -87,8 +87,8 @@
 		return slices.Concat(loop.Figures.Read(), s.members.Figures(), s.agreed(), []broker.Figure{{Name: "clients", Value: uint64(clients(s.fronts))}})
 	}
 	s.pools = []*pool.Pool{nodes}
-	s.front = resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), size.clients, size.easy, size.requests, log)
-	s.front.TurnAway(size.aside)
+	s.front = resp.NewFront(loop, resp.NewTerms(c.Settings.Logic, c.Settings.Shards), size.clients, size.maxIdle, size.requests, log)
+	s.front.RejectBeyond(size.overflow)
 	s.fronts = []drainer{s.front}
 	s.took(c.Settings.Logic)
 	s.resize(1)
@@ -102,7 +102,7 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	if err := k.open(s.check, func() []broker.Figure {
-		return []broker.Figure{{Name: "connections_turned_away", Value: s.front.TurnedAway(), Counter: true}}
+		return []broker.Figure{{Name: "connections_turned_away", Value: s.front.Rejected(), Counter: true}}
 	}); err != nil {
 		return err
 	}
@@ -111,9 +111,7 @@
 	if err := k.run(running, s.known(), s.hear); err != nil {
 		return err
 	}
-	if gate != nil {
-		go watchPressure(running, loop)
-	}
+	go watchPressure(running, loop, c.Site.Admission.LagMS > 0)
 	for _, p := range s.pools {
 		go retire(running, p)
 	}
@@ -164,27 +162,25 @@
 
 // sizes is what a process may use.
 type sizes struct {
-	nodes, clients, easy int // sockets
-	aside                int // of the sockets, beyond the clients'
-	crowd                int // requests open at once while the processor is the bound
-	heap, requests       int // bytes
+	nodes, clients, maxIdle int // sockets
+	overflow                int // of the sockets, beyond the clients'
+	crowd                   int // requests open at once while the processor is the bound
+	heap, requests          int // bytes
 }
 
 // sizesOf shares the limits out among so many processes of one broker.
 func sizesOf(c *config.Config, processes int) sizes {
 	sockets, memory := c.Limits.Sockets/processes, c.Limits.MemoryMB*(1<<20)/float64(processes)
-	s := sizes{nodes: min(nodeSockets, sockets/nodePart), easy: sockets / easyPart,
+	s := sizes{nodes: min(nodeSockets, sockets/nodePart), maxIdle: sockets / idlePart,
 		heap: int(memoryPart * memory), requests: int(clientMemory * memory)}
 	if c.Limits.MemoryMB >= plentyMB {
 		s.heap = int(plentyPart * memory)
 	}
 	s.clients = sockets - spareSockets/processes - s.nodes
 	bound := max(1, int(clientPart*float64(s.heap)/clientBytes))
-	s.aside = min(sockets/asidePart, leastAside/processes+max(0, s.clients-bound))
+	s.overflow = min(sockets/overflowPart, leastOverflow/processes+max(0, s.clients-bound))
 	s.clients = min(s.clients, bound)
-	if s.clients >= crowdClients {
-		s.crowd = crowdPerCore * max(1, int(math.Ceil(c.Limits.Cores)))
-	}
+	s.crowd = crowdPerCore * max(1, int(math.Ceil(c.Limits.Cores)))
 	if files := c.Site.SFTP; files.Listen != "" {
 		s.clients -= files.Connections/processes + s.nodes
 	}
@@ -199,7 +195,7 @@
 	for _, p := range s.pools {
 		p.Resize(size.nodes)
 	}
-	s.front.Resize(size.clients, size.easy, size.aside)
+	s.front.Resize(size.clients, size.maxIdle, size.overflow)
 	s.front.ResizeBudget(size.requests)
 	if s.files != nil {
 		s.files.Resize(s.config.Site.SFTP.Connections/processes, s.config.Site.SFTP.Connections, 0)
--- a/internal/daemon/sizes_test.go
+++ b/internal/daemon/sizes_test.go
@@ -14,7 +14,7 @@
 		sockets        int
 		clients, crowd int
 	}{
-		{48, 256, 152, 0}, {192, 1024, 728, 0}, {128, 4096, 2621, 128}, {2048, 4096, 3800, 128},
+		{48, 256, 152, 128}, {192, 1024, 728, 128}, {128, 4096, 2621, 128}, {2048, 4096, 3800, 128},
 	} {
 		var conf config.Config
 		conf.Limits.Cores, conf.Limits.MemoryMB, conf.Limits.Sockets = 2, c.memory, c.sockets
@@ -25,8 +25,8 @@
 		if float64(s.clients*clientBytes) > clientPart*float64(s.heap) {
 			t.Errorf("%v MB: %d clients take over half of %d bytes", c.memory, s.clients, s.heap)
 		}
-		if s.aside < leastAside || s.clients+s.nodes+s.aside+spareSockets-leastAside > c.sockets {
-			t.Errorf("%d sockets: %d, %d and %d", c.sockets, s.clients, s.nodes, s.aside)
+		if s.overflow < leastOverflow || s.clients+s.nodes+s.overflow+spareSockets-leastOverflow > c.sockets {
+			t.Errorf("%d sockets: %d, %d and %d", c.sockets, s.clients, s.nodes, s.overflow)
 		}
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,5 +1,5 @@
-// Package front holds what the fronts share: the set of open connections, room for them, and how they are
-// handed over when the broker stops.
+// Package front holds what the fronts share: the table of open connections with its limits and eviction, and how
+// connections are handed over when the broker stops.
 package front
 
 import (
@@ -13,17 +13,17 @@
 	"sync/atomic"
 	"time"
 
-	"junctionwharf/internal/room"
+	"junctionwharf/internal/semaphore"
 )
 
-// Guest is one connection of a front.
-type Guest interface {
+// Connection is one connection of a front.
+type Connection interface {
 	Wake()                         // has it look whether it should go on
 	Look() (Status, time.Duration) // tells what it does, and for how long it has been idle
 	End() bool                     // ends the connection, soon, unless something has come by now; it does not block
 }
 
-// Status is what a guest does.
+// Status is what a connection does.
 type Status int
 
 // The statuses.
@@ -41,133 +41,136 @@
 
 const (
 	acceptPause = 10 * time.Millisecond
-	roomPause   = 50 * time.Millisecond // between looks for a guest that gives way, where no connection can be turned away
+	evictPause  = 50 * time.Millisecond // between looks for a connection to evict, where none can be rejected
 	timeToAsk   = 200 * time.Millisecond
 	queueTime   = 50 * time.Millisecond // without a new connection, after which none is on its way
 
-	// Guests that are looked at for an idle one. Under load the front of the list is full of busy ones: with a look at all of
+	// Connections that are looked at for an idle one. Under load the front of the list is full of busy ones: with a look at all of
 	// them for each request, a broker that fell behind once spent its time on these looks and never caught up.
 	looksAsked = 2
 	looksFull  = 64
 
-	// A guest that is idle beyond the easy number for so long ends. One that has just been answered asks again, where clients
+	// A connection that has been idle for so long ends where more are idle than may be. One that has just been answered asks again, where clients
 	// have much to ask: were it ended, each request would cost a connection, and a broker with too much to do had more.
-	easyTime = 50 * time.Millisecond
+	idleGrace = 50 * time.Millisecond
 )
 
-// Hall is the set of a front's connections.
-type Hall struct {
+// Table is the table of a front's connections: which may stay idle, who is evicted for a newcomer, and who is rejected.
+type Table struct {
 	log        *slog.Logger
-	room       *room.Room // a place for each connection
+	limit      *semaphore.Semaphore // a place for each connection
 	mu         sync.Mutex
-	easy       int              // connections up to which idle ones may stay
-	places     map[Guest]*place // of all guests
-	fresh      list.List        // those that have sent no command, in the order in which they came
-	polite     list.List        // those that have sent none but greetings
-	known      list.List        // those that have had a request, by their last one
+	maxIdle    int                   // connections up to which idle ones may stay
+	entries    map[Connection]*entry // of all connections
+	silent     list.List             // those that have sent no command, in the order in which they came
+	greeted    list.List             // those that have sent none but greetings
+	active     list.List             // those that have had a request, by their last one
 	ln         net.Listener
 	lnEnded    chan struct{} // closed with ln
 	lnEnd      sync.Once
 	stage      stage
-	turn       func(net.Conn) // answers and ends a connection for which there is no room, nil for none
+	reject     func(net.Conn) // answers and ends a connection beyond the limit, nil for none
 	overloaded func() bool
-	aside      *room.Room // a place for each of these, and for each guest that was ended and has not left yet
+	overflow   *semaphore.Semaphore // a place for each of these, and for each connection that was evicted and has not ended yet
 
-	leaving atomic.Bool // it is no longer open
-	turned  atomic.Uint64
+	draining atomic.Bool // it is no longer open
+	rejected atomic.Uint64
 }
 
-// place is a guest in one of the lists, or in none once it was ended.
-type place struct {
-	guest Guest
-	at    *list.Element
-	in    *list.List
-	since time.Time // its entry
-	aside bool      // its place was given to another
+// entry is a connection in one of the lists, or in none once it was evicted.
+type entry struct {
+	conn     Connection
+	at       *list.Element
+	in       *list.List
+	since    time.Time // its entry
+	overflow bool      // it holds a place of the overflow; its own was given to another
 }
 
 type stage int
 
 const (
 	open     stage = iota
-	draining       // guests leave as soon as they are idle, new ones after their first request
+	draining       // connections end as soon as they are idle, new ones after their first request
 	closed         // no new ones come but those that the kernel has accepted
 )
 
-// NewHall returns a hall for so many guests. Of those that have asked, more than easy do not stay idle: clients may have
-// room for fewer connections than the hall and keep those they do not use. But they are kept up to there, since a client
+// NewTable returns a table for most connections. Of those that have asked, more than maxIdle do not stay idle: clients may have
+// room for fewer connections than the table and keep those they do not use. But they are kept up to there, since a client
 // may have no other way in once the broker was told to end. log gets a line when the system refuses a connection.
-func NewHall(most, easy int, log *slog.Logger) *Hall {
-	return &Hall{log: log, easy: easy, room: room.New(most), places: map[Guest]*place{}, lnEnded: make(chan struct{})}
+func NewTable(most, maxIdle int, log *slog.Logger) *Table {
+	return &Table{log: log, maxIdle: maxIdle, limit: semaphore.New(most), entries: map[Connection]*entry{}, lnEnded: make(chan struct{})}
 }
 
-// TurnAway has connections for which there is no room, and nobody gives way, answered by turn, which ends them, up to so many
-// at a time. Without it they wait in the kernel's queue, past their clients' time. So many connections may also be on their
-// way out beyond the hall's number. While the broker is overloaded those that asked lately do not give way: they will ask
+// RejectBeyond has connections beyond the limit, where nobody can be evicted, answered by reject, which ends them, up to so many
+// at a time. Without it they wait in the kernel's queue, past their clients' time. So many evicted connections may also be on
+// their way out beyond the limit. While the broker is overloaded those that asked lately are not evicted: they will ask
 // again, and it costs more to take a connection than to refuse on one that is there. It comes before Accept.
-func (h *Hall) TurnAway(most int, turn func(net.Conn), overloaded func() bool) {
-	h.turn, h.aside, h.overloaded = turn, room.New(most), overloaded
+func (t *Table) RejectBeyond(most int, reject func(net.Conn), overloaded func() bool) {
+	t.reject, t.overflow, t.overloaded = reject, semaphore.New(most), overloaded
 }
 
 // Accept accepts a connection for which there is room. It guards against a full socket table: those that wait for no answer
-// give way, and where nobody does the connection is turned away. Each that is returned must be given back with Leave.
+// are evicted, and where nobody can be the connection is rejected. Each that is returned must be given back with Remove.
 // net.ErrClosed follows Close.
-func (h *Hall) Accept(ln net.Listener) (net.Conn, error) {
-	h.mu.Lock()
-	if h.ln = ln; ln != nil && h.stage >= closed {
-		h.shut(0)
+func (t *Table) Accept(ln net.Listener) (net.Conn, error) {
+	t.mu.Lock()
+	if t.ln = ln; ln != nil && t.stage >= closed {
+		t.shut(0)
 	}
-	h.mu.Unlock()
+	t.mu.Unlock()
 	for {
-		if h.turn == nil {
-			h.makeRoom()
+		if t.reject == nil {
+			t.acquire()
 		}
 		conn, err := ln.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) { // no time is left, but some may wait in the queue
 			conn, err = acceptWaiting(ln)
 		}
 		switch {
-		case err == nil && (h.turn == nil || h.hasRoom()):
+		case err == nil && (t.reject == nil || t.admit()):
 			return conn, nil
 		case err == nil:
-			h.turned.Add(1)
+			t.rejected.Add(1)
 			go func() {
-				defer h.aside.Give()
+				defer t.overflow.Release()
 				defer conn.Close()
-				h.turn(conn)
+				t.reject(conn)
 			}()
 			continue
 		case errors.Is(err, errNoneWaits):
 			ln.Close()
 			err = net.ErrClosed
 		}
-		if h.turn == nil {
-			h.room.Give()
+		if t.reject == nil {
+			t.limit.Release()
 		}
 		if errors.Is(err, net.ErrClosed) {
-			h.lnEnd.Do(func() { close(h.lnEnded) })
+			t.lnEnd.Do(func() { close(t.lnEnded) })
 			return nil, err
 		}
-		h.log.Warn("accept failed", "reason", err)
+		t.log.Warn("accept failed", "reason", err)
 		time.Sleep(acceptPause)
 	}
 }
 
-// hasRoom takes a place for a connection that was accepted, or else one among those that are turned away.
-func (h *Hall) hasRoom() bool {
+// admit takes a place for a connection that was accepted, or else one among those that are rejected.
+func (t *Table) admit() bool {
 	for {
-		if h.room.TryTake() {
+		if t.limit.TryAcquire() {
 			return true
 		}
-		h.mu.Lock()
-		gave := h.giveWay()
-		h.mu.Unlock()
-		from := h.aside
+		t.mu.Lock()
+		gave := t.evict()
+		t.mu.Unlock()
+		from := t.overflow
 		if gave {
-			from = h.room
+			from = t.limit
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), roomPause)
-		err := from.Take(ctx)
+		if from.TryAcquire() {
+			return gave
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), evictPause)
+		err := from.Acquire(ctx)
 		cancel()
 		if err == nil {
 			return gave
@@ -175,65 +178,65 @@
 	}
 }
 
-// Enter adds an accepted connection and tells whether it came while others leave.
-func (h *Hall) Enter(g Guest) (late bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	p := &place{guest: g, since: time.Now()}
-	h.places[g] = p
-	h.put(p, &h.fresh)
-	return h.stage != open
+// Add adds an accepted connection and tells whether it came while others leave.
+func (t *Table) Add(c Connection) (late bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := &entry{conn: c, since: time.Now()}
+	t.entries[c] = e
+	t.put(e, &t.silent)
+	return t.stage != open
 }
 
-// Asked notes that a request of a guest came, which is the last to give way from now on.
+// Asked notes that a request came on a connection, which is the last to be evicted from now on.
 // While there is too much to do no idle one ends for it: it costs more to take a connection than to keep it.
-func (h *Hall) Asked(g Guest, overloaded bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if p := h.places[g]; p != nil && p.in != nil {
-		if p.in == &h.known {
-			h.known.MoveToBack(p.at)
+func (t *Table) Asked(c Connection, overloaded bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[c]; e != nil && e.in != nil {
+		if e.in == &t.active {
+			t.active.MoveToBack(e.at)
 		} else {
-			h.put(p, &h.known)
+			t.put(e, &t.active)
 		}
-		if h.known.Len() > h.easy && !overloaded {
-			h.endIdlest(looksAsked, easyTime)
+		if t.active.Len() > t.maxIdle && !overloaded {
+			t.evictIdlest(looksAsked, idleGrace)
 		}
 	}
 }
 
-func (h *Hall) put(p *place, in *list.List) {
-	if p.in != nil {
-		p.in.Remove(p.at)
+func (t *Table) put(e *entry, in *list.List) {
+	if e.in != nil {
+		e.in.Remove(e.at)
 	}
-	if p.in = in; in != nil {
-		p.at = in.PushBack(p)
+	if e.in = in; in != nil {
+		e.at = in.PushBack(e)
 	}
 }
 
-// Leave gives back the room of a connection that has ended.
-func (h *Hall) Leave(g Guest) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if p := h.places[g]; p != nil {
-		h.put(p, nil)
-		delete(h.places, g)
-		if p.aside {
-			h.aside.Give()
+// Remove gives back the place of a connection that has ended.
+func (t *Table) Remove(c Connection) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[c]; e != nil {
+		t.put(e, nil)
+		delete(t.entries, c)
+		if e.overflow {
+			t.overflow.Release()
 		} else {
-			h.room.Give()
+			t.limit.Release()
 		}
 	}
 }
 
-// makeRoom takes a place as soon as there is one.
-func (h *Hall) makeRoom() {
-	for !h.room.TryTake() {
-		h.mu.Lock()
-		h.giveWay()
-		h.mu.Unlock()
-		ctx, cancel := context.WithTimeout(context.Background(), roomPause)
-		err := h.room.Take(ctx)
+// acquire takes a place as soon as there is one.
+func (t *Table) acquire() {
+	for !t.limit.TryAcquire() {
+		t.mu.Lock()
+		t.evict()
+		t.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), evictPause)
+		err := t.limit.Acquire(ctx)
 		cancel()
 		if err == nil {
 			break
@@ -241,141 +244,145 @@
 	}
 }
 
-// Greeted notes that a guest sent a command that asks for nothing.
-func (h *Hall) Greeted(g Guest) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if p := h.places[g]; p != nil && p.in == &h.fresh {
-		h.put(p, &h.polite)
+// Greeted notes that a connection sent a command that asks for nothing.
+func (t *Table) Greeted(c Connection) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[c]; e != nil && e.in == &t.silent {
+		t.put(e, &t.greeted)
 	}
 }
 
-// giveWay ends one guest: the first that has done no more than greet; else the first that has sent nothing, once it had
+// evict ends one connection: the first that has done no more than greet; else the first that has sent nothing, once it had
 // time to; else the idlest that has asked; else the first that stands half way in its first command. It guards the
-// usual clients, slow ones among them, against crowds. It tells whether one was ended. The caller holds h.mu.
-func (h *Hall) giveWay() bool {
+// usual clients, slow ones among them, against crowds. It tells whether one was ended. The caller holds t.mu.
+func (t *Table) evict() bool {
 	looks, least := looksFull, time.Duration(0)
-	if h.turn != nil && h.overloaded() {
-		looks, least = looksAsked, easyTime
+	if t.reject != nil && t.overloaded() {
+		looks, least = looksAsked, idleGrace
 	}
-	return h.end(h.first(&h.polite, Idle)) || h.end(h.first(&h.fresh, Idle)) || h.endIdlest(looks, least) || h.end(h.first(&h.fresh, HalfWay))
+	return t.end(t.first(&t.greeted, Idle)) || t.end(t.first(&t.silent, Idle)) || t.evictIdlest(looks, least) || t.end(t.first(&t.silent, HalfWay))
 }
 
-// first returns the first guest of a list with a status, nil for none. One that has just come gets its time to ask.
-func (h *Hall) first(in *list.List, status Status) *place {
+// first returns the first connection of a list with a status, nil for none. One that has just come gets its time to ask.
+func (t *Table) first(in *list.List, status Status) *entry {
 	for at := in.Front(); at != nil; at = at.Next() {
-		p := at.Value.(*place)
-		if in == &h.fresh && time.Since(p.since) < timeToAsk {
+		e := at.Value.(*entry)
+		if in == &t.silent && time.Since(e.since) < timeToAsk {
 			return nil // as all behind it
 		}
-		if now, _ := p.guest.Look(); now == status {
-			return p
+		if now, _ := e.conn.Look(); now == status {
+			return e
 		}
 	}
 	return nil
 }
 
-// endIdlest ends the guest that has been idle for longest among the first so many of those that have asked, if one was so for the
+// evictIdlest ends the connection that has been idle for longest among the first so many of those that have asked, if one was so for the
 // least time, and tells whether it did. Others go to the end of the list.
-func (h *Hall) endIdlest(looks int, least time.Duration) bool {
-	for range min(looks, h.known.Len()) {
-		p := h.known.Front().Value.(*place)
-		if status, idle := p.guest.Look(); status == Idle && idle >= least && h.end(p) {
+func (t *Table) evictIdlest(looks int, least time.Duration) bool {
+	for range min(looks, t.active.Len()) {
+		e := t.active.Front().Value.(*entry)
+		if status, idle := e.conn.Look(); status == Idle && idle >= least && t.end(e) {
 			return true
 		}
-		h.known.MoveToBack(p.at)
+		t.active.MoveToBack(e.at)
 	}
 	return false
 }
 
-// end ends a guest unless it is nil, or has just sent something.
-func (h *Hall) end(p *place) bool {
-	if p == nil || !p.guest.End() {
+// end ends a connection unless it is nil, or has just sent something.
+func (t *Table) end(e *entry) bool {
+	if e == nil || !e.conn.End() {
 		return false
 	}
-	h.put(p, nil) // it counts as a guest until it leaves
-	if h.turn != nil && h.aside.TryTake() {
-		p.aside = true // its place is free at once
-		h.room.Give()
+	t.put(e, nil) // it counts until it has ended
+	if t.reject != nil && t.overflow.TryAcquire() {
+		e.overflow = true // its place is free at once
+		t.limit.Release()
 	}
 	return true
 }
 
 // Clients tells how many connections are open.
-func (h *Hall) Clients() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.places)
+func (t *Table) Clients() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries)
 }
 
-// TurnedAway tells how many connections found no room and were answered and ended at once.
-func (h *Hall) TurnedAway() uint64 { return h.turned.Load() }
+// Awaited tells whether a connection waits in the kernel's queue because all places are taken, those of connections that are
+// rejected or on their way out among them.
+func (t *Table) Awaited() bool { return t.overflow != nil && t.overflow.Awaited() }
+
+// Rejected tells how many connections were beyond the limit and were answered and ended at once.
+func (t *Table) Rejected() uint64 { return t.rejected.Load() }
 
 // Drain has connections end as soon as they wait for no answer. New ones are taken still: a client whose
 // request crossed the end of its connection sends it once more on a new one.
-func (h *Hall) Drain() { h.proceed(draining) }
+func (t *Table) Drain() { t.proceed(draining) }
 
 // Shut takes no more connections but those that wait in the kernel's queue, which the end of the listener would reset.
 // Others must lead to another process by then. Without a deadline of its own a listener is closed at once.
-func (h *Hall) Shut() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.shut(queueTime)
+func (t *Table) Shut() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.shut(queueTime)
 }
 
-// shut has Accept end after a while, with what the kernel has accepted by then; the caller holds h.mu.
-func (h *Hall) shut(after time.Duration) {
-	if ln, ok := h.ln.(interface{ SetDeadline(time.Time) error }); ok {
+// shut has Accept end after a while, with what the kernel has accepted by then; the caller holds t.mu.
+func (t *Table) shut(after time.Duration) {
+	if ln, ok := t.ln.(interface{ SetDeadline(time.Time) error }); ok {
 		ln.SetDeadline(time.Now().Add(after))
-	} else if h.ln != nil {
-		h.ln.Close()
+	} else if t.ln != nil {
+		t.ln.Close()
 	}
 }
 
-// Resize changes how many guests there may be, how many before idle ones end, and how many are turned away at a time. Those
-// beyond leave as they end.
-func (h *Hall) Resize(most, easy, aside int) {
-	h.room.Resize(most)
-	if h.turn != nil {
-		h.aside.Resize(aside)
+// Resize changes how many connections there may be, how many of them idle, and how many are rejected at a time. Those
+// beyond stay until they end.
+func (t *Table) Resize(most, maxIdle, overflow int) {
+	t.limit.Resize(most)
+	if t.reject != nil {
+		t.overflow.Resize(overflow)
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.easy = easy
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.maxIdle = maxIdle
 }
 
 // Close takes no more connections but those that the kernel has accepted: requests on them count as taken. It waits for Accept to
 // take these, though not for long: others may want the places.
-func (h *Hall) Close() {
-	h.proceed(closed)
-	h.mu.Lock()
-	h.shut(0)
-	listens := h.ln != nil
-	h.mu.Unlock()
+func (t *Table) Close() {
+	t.proceed(closed)
+	t.mu.Lock()
+	t.shut(0)
+	listens := t.ln != nil
+	t.mu.Unlock()
 	if listens {
 		select {
-		case <-h.lnEnded:
+		case <-t.lnEnded:
 		case <-time.After(queueTime):
 		}
 	}
 }
 
-func (h *Hall) proceed(to stage) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.stage = to
-	h.leaving.Store(true)
-	for g := range h.places {
-		g.Wake()
+func (t *Table) proceed(to stage) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stage = to
+	t.draining.Store(true)
+	for c := range t.entries {
+		c.Wake()
 	}
 }
 
-// Leaving tells whether guests leave as soon as they are idle.
-func (h *Hall) Leaving() bool { return h.leaving.Load() }
+// Draining tells whether connections end as soon as they are idle.
+func (t *Table) Draining() bool { return t.draining.Load() }
 
-// Dismisses tells whether an idle connection should end; fresh says that it came late and has had no request.
-func (h *Hall) Dismisses(fresh bool) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.stage == closed || h.stage == draining && !fresh
+// ShouldEnd tells whether an idle connection should end; fresh says that it came late and has had no request.
+func (t *Table) ShouldEnd(fresh bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stage == closed || t.stage == draining && !fresh
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -10,51 +10,51 @@
 	"time"
 )
 
-type guest struct {
+type fakeConn struct {
 	woken, ended int
 	status       Status
 	idle         time.Duration
 	speaks       bool // something has come by now
 }
 
-func (g *guest) Wake()                         { g.woken++ }
-func (g *guest) Look() (Status, time.Duration) { return g.status, g.idle }
-func (g *guest) End() bool                     { g.ended++; return !g.speaks }
+func (g *fakeConn) Wake()                         { g.woken++ }
+func (g *fakeConn) Look() (Status, time.Duration) { return g.status, g.idle }
+func (g *fakeConn) End() bool                     { g.ended++; return !g.speaks }
 
-// enter adds guests that came a second ago; those that have asked did so in this order.
-func enter(h *Hall, asked bool, guests ...*guest) {
-	for _, g := range guests {
-		h.room.TryTake()
-		h.Enter(g)
-		h.places[g].since = time.Now().Add(-time.Second)
+// enter adds connections that came a second ago; those that have asked did so in this order.
+func enter(h *Table, asked bool, conns ...*fakeConn) {
+	for _, g := range conns {
+		h.limit.TryAcquire()
+		h.Add(g)
+		h.entries[g].since = time.Now().Add(-time.Second)
 		if asked {
 			h.Asked(g, false)
 		}
 	}
 }
 
-// A full hall first ends who has only greeted, then who has sent nothing, then who has been idle for longest, then who stands half way in a first
+// A full table first ends who has only greeted, then who has sent nothing, then who has been idle for longest, then who stands half way in a first
 // command: a crowd must not push out slow writers. Who waits for an answer stays, and who has just come.
-func TestGiveWay(t *testing.T) {
-	h := NewHall(10, 10, logs.Func(func(line string) { t.Log(line) }))
-	busy, old, young := &guest{status: Busy}, &guest{status: Idle}, &guest{status: Idle}
-	slow, mute, mute2, fresh := &guest{status: HalfWay}, &guest{status: Idle}, &guest{status: Idle}, &guest{status: Idle}
+func TestEvict(t *testing.T) {
+	h := NewTable(10, 10, logs.Func(func(line string) { t.Log(line) }))
+	busy, old, young := &fakeConn{status: Busy}, &fakeConn{status: Idle}, &fakeConn{status: Idle}
+	slow, mute, mute2, fresh := &fakeConn{status: HalfWay}, &fakeConn{status: Idle}, &fakeConn{status: Idle}, &fakeConn{status: Idle}
 	enter(h, true, busy, young, old)
 	h.Asked(young, false) // again
-	polite := &guest{status: Idle}
-	enter(h, false, slow, mute, mute2, polite, fresh)
-	h.places[fresh].since = time.Now()
-	h.Greeted(polite)
+	greeted := &fakeConn{status: Idle}
+	enter(h, false, slow, mute, mute2, greeted, fresh)
+	h.entries[fresh].since = time.Now()
+	h.Greeted(greeted)
 	h.Greeted(old) // one that has asked before stays what it is
-	for i, next := range []*guest{polite, mute, mute2, old, young, slow, nil} {
+	for i, next := range []*fakeConn{greeted, mute, mute2, old, young, slow, nil} {
 		sum := func() (n int) {
-			for _, g := range []*guest{busy, old, young, slow, mute, mute2, polite, fresh} {
+			for _, g := range []*fakeConn{busy, old, young, slow, mute, mute2, greeted, fresh} {
 				n += g.ended
 			}
 			return n
 		}
 		before := sum()
-		if h.giveWay(); next == nil && sum() != before || next != nil && (next.ended != 1 || sum() != before+1) {
+		if h.evict(); next == nil && sum() != before || next != nil && (next.ended != 1 || sum() != before+1) {
 			t.Fatalf("step %d: another was ended than was wanted", i)
 		}
 	}
@@ -63,11 +63,11 @@
 	}
 }
 
-// Clients that ask once and keep their connection must not use up the few that they have: beyond the easy number
-// the idlest of them ends, long before the hall is full. Who has not asked yet, or waits for an answer, stays.
-func TestBeyondEasy(t *testing.T) {
-	h := NewHall(100, 2, logs.Func(func(line string) { t.Log(line) }))
-	busy, idle, mute, other := &guest{status: Busy}, &guest{status: Idle, idle: time.Second}, &guest{status: Idle}, &guest{status: Idle}
+// Clients that ask once and keep their connection must not use up the few that they have: beyond maxIdle
+// the idlest of them ends, long before the table is full. Who has not asked yet, or waits for an answer, stays.
+func TestMaxIdle(t *testing.T) {
+	h := NewTable(100, 2, logs.Func(func(line string) { t.Log(line) }))
+	busy, idle, mute, other := &fakeConn{status: Busy}, &fakeConn{status: Idle, idle: time.Second}, &fakeConn{status: Idle}, &fakeConn{status: Idle}
 	enter(h, false, mute)
 	enter(h, true, busy, idle)
 	if idle.ended != 0 {
@@ -81,47 +81,47 @@
 	}
 }
 
-// With much to do the front of the list is full of busy guests, and of those just answered, who will ask again. Neither is
+// With much to do the front of the list is full of busy connections, and of those just answered, who will ask again. Neither is
 // ended, and each request looks at two at the most: with a look at all, and an end for whoever was idle, a broker that fell
 // behind spent its time on looks and new connections and served a tenth of what it could.
-func TestBeyondEasyUnderLoad(t *testing.T) {
-	h := NewHall(10_000, 10, logs.Func(func(line string) { t.Log(line) }))
-	var guests []*guest
+func TestMaxIdleUnderLoad(t *testing.T) {
+	h := NewTable(10_000, 10, logs.Func(func(line string) { t.Log(line) }))
+	var conns []*fakeConn
 	for i := range 3000 {
-		g := &guest{status: Busy}
+		g := &fakeConn{status: Busy}
 		if i%2 == 0 {
-			g.status, g.idle = Idle, easyTime-1
+			g.status, g.idle = Idle, idleGrace-1
 		}
-		guests = append(guests, g)
+		conns = append(conns, g)
 	}
-	enter(h, true, guests...)
+	enter(h, true, conns...)
 	looks := 0
 	counted := &counted{looks: &looks}
-	h.room.TryTake()
-	h.Enter(counted)
-	for _, g := range guests {
+	h.limit.TryAcquire()
+	h.Add(counted)
+	for _, g := range conns {
 		h.Asked(g, false)
 		h.Asked(counted, false)
 	}
-	if looks > 2*len(guests) {
-		t.Errorf("%d looks at one guest", looks)
+	if looks > 2*len(conns) {
+		t.Errorf("%d looks at one connection", looks)
 	}
-	for i, g := range guests {
+	for i, g := range conns {
 		if g.ended > 0 {
-			t.Fatalf("guest %d was ended", i)
+			t.Fatalf("connection %d was ended", i)
 		}
 	}
-	guests[7].status, guests[7].idle = Idle, easyTime
-	for range len(guests) {
-		h.Asked(guests[1], false)
+	conns[7].status, conns[7].idle = Idle, idleGrace
+	for range len(conns) {
+		h.Asked(conns[1], false)
 	}
-	if guests[7].ended != 1 {
+	if conns[7].ended != 1 {
 		t.Error("an idle one among busy ones is never found")
 	}
 }
 
 type counted struct {
-	guest
+	fakeConn
 	looks *int
 }
 
@@ -131,13 +131,13 @@
 }
 
 func TestStages(t *testing.T) {
-	h := NewHall(2, 2, logs.Func(func(line string) { t.Log(line) }))
+	h := NewTable(2, 2, logs.Func(func(line string) { t.Log(line) }))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	early, late := &guest{}, &guest{}
-	accept := func(g *guest) bool {
+	early, late := &fakeConn{}, &fakeConn{}
+	accept := func(g *fakeConn) bool {
 		conn, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -146,23 +146,23 @@
 		if _, err := h.Accept(ln); err != nil {
 			t.Fatal(err)
 		}
-		return h.Enter(g)
+		return h.Add(g)
 	}
-	if accept(early) || h.Dismisses(false) {
-		t.Error("an open hall dismisses")
+	if accept(early) || h.ShouldEnd(false) {
+		t.Error("an open table ends connections")
 	}
 	h.Drain()
-	if !accept(late) || !h.Dismisses(false) || h.Dismisses(true) || early.woken != 1 {
-		t.Error("a draining hall dismisses the idle, not the fresh")
+	if !accept(late) || !h.ShouldEnd(false) || h.ShouldEnd(true) || early.woken != 1 {
+		t.Error("a draining table ends the idle, not the fresh")
 	}
-	h.Leave(early)
-	h.Leave(early)
+	h.Remove(early)
+	h.Remove(early)
 	h.Close()
-	if h.Clients() != 1 || !h.Dismisses(true) || late.woken != 1 {
-		t.Error("a closed hall dismisses all")
+	if h.Clients() != 1 || !h.ShouldEnd(true) || late.woken != 1 {
+		t.Error("a closed table ends all")
 	}
 	if _, err := h.Accept(ln); err == nil {
-		t.Error("a closed hall accepts")
+		t.Error("a closed table accepts")
 	}
 }
 
@@ -200,11 +200,11 @@
 	}
 }
 
-// A full hall in which all wait for answers once left each further connection in the kernel's queue, past its client's time.
-func TestTurnAway(t *testing.T) {
-	h := NewHall(2, 2, logs.Func(func(line string) { t.Log(line) }))
-	h.TurnAway(3, func(conn net.Conn) { conn.Write([]byte("busy")) }, func() bool { return false })
-	first, second := &guest{status: Busy}, &guest{status: Busy}
+// A full table in which all wait for answers once left each further connection in the kernel's queue, past its client's time.
+func TestRejectBeyond(t *testing.T) {
+	h := NewTable(2, 2, logs.Func(func(line string) { t.Log(line) }))
+	h.RejectBeyond(3, func(conn net.Conn) { conn.Write([]byte("busy")) }, func() bool { return false })
+	first, second := &fakeConn{status: Busy}, &fakeConn{status: Busy}
 	enter(h, true, first, second)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -226,10 +226,10 @@
 			t.Fatalf("%q, %v", answer, err)
 		}
 	}
-	if n := h.TurnedAway(); n != crowd || first.ended+second.ended != 0 {
-		t.Errorf("%d turned away, %d and %d times ended", n, first.ended, second.ended)
+	if n := h.Rejected(); n != crowd || first.ended+second.ended != 0 {
+		t.Errorf("%d rejected, %d and %d times ended", n, first.ended, second.ended)
 	}
-	h.Leave(first)
+	h.Remove(first)
 	conn, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -239,30 +239,30 @@
 	h.Close()
 }
 
-// A guest that was ended takes a while to leave. Its place is free at once, for as many as may be on their way out; and while the
+// A connection that was ended takes a while to leave. Its place is free at once, for as many as may be on their way out; and while the
 // broker is overloaded one that asked a moment ago is not ended for a newcomer, which would cost a connection a request.
-func TestPlaceOfOneOnItsWayOut(t *testing.T) {
-	h := NewHall(3, 3, logs.Func(func(line string) { t.Log(line) }))
+func TestPlaceOfEvicted(t *testing.T) {
+	h := NewTable(3, 3, logs.Func(func(line string) { t.Log(line) }))
 	overloaded := true
-	h.TurnAway(1, func(net.Conn) {}, func() bool { return overloaded })
-	guests := []*guest{{status: Idle, idle: easyTime - 1}, {status: Idle, idle: easyTime - 1}, {status: Busy}}
-	enter(h, true, guests...)
-	ended := func() int { return guests[0].ended + guests[1].ended + guests[2].ended }
-	if h.hasRoom() || ended() != 0 {
-		t.Fatal("one that asked a moment ago gave way to a newcomer")
+	h.RejectBeyond(1, func(net.Conn) {}, func() bool { return overloaded })
+	conns := []*fakeConn{{status: Idle, idle: idleGrace - 1}, {status: Idle, idle: idleGrace - 1}, {status: Busy}}
+	enter(h, true, conns...)
+	ended := func() int { return conns[0].ended + conns[1].ended + conns[2].ended }
+	if h.admit() || ended() != 0 {
+		t.Fatal("one that asked a moment ago was evicted to a newcomer")
 	}
-	h.aside.Give()
+	h.overflow.Release()
 	overloaded = false
-	if !h.hasRoom() || ended() != 1 || h.Clients() != 3 {
+	if !h.admit() || ended() != 1 || h.Clients() != 3 {
 		t.Fatalf("no place at once: %d ended", ended())
 	}
-	if h.aside.TryTake() {
+	if h.overflow.TryAcquire() {
 		t.Error("more are on their way out than may be")
 	}
-	for _, g := range guests {
-		h.Leave(g)
+	for _, g := range conns {
+		h.Remove(g)
 	}
-	if h.room.Taken() != 1 || h.aside.Taken() != 0 {
-		t.Errorf("%d and %d places stay taken", h.room.Taken(), h.aside.Taken())
+	if h.limit.Held() != 1 || h.overflow.Held() != 0 {
+		t.Errorf("%d and %d places stay taken", h.limit.Held(), h.overflow.Held())
 	}
 }
--- a/internal/pool/dial.go
+++ b/internal/pool/dial.go
@@ -74,7 +74,7 @@
 		return
 	}
 	if d.isReleased() { // before anything was sent
-		p.slots.Give()
+		p.slots.Release()
 		return
 	}
 	began, tries := time.Now(), make(chan upped, 2)
@@ -133,7 +133,7 @@
 	}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		p.slots.Give()
+		p.slots.Release()
 		return nil, err
 	}
 	l := &link{Conn: conn, in: bufio.NewReaderSize(conn, 4<<10), used: time.Now()}
@@ -189,5 +189,5 @@
 		p.usual.tries--
 	}
 	p.mu.Unlock()
-	return may && p.slots.TryTake()
+	return may && p.slots.TryAcquire()
 }
--- a/internal/pool/dial_test.go
+++ b/internal/pool/dial_test.go
@@ -60,8 +60,8 @@
 	if r := <-results; r.Err != nil {
 		t.Error(r.Err)
 	}
-	if p.slots.Taken() != 2 {
-		t.Errorf("%d places are taken", p.slots.Taken())
+	if p.slots.Held() != 2 {
+		t.Errorf("%d places are taken", p.slots.Held())
 	}
 }
 
@@ -84,9 +84,9 @@
 		}
 	}
 	close(up)
-	for end := time.Now().Add(5 * time.Second); p.slots.Taken() != 3 || !p.Rests(node.address); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(5 * time.Second); p.slots.Held() != 3 || !p.Rests(node.address); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatalf("%d places are taken", p.slots.Taken())
+			t.Fatalf("%d places are taken", p.slots.Held())
 		}
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"junctionwharf/broker"
-	"junctionwharf/internal/room"
+	"junctionwharf/internal/semaphore"
 )
 
 // Options bounds a pool.
@@ -40,7 +40,7 @@
 // Pool keeps connections by address.
 type Pool struct {
 	opt     Options
-	slots   *room.Room // a place for each connection
+	slots   *semaphore.Semaphore // a place for each connection
 	mu      sync.Mutex
 	connect time.Duration            // the options' times as they are now
 	most    time.Duration            // so long idle, a connection is not used again
@@ -58,7 +58,7 @@
 
 // New returns an empty pool.
 func New(opt Options) *Pool {
-	p := &Pool{opt: opt, slots: room.New(opt.Sockets), idle: map[string][]*link{}, news: map[string]chan struct{}{}, usual: usual{tries: secondMost}}
+	p := &Pool{opt: opt, slots: semaphore.New(opt.Sockets), idle: map[string][]*link{}, news: map[string]chan struct{}{}, usual: usual{tries: secondMost}}
 	p.Retune(opt.ConnectTimeout, opt.Idle)
 	return p
 }
@@ -73,7 +73,7 @@
 // Resize changes how many connections there may be. Idle ones beyond that end.
 func (p *Pool) Resize(sockets int) {
 	p.slots.Resize(sockets)
-	for p.slots.Over() {
+	for p.slots.Exceeded() {
 		l := p.oldest()
 		if l == nil {
 			return
@@ -361,14 +361,14 @@
 // slot waits for room for a connection; where all is taken, an idle one of any address gives way.
 func (p *Pool) slot(ctx context.Context) error {
 	for {
-		if p.slots.TryTake() {
+		if p.slots.TryAcquire() {
 			return nil
 		}
 		if l := p.oldest(); l != nil {
 			p.drop(l)
 			continue
 		}
-		return p.slots.Take(ctx)
+		return p.slots.Acquire(ctx)
 	}
 }
 
@@ -425,7 +425,7 @@
 func (p *Pool) put(address string, l *link) {
 	l.used = time.Now()
 	p.mu.Lock()
-	closed := p.closed || p.slots.Over() || p.slots.Wanted()
+	closed := p.closed || p.slots.Exceeded() || p.slots.Awaited()
 	if !closed {
 		p.idle[address] = append(p.idle[address], l)
 		if news := p.news[address]; news != nil {
@@ -441,7 +441,7 @@
 
 func (p *Pool) drop(l *link) {
 	l.Close()
-	p.slots.Give()
+	p.slots.Release()
 }
 
 // Rests tells whether an idle connection to an address is kept.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -134,8 +134,8 @@
 			p.Retire(time.Now())
 		}
 	}
-	if len(p.idle) != 0 || p.slots.Taken() != 0 {
-		t.Errorf("%d addresses, %d connections kept", len(p.idle), p.slots.Taken())
+	if len(p.idle) != 0 || p.slots.Held() != 0 {
+		t.Errorf("%d addresses, %d connections kept", len(p.idle), p.slots.Held())
 	}
 }
 
@@ -175,8 +175,8 @@
 		t.Fatal("retired too early")
 	}
 	p.Retire(time.Now().Add(43 * time.Minute))
-	if len(p.idle) != 0 || p.slots.Taken() != 0 {
-		t.Errorf("%d addresses idle, %d slots taken", len(p.idle), p.slots.Taken())
+	if len(p.idle) != 0 || p.slots.Held() != 0 {
+		t.Errorf("%d addresses idle, %d slots taken", len(p.idle), p.slots.Held())
 	}
 	if _, err := conn.Read(make([]byte, 1)); err != io.EOF {
 		t.Errorf("not closed: %v", err)
@@ -352,7 +352,7 @@
 	if r := <-results; r.Err == nil || r.Err.Progress != broker.WrittenWhole || <-lines != "panic front=nodes panic=fault" {
 		t.Errorf("%+v", r)
 	}
-	if p.slots.Taken() != 0 {
+	if p.slots.Held() != 0 {
 		t.Error("the connection is kept")
 	}
 }
--- a/internal/resp/admission_test.go
+++ b/internal/resp/admission_test.go
@@ -14,8 +14,12 @@
 	"junctionwharf/logic"
 )
 
-// doorServer serves a front with room for so many connections, whose door lets so many requests wait, and whose loop is never turned.
-func doorServer(t *testing.T, room, most int) (*Front, net.Conn) {
+// oneWindow has admission control stay in its first window however slow the machine is: the time to come back grows from window to window
+// with what is refused.
+const oneWindow = int64(time.Hour / time.Microsecond)
+
+// admissionServer serves a front with room for so many connections, whose admission control lets so many requests wait, and whose loop is never turned.
+func admissionServer(t *testing.T, room, most int) (*Front, net.Conn) {
 	t.Helper()
 	set := logic.Settings{Hosts: 1, Classes: []logic.Class{{Name: "read", Aim: 150 * time.Millisecond}},
 		Bounds: logic.Bounds{RetryAfter: true, MaxRetryAfter: time.Second}}
@@ -23,7 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Door: admission.New(admission.Settings{MostOpen: most}, set)})
+	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Admission: admission.New(admission.Settings{MostOpen: most, Window: oneWindow}, set)})
 	terms := testTerms
 	terms.After = 150_000
 	f := NewFront(loop, terms, room, room, 1<<20, logs.Func(func(line string) { t.Log(line) }))
@@ -44,9 +48,9 @@
 
 func ask(id int) string { return bulk("BLK.READ", "7f3a9c21e0b4d655", fmt.Sprint("id", id), listText) }
 
-// What the door refuses is answered at once, in its turn behind what is owed, with a time to come back; the connection goes on.
-func TestDoorRefuses(t *testing.T) {
-	f, first := doorServer(t, 8, 1)
+// What admission control refuses is answered at once, in its turn behind what is owed, with a time to come back; the connection goes on.
+func TestAdmissionRefuses(t *testing.T) {
+	f, first := admissionServer(t, 8, 1)
 	io.WriteString(first, ask(0))
 	for end := time.Now().Add(5 * time.Second); f.loop.Open() < 1 && time.Now().Before(end); time.Sleep(time.Millisecond) {
 	}
@@ -83,7 +87,7 @@
 		"idle":     {pingText, "+PONG\r\n", ask(1), ""},
 		"half way": {ask(1)[:30], "", ask(1)[30:], "-BUSY 150\r\n"},
 	} {
-		f, conn := doorServer(t, 1, 10)
+		f, conn := admissionServer(t, 1, 10)
 		io.WriteString(conn, c.before)
 		in := bufio.NewReader(conn)
 		greeting := make([]byte, len(c.greeting))
--- a/internal/resp/command.go
+++ b/internal/resp/command.go
@@ -42,7 +42,7 @@
 	Shards         int     // 0 for unknown
 	Hosts          int
 	MaxWait        time.Duration
-	After          broker.Micros // when one that is refused at the door may come back, 0 for not told
+	After          broker.Micros // when one that is not admitted may come back, 0 for not told
 	busy           []byte        // the line of such a refusal
 }
 
--- a/internal/resp/ends_test.go
+++ b/internal/resp/ends_test.go
@@ -179,7 +179,7 @@
 	}
 	g := &guard{Conn: conn, attached: true}
 	c := newClient(e.front, &parsed{in: redcon.NewReader(g), first: first}, g)
-	c.fresh = e.front.Enter(c)
+	c.fresh = e.front.Add(c)
 	g.phase.Store(resting)
 	return c, peer
 }
@@ -251,15 +251,15 @@
 	c.fresh, c.asked = false, true
 	io.WriteString(peer, askFor("x"))
 	e.arrived(c)
-	if c.End() || c.dismiss() {
+	if c.End() || c.endIfIdle() {
 		t.Error("it ends with a request unread")
 	}
 	c.guard.phase.Store(working)
-	if _, err := io.ReadFull(c.guard.Conn, make([]byte, len(askFor("x")))); err != nil || c.End() || c.dismiss() {
+	if _, err := io.ReadFull(c.guard.Conn, make([]byte, len(askFor("x")))); err != nil || c.End() || c.endIfIdle() {
 		t.Errorf("it ends while a request is taken (%v)", err)
 	}
 	c.guard.phase.Store(resting)
-	if !c.dismiss() {
+	if !c.endIfIdle() {
 		t.Error("it stays with nothing owed")
 	}
 }
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -23,14 +23,15 @@
 )
 
 const (
-	maxPipeline = 64              // requests of one connection that wait for answers; beyond it nothing is read
-	lingerTime  = time.Second / 2 // between the refusal of a connection for which there is no room and its end, at the most
+	maxPipeline = 64               // requests of one connection that wait for answers; beyond it nothing is read
+	lingerTime  = time.Second / 2  // between the refusal of a connection for which there is no room and its end, at the most
+	lingerStep  = time.Millisecond // of silence, after which it ends while others wait in the kernel's queue
 	logEvery    = 10 * time.Second
 )
 
 // Front serves the platform's clients.
 type Front struct {
-	*front.Hall
+	*front.Table
 	loop   *broker.Loop
 	terms  atomic.Pointer[Terms]
 	log    *slog.Logger
@@ -44,11 +45,11 @@
 	faultAt time.Time // of that line
 }
 
-// NewFront returns a front that holds most connections, and bytes of requests and answers, at the most. Beyond easy
+// NewFront returns a front that holds most connections, and bytes of requests and answers, at the most. Beyond maxIdle
 // connections idle ones end.
-func NewFront(loop *broker.Loop, terms Terms, most, easy, bytes int, log *slog.Logger) *Front {
+func NewFront(loop *broker.Loop, terms Terms, most, maxIdle, bytes int, log *slog.Logger) *Front {
 	log = log.With("front", "clients")
-	f := &Front{Hall: front.NewHall(most, easy, log), loop: loop, log: log, budget: front.NewBudget(bytes),
+	f := &Front{Table: front.NewTable(most, maxIdle, log), loop: loop, log: log, budget: front.NewBudget(bytes),
 		open: map[string]struct{}{}, others: map[string]struct{}{}, tell: func(string, bool) {}}
 	f.Retune(terms)
 	return f
@@ -83,8 +84,8 @@
 	clear(f.others)
 }
 
-// TurnAway has up to so many connections at a time for which there is no room answered and ended. It comes before Serve.
-func (f *Front) TurnAway(most int) { f.Hall.TurnAway(most, f.turnAway, f.loop.Overloaded) }
+// RejectBeyond has up to so many connections at a time beyond the limit answered and ended. It comes before Serve.
+func (f *Front) RejectBeyond(most int) { f.Table.RejectBeyond(most, f.reject, f.loop.Overloaded) }
 
 // ResizeBudget changes how many bytes of requests and answers there may be.
 func (f *Front) ResizeBudget(bytes int) { f.budget.Resize(bytes) }
@@ -135,18 +136,18 @@
 
 // Serve serves ln until Close.
 func (f *Front) Serve(ln net.Listener) error {
-	l := &listener{Listener: ln, hall: f.Hall}
+	l := &listener{Listener: ln, table: f.Table}
 	server := redcon.NewServerNetwork(ln.Addr().Network(), ln.Addr().String(), f.handle, nil, func(redcon.Conn, error) { l.handed.Done() })
 	return server.Serve(l)
 }
 
-// turnAway answers a connection for which there is no room: a request gets its refusal at once, a greeting its answer, and
+// reject answers a connection beyond the limit: a request gets its refusal at once, a greeting its answer, and
 // silence its end. It keeps no buffer of a request and knows no class. What comes behind the answer is read and dropped, so
 // that no reset overtakes the answer.
-func (f *Front) turnAway(conn net.Conn) {
-	buffer := turnBuffers.Get().(*[]byte)
-	defer turnBuffers.Put(buffer)
-	conn.SetReadDeadline(time.Now().Add(turnTime))
+func (f *Front) reject(conn net.Conn) {
+	buffer := rejectBuffers.Get().(*[]byte)
+	defer rejectBuffers.Put(buffer)
+	conn.SetReadDeadline(time.Now().Add(rejectTime))
 	n, err := conn.Read(*buffer)
 	if n == 0 || err != nil {
 		return
@@ -160,27 +161,36 @@
 		return
 	}
 	front.EndOfFile(conn)
-	for end := time.Now().Add(lingerTime); err == nil && time.Now().Before(end); {
-		conn.SetReadDeadline(time.Now().Add(partTime))
-		_, err = conn.Read(*buffer)
+	for end, silent := time.Now().Add(lingerTime), time.Duration(0); time.Now().Before(end); {
+		conn.SetReadDeadline(time.Now().Add(lingerStep))
+		switch _, err = conn.Read(*buffer); {
+		case err == nil:
+			silent = 0
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return
+		default:
+			if silent += lingerStep; silent >= partTime || f.Awaited() {
+				return
+			}
+		}
 	}
 }
 
-// turnTime is how long a connection for which there is no room may take to say something.
-const turnTime = 200 * time.Millisecond
+// rejectTime is how long a connection for which there is no room may take to say something.
+const rejectTime = 200 * time.Millisecond
 
-var turnBuffers = sync.Pool{New: func() any { b := make([]byte, 2048); return &b }}
+var rejectBuffers = sync.Pool{New: func() any { b := make([]byte, 2048); return &b }}
 
 // listener hands redcon guarded connections, as many as there is room for.
 type listener struct {
 	net.Listener
-	hall   *front.Hall
+	table  *front.Table
 	handed sync.WaitGroup // connections that redcon has still
 }
 
 // Accept implements net.Listener. Its end guards connections that were just accepted: redcon closes those that it still has.
 func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.hall.Accept(l.Listener)
+	conn, err := l.table.Accept(l.Listener)
 	if err != nil {
 		l.handed.Wait()
 		return nil, err
@@ -193,7 +203,7 @@
 // nothing more before a request is answered.
 func (f *Front) handle(conn redcon.Conn, _ redcon.Command) {
 	c := newClient(f, conn.Detach(), conn.NetConn().(*guard))
-	c.fresh = f.Enter(c)
+	c.fresh = f.Add(c)
 	go c.read()
 	go c.write()
 }
@@ -204,9 +214,9 @@
 	if f.loop != nil {
 		g.refuse = c.refuseCrowd
 	}
-	// Guards against a guest that was taking a command when it was asked to leave: it looks again.
+	// Guards against a connection that was taking a command when it was asked to leave: it looks again.
 	g.rested = func() {
-		if f.Leaving() {
+		if f.Draining() {
 			c.Wake()
 		}
 	}
@@ -241,14 +251,14 @@
 	id      uint64 // of the request in the core, 0 for none
 	name    string // its client's id for it
 	ready   bool
-	refusal bool // of the door's
+	refusal bool // by admission control
 	last    bool // the connection ends after it
 	size    int  // of the budget
 	text    net.Buffers
 	long    *stream // the value that follows text, nil for none
 }
 
-// Wake implements front.Guest.
+// Wake implements front.Connection.
 func (c *client) Wake() {
 	select {
 	case c.wake <- struct{}{}:
@@ -256,7 +266,7 @@
 	}
 }
 
-// Look implements front.Guest.
+// Look implements front.Connection.
 func (c *client) Look() (front.Status, time.Duration) {
 	c.mu.Lock()
 	owed, used := c.owes(), c.used
@@ -286,7 +296,7 @@
 	left          // it has ended
 )
 
-// End implements front.Guest.
+// End implements front.Connection.
 func (c *client) End() bool { return c.part(evicted) }
 
 // part has the connection end unless an answer is owed or a request has come. It only asks: the goroutine that reads is woken and
@@ -448,7 +458,7 @@
 		c.watching(func() { loop.Room(c.away.Load) })
 	}
 	if refused := c.front.loop.Ask(req); refused != nil {
-		return c.turnAway(refused)
+		return c.refuseAdmission(refused)
 	}
 	s := &slot{size: len(cmd.Raw), name: string(cmd.Args[2])}
 	if err := c.front.enter(s.name); err != nil {
@@ -511,9 +521,9 @@
 
 var blockCommand, classField = []byte("\r\nBLK."), []byte("\r\nc=")
 
-// turnAway answers what the door refused: from here where nothing else is owed, which spares a broker that has too much to do
+// refuseAdmission answers what admission refused: from here where nothing else is owed, which spares a broker that has too much to do
 // the way through the writer. It tells whether the connection is of further use.
-func (c *client) turnAway(final *broker.Final) bool {
+func (c *client) refuseAdmission(final *broker.Final) bool {
 	if !c.beginDirect() {
 		return c.push(&slot{ready: true, refusal: true, text: answer(*final)})
 	}
@@ -539,7 +549,7 @@
 	c.mu.Lock()
 	c.writing, c.direct, c.used = false, false, time.Now()
 	c.mu.Unlock()
-	if c.front.Leaving() {
+	if c.front.Draining() {
 		c.Wake() // it looked while this was under way
 	}
 	return err == nil
@@ -648,7 +658,7 @@
 }
 
 func (c *client) write() {
-	defer c.front.Leave(c)
+	defer c.front.Remove(c)
 	defer c.release()
 	defer c.conn.Close()
 	defer c.stopPanic()
@@ -670,7 +680,7 @@
 				return
 			}
 		}
-		c.dismiss()
+		c.endIfIdle()
 	}
 }
 
@@ -729,12 +739,12 @@
 	return b
 }
 
-// dismiss has an idle connection end where the hall dismisses it. Who reads ends it, and wakes the writer then.
-func (c *client) dismiss() bool {
+// endIfIdle has an idle connection end where the table says so. Who reads ends it, and wakes the writer then.
+func (c *client) endIfIdle() bool {
 	c.mu.Lock()
 	idle, fresh := len(c.slots) == 0 && !c.direct, c.fresh
-	c.mu.Unlock() // the hall asks its guests under its own lock
-	return idle && c.front.Dismisses(fresh) && c.part(gently)
+	c.mu.Unlock() // the table asks its connections under its own lock
+	return idle && c.front.ShouldEnd(fresh) && c.part(gently)
 }
 
 // release gives back what the connection held.
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -383,7 +383,7 @@
 	}
 	defer ln.Close()
 	go f.Serve(ln)
-	for i := range 100 { // the hall asks for the idlest while others look whether to go on
+	for i := range 100 { // the table asks for the idlest while others look whether to go on
 		conn, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -397,7 +397,7 @@
 	}
 }
 
-// asked is a guest that keeps the hall's lock while it is asked.
+// asked is a connection that keeps its table's lock while it is asked.
 type asked struct{ began, end chan struct{} }
 
 func (a *asked) Wake()     {}
@@ -408,16 +408,16 @@
 	return front.Busy, 0
 }
 
-// A connection must not hold its own lock while it waits for the hall's: the hall may be asking it.
+// A connection must not hold its own lock while it waits for its table's: the table may be asking it.
 func TestDismissedHoldsNoLock(t *testing.T) {
 	f := NewFront(nil, Terms{}, 0, 1, 1, logs.Discard())
 	a := &asked{make(chan struct{}), make(chan struct{})}
-	f.Enter(a)
+	f.Add(a)
 	f.Asked(a, false)
 	go f.Accept(nil) // no room: it asks, and never comes to accept
 	<-a.began
 	c := &client{front: f}
-	go c.dismiss()
+	go c.endIfIdle()
 	for range 200 {
 		time.Sleep(100 * time.Microsecond)
 		if !c.mu.TryLock() {
@@ -427,7 +427,7 @@
 	}
 }
 
-// A guest that is asked to leave while it takes a command must look again once it waits for the next: nobody else
+// A connection that is asked to leave while it takes a command must look again once it waits for the next: nobody else
 // wakes it.
 func TestGuardTellsThatItRests(t *testing.T) {
 	near, far := net.Pipe()
@@ -480,7 +480,7 @@
 			if err != nil {
 				return
 			}
-			f.turnAway(conn)
+			f.reject(conn)
 			conn.Close()
 		}()
 		conn, err := net.Dial("tcp", ln.Addr().String())
@@ -549,8 +549,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	door := admission.New(admission.Settings{Crowd: 1}, set)
-	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Door: door})
+	controller := admission.New(admission.Settings{Crowd: 1}, set)
+	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Outside{Admission: controller})
 	f := NewFront(loop, NewTerms(set, 0), 4, 4, 1<<20, logs.Discard())
 	near, far := net.Pipe()
 	c := &client{front: f, conn: near, wake: make(chan struct{}, 1)}
@@ -559,7 +559,7 @@
 	if c.refuseCrowd(raw) {
 		t.Error("refused without lag")
 	}
-	for !loop.Crowded() { // the door believes in a lag that lasts
+	for !loop.Crowded() { // admission control believes in a lag that lasts
 		loop.Lagged(50_000)
 	}
 	said := make(chan string, 1)
--- a/internal/semaphore/semaphore.go
+++ b/internal/semaphore/semaphore.go
@@ -1,98 +1,107 @@
-// Package room counts places that may be taken, such as descriptors. Their number can change.
-package room
+// Package semaphore is a counting semaphore whose size can change, as for descriptors that several processes share.
+package semaphore
 
 import (
 	"context"
 	"sync"
 )
 
-// Room is a number of places.
-type Room struct {
+// Semaphore is a number of places, of which so many are held.
+type Semaphore struct {
 	mu      sync.Mutex
-	taken   int
+	held    int
 	most    int
-	changed chan struct{} // closed when a place may have come free, nil if nobody waits
+	waiting int           // calls of Acquire that wait
+	changed chan struct{} // closed when a place may have come free, nil if nobody has waited since
 }
 
-// New returns a room of so many places.
-func New(most int) *Room { return &Room{most: most} }
+// New returns a semaphore of so many places.
+func New(most int) *Semaphore { return &Semaphore{most: most} }
 
-// TryTake takes a place if there is one.
-func (r *Room) TryTake() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.take()
+// TryAcquire takes a place if there is one.
+func (s *Semaphore) TryAcquire() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.take()
 }
 
-func (r *Room) take() bool {
-	if r.taken >= r.most {
+func (s *Semaphore) take() bool {
+	if s.held >= s.most {
 		return false
 	}
-	r.taken++
+	s.held++
 	return true
 }
 
-// Take waits for a place.
-func (r *Room) Take(ctx context.Context) error {
+// Acquire waits for a place.
+func (s *Semaphore) Acquire(ctx context.Context) error {
 	for {
-		r.mu.Lock()
-		if r.take() {
-			r.mu.Unlock()
+		s.mu.Lock()
+		if s.take() {
+			s.mu.Unlock()
 			return nil
 		}
-		if r.changed == nil {
-			r.changed = make(chan struct{})
+		if s.changed == nil {
+			s.changed = make(chan struct{})
 		}
-		changed := r.changed
-		r.mu.Unlock()
+		changed := s.changed
+		s.waiting++
+		s.mu.Unlock()
+		var err error
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return ctx.Err()
+			err = ctx.Err()
+		}
+		s.mu.Lock()
+		s.waiting--
+		s.mu.Unlock()
+		if err != nil {
+			return err
 		}
 	}
 }
 
-// Give gives a place back.
-func (r *Room) Give() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.taken--
-	r.tell()
+// Release gives a place back.
+func (s *Semaphore) Release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held--
+	s.tell()
 }
 
-// Resize changes the number of places. Those taken beyond it stay so until they are given back.
-func (r *Room) Resize(most int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.most = most
-	r.tell()
+// Resize changes the number of places. Those held beyond it stay so until they are given back.
+func (s *Semaphore) Resize(most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most = most
+	s.tell()
 }
 
-// Over tells whether more places are taken than there are.
-func (r *Room) Over() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.taken > r.most
+// Exceeded tells whether more places are held than there are.
+func (s *Semaphore) Exceeded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held > s.most
 }
 
-// Wanted tells whether somebody waits for a place.
-func (r *Room) Wanted() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.changed != nil
+// Awaited tells whether somebody waits for a place.
+func (s *Semaphore) Awaited() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting > 0
 }
 
-// Taken tells how many places are taken.
-func (r *Room) Taken() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.taken
+// Held tells how many places are held.
+func (s *Semaphore) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
 }
 
-func (r *Room) tell() {
-	if r.changed != nil {
-		close(r.changed)
-		r.changed = nil
+func (s *Semaphore) tell() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
 	}
 }
--- a/internal/sftp/front.go
+++ b/internal/sftp/front.go
@@ -26,7 +26,7 @@
 
 // Front serves file commands.
 type Front struct {
-	*front.Hall
+	*front.Table
 	loop *broker.Loop
 	via  broker.Transport
 	plan atomic.Pointer[Plan]
@@ -36,7 +36,7 @@
 // NewFront returns a front that holds most connections at the most. The plan has been checked.
 func NewFront(loop *broker.Loop, via broker.Transport, plan *Plan, most int, log *slog.Logger) *Front {
 	log = log.With("front", "files")
-	f := &Front{Hall: front.NewHall(most, most, log), loop: loop, via: via, log: log}
+	f := &Front{Table: front.NewTable(most, most, log), loop: loop, via: via, log: log}
 	f.Retune(plan)
 	return f
 }
@@ -52,7 +52,7 @@
 			return nil
 		}
 		s := newSession(f, conn)
-		s.fresh = f.Enter(s)
+		s.fresh = f.Add(s)
 		go s.read()
 		go s.write()
 	}
@@ -105,7 +105,7 @@
 	finish func(broker.Final) net.Buffers
 }
 
-// Wake implements front.Guest.
+// Wake implements front.Connection.
 func (s *session) Wake() {
 	select {
 	case s.wake <- struct{}{}:
@@ -113,7 +113,7 @@
 	}
 }
 
-// Look implements front.Guest.
+// Look implements front.Connection.
 func (s *session) Look() (front.Status, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -126,7 +126,7 @@
 	return front.Idle, 0 // all of this front's may stay
 }
 
-// End implements front.Guest.
+// End implements front.Connection.
 func (s *session) End() bool { return s.leave() && s.conn.Close() == nil }
 
 // leave has nothing more taken, unless an answer is owed or something has come. Both are one step under the session's lock: a
@@ -222,14 +222,14 @@
 }
 
 func (s *session) write() {
-	defer s.front.Leave(s)
+	defer s.front.Remove(s)
 	defer s.conn.Close()
 	defer s.stopPanic()
 	for range s.wake {
 		s.mu.Lock()
 		out, stop, idle, fresh := s.out, s.last || s.gone, len(s.ops) == 0, s.fresh
 		s.out, s.writing = nil, len(s.out) > 0
-		s.mu.Unlock() // the hall asks its guests under its own lock
+		s.mu.Unlock() // the table asks its connections under its own lock
 		if len(out) > 0 {
 			s.conn.SetWriteDeadline(time.Now().Add(writeTime))
 			if _, err := out.WriteTo(s.conn); err != nil {
@@ -239,7 +239,7 @@
 			s.writing = false
 			s.mu.Unlock()
 		}
-		if stop || idle && s.front.Dismisses(fresh) && s.leave() {
+		if stop || idle && s.front.ShouldEnd(fresh) && s.leave() {
 			return
 		}
 	}
