--- a/cmd/wharflab/capacity.go
+++ b/cmd/wharflab/capacity.go
@@ -23,6 +23,7 @@
 			{Name: "run", Usage: "play the cells of the grid that have no raw run yet, one at a time",
 				Flags: []cli.Flag{raw, &cli.StringFlag{Name: "program", Value: "bin/junctionwharf", Usage: "the broker; wharflab stands beside it"},
 					&cli.StringSliceFlag{Name: "cell", Usage: "`NAME` of one cell; without it all"}}, Action: runCapacity},
+			connectionsCommand(),
 			{Name: "page", Usage: "write the tables into the page",
 				Flags: []cli.Flag{raw, &cli.StringFlag{Name: "page", Value: "docs/CAPACITY.md"},
 					&cli.BoolFlag{Name: "whole", Usage: "fail where a cell of the grid has no raw run"}}, Action: writeCapacity},
@@ -66,7 +67,11 @@
 	if cmd.Bool("whole") && len(missing) > 0 {
 		return fmt.Errorf("%s: there is no run of it", missing[0])
 	}
-	section, err := capacity.Render(runs, missing)
+	held, err := capacity.LoadHoldings(cmd.String("raw"))
+	if err != nil {
+		return err
+	}
+	section, err := capacity.Render(runs, missing, held)
 	if err != nil {
 		return err
 	}
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -27,6 +27,7 @@
 	ChangeS float64 // seconds between two changes of the agreed document
 	Seed    uint64
 	Control bool // voters and feeders are processes for control, brokers feed nobody
+	Faults  bool // with those of the plan's day in one run
 }
 
 // Name is the cell's, and that of its file.
@@ -35,6 +36,9 @@
 	if c.Control {
 		name += "-control"
 	}
+	if c.Faults {
+		name += "-faults"
+	}
 	return name
 }
 
@@ -50,12 +54,19 @@
 
 // Grid are the cells of the page, in the order in which they are run.
 var Grid = []Cell{
-	{Planned, planNodes, 1, planS, 1, false}, {480, planNodes, 1, planS, 1, false}, {240, planNodes, 1, planS, 1, false}, {60, planNodes, 1, planS, 1, false},
-	{Planned, planNodes, 1, planS, 2, false}, {Planned, planNodes, 1, planS, 3, false}, {Planned, 1600, 1, planS, 1, false}, {Planned, 100, 1, planS, 1, false},
-	{240, 1600, 1, planS, 1, false}, {240, 100, 1, planS, 1, false}, {240, planNodes, 0, planS, 1, false}, {240, planNodes, 8, planS, 1, false},
-	{Planned, planNodes, 1, 1, 1, false}, {240, planNodes, 1, 1, 1, false},
-	{Planned, planNodes, 1, planS, 1, true}, {Planned, planNodes, 1, planS, 2, true}, {Planned, planNodes, 1, planS, 3, true}, {240, planNodes, 1, planS, 1, true},
-	{Planned, planNodes, 1, 1, 1, true},
+	{Planned, planNodes, 1, planS, 1, false, false}, {480, planNodes, 1, planS, 1, false, false}, {240, planNodes, 1, planS, 1, false, false}, {60, planNodes, 1, planS, 1, false, false},
+	{Planned, planNodes, 1, planS, 2, false, false}, {Planned, planNodes, 1, planS, 3, false, false}, {Planned, 1600, 1, planS, 1, false, false}, {Planned, 100, 1, planS, 1, false, false},
+	{240, 1600, 1, planS, 1, false, false}, {240, 100, 1, planS, 1, false, false}, {240, planNodes, 0, planS, 1, false, false}, {240, planNodes, 8, planS, 1, false, false},
+	{Planned, planNodes, 1, 1, 1, false, false}, {240, planNodes, 1, 1, 1, false, false},
+	{Planned, planNodes, 1, planS, 1, true, false}, {Planned, planNodes, 1, planS, 2, true, false}, {Planned, planNodes, 1, planS, 3, true, false}, {240, planNodes, 1, planS, 1, true, false},
+	{Planned, planNodes, 1, 1, 1, true, false}, {Planned, planNodes, 1, 1, 1, true, true}, {240, planNodes, 1, 1, 1, true, true},
+}
+
+// faults are those of the plan's day, all within one run: four brokers restart, one dies, one machine set aside for control dies and comes
+// back, one broker stands still, and three are cut off from what is agreed. They are of whole processes.
+var faults = []fleetrig.Event{
+	{AtS: 4, What: "kill", Brokers: []int{7, 8, 9, 10}, ForS: 2}, {AtS: 6, What: "kill", Brokers: []int{11}}, {AtS: 9, What: "kill", Brokers: []int{2}, ForS: 3},
+	{AtS: 10, What: "stop", Brokers: []int{12}, ForS: 3}, {AtS: 14, What: "agree_cut", Brokers: []int{13, 14, 15}, ForS: 4},
 }
 
 // Scenario is what the rig plays for a cell.
@@ -63,6 +74,9 @@
 	s := &fleetrig.Scenario{Name: c.Name(), Seed: c.Seed, Brokers: min(realOnes, c.Brokers), Peers: true, Shards: c.Nodes, ForS: forS, Rate: requests, LimitMB: 192,
 		Node: fleetrig.Node{Count: c.Nodes, Zones: 6}, Agreement: fleetrig.Agreement{Voters: 7, ChangeS: c.ChangeS, Control: c.Control},
 		Hollow: fleetrig.Hollow{Brokers: max(0, c.Brokers-realOnes), Rate: requests, Volumes: requests * c.Volumes}}
+	if c.Faults {
+		s.Events = slices.Clone(faults)
+	}
 	if c.Volumes == 0 {
 		s.Rate, s.Hollow.Rate = 0.1, 0
 	}
@@ -201,6 +215,7 @@
 	Cells   []string
 	Missing []string
 	Error   string
+	Held    []Holding
 }
 
 // A law is named over so many sizes at least, and where it explains most of what differs.
@@ -212,7 +227,7 @@
 // plannedRuns are those at the planned size, by seed.
 func plannedRuns(runs Runs, control bool) (planned []*fleetrig.Report) {
 	for seed := uint64(1); seed <= 3; seed++ {
-		if r := runs[Cell{Planned, planNodes, 1, planS, seed, control}.Name()]; r != nil {
+		if r := runs[Cell{Planned, planNodes, 1, planS, seed, control, false}.Name()]; r != nil {
 			planned = append(planned, r)
 		}
 	}
@@ -256,7 +271,7 @@
 	}
 	var x, y []float64
 	for _, c := range Grid {
-		if c.Control == control && c.Nodes == planNodes && c.Volumes == 1 && c.ChangeS == planS && runs[c.Name()] != nil {
+		if c.Control == control && !c.Faults && c.Nodes == planNodes && c.Volumes == 1 && c.ChangeS == planS && runs[c.Name()] != nil {
 			if _, most, n := of(runs[c.Name()], role, measure); n > 0 {
 				x, y = append(x, float64(c.Brokers)), append(y, most)
 			}
@@ -274,11 +289,11 @@
 }
 
 // Render makes the section of the page.
-func Render(runs Runs, missing []string) (string, error) {
-	v := view{Missing: missing}
+func Render(runs Runs, missing []string, held []Holding) (string, error) {
+	v := view{Missing: missing, Held: held}
 	planned := plannedRuns(runs, false)
 	if len(planned) == 0 {
-		return "", fmt.Errorf("%s: there is no run of it", Cell{Planned, planNodes, 1, planS, 1, false}.Name())
+		return "", fmt.Errorf("%s: there is no run of it", Cell{Planned, planNodes, 1, planS, 1, false, false}.Name())
 	}
 	for _, control := range []bool{false, true} {
 		for _, role := range Roles {
@@ -309,7 +324,7 @@
 		a, b := stat.Mean(real, nil), stat.Mean(hollow, nil)
 		v.Error = fmt.Sprintf("Leaves of agreement at %d brokers: %.0f bytes a second for %d whole brokers, %.0f for %d hollow ones, %+.1f%%.", Planned, a, len(real), b, len(hollow), 100*(b/a-1))
 	}
-	if r := runs[Cell{240, planNodes, 0, planS, 1, false}.Name()]; r != nil {
+	if r := runs[Cell{240, planNodes, 0, planS, 1, false, false}.Name()]; r != nil {
 		a, _, n := of(r, "leaf", "cpu")
 		if b, _, m := of(r, "leaf", "hollow cpu"); n > 0 && m > 0 {
 			v.Error += fmt.Sprintf(" Processor time of leaves without requests, 240 brokers: %.4f of a core for %d whole ones, %.4f for %d hollow ones, %+.0f%%.", a, n, b, m, 100*(b/a-1))
@@ -344,6 +359,9 @@
 	if c.Control {
 		by = "set aside"
 	}
+	if c.Faults {
+		by += ", faults"
+	}
 	return fmt.Sprintf("| %s | %d | %d | %d | %g | %d | %d | %.0f | %.0f | %.4f | %.0f | %s | %.1f | %d |", by, c.Brokers, c.Nodes, c.Volumes, c.ChangeS, c.Seed, len(r.Costs),
 		sum/float64(len(r.Costs)), most, cpu/float64(max(1, whole)), float64(r.Sent)/float64(c.Brokers), force, float64(longest)/1000, r.All.Lost+len(r.Breaches))
 }
@@ -364,7 +382,13 @@
 {{range .Cells}}{{.}}
 {{end}}
 {{if .Missing}}Not run: {{range $i, $c := .Missing}}{{if $i}}, {{end}}{{$c}}{{end}}.{{else}}All cells of the grid were run.{{end}}
-`))
+{{if .Held}}
+One whole broker with connections that had one request each, at rest beside a load on others (wharflab capacity connections, 64 nodes, 4 s a line):
+
+| connections | open at the end | requests a second | served of sent | p99 ms | MB | part of a core |
+| --- | --- | --- | --- | --- | --- | --- |
+{{range .Held}}| {{.Connections}} | {{.Open}} | {{printf "%.0f" .Rate}} | {{.Served}} of {{.Sent}} | {{.Milliseconds}} | {{printf "%.1f" .MemoryMB}} | {{printf "%.4f" .CPU}} |
+{{end}}{{end}}`))
 
 // The marks between which the section stands on the page.
 const (
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -46,12 +46,13 @@
 		runs[c.Name()] = report(500, 10*float64(c.Brokers))
 	}
 	runs[Grid[4].Name()] = report(600, 9300)
-	text, err := Render(runs, []string{"the-other"})
+	text, err := Render(runs, []string{"the-other"}, []Holding{{Connections: 77, Open: 76, Rate: 5, Sent: 9, Served: 8, P99: 4200, MemoryMB: 31.04, CPU: 0.25}, {Connections: 78}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, want := range []string{"| leaf | bytes a second of agreement, sent and received | 578 ± ", " | 6000 | within | ",
-		"| feeder | bytes a second of agreement, sent and received | 9300 | 9300 | 6000 | beyond (1.6 times) | linear, R² 1.00 of 5 |", "| leaf | MB, requests included | 9.0 | 9.0 | 256 | within | constant, R² 1.00 of 5 |", "Not run: the-other.", "+10.0%."} {
+		"| feeder | bytes a second of agreement, sent and received | 9300 | 9300 | 6000 | beyond (1.6 times) | linear, R² 1.00 of 5 |", "| leaf | MB, requests included | 9.0 | 9.0 | 256 | within | constant, R² 1.00 of 5 |", "Not run: the-other.", "+10.0%.",
+		"| 77 | 76 | 5 | 8 of 9 | 4.2 | 31.0 | 0.2500 |", "| 78 | 0 | 0 | 0 of 0 |  | 0.0 | 0.0000 |"} {
 		if !strings.Contains(text, want) {
 			t.Errorf("%q is not in\n%s", want, text)
 		}
@@ -59,7 +60,7 @@
 	if strings.Contains(text, "leader |") {
 		t.Error("a role that nobody had")
 	}
-	if _, err := Render(Runs{Grid[2].Name(): report(1, 1)}, nil); err == nil || !strings.Contains(err.Error(), Grid[0].Name()) {
+	if _, err := Render(Runs{Grid[2].Name(): report(1, 1)}, nil, nil); err == nil || !strings.Contains(err.Error(), Grid[0].Name()) {
 		t.Errorf("without a run at the planned size: %v", err)
 	}
 }
@@ -70,7 +71,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	section, err := Render(runs, missing)
+	held, err := LoadHoldings("../../docs/measurements/capacity")
+	if err != nil {
+		t.Fatal(err)
+	}
+	section, err := Render(runs, missing, held)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,6 +95,17 @@
 	if err != nil || len(runs) != 0 || len(missing) != len(Grid) {
 		t.Fatalf("%v, %d missing, %v", runs, len(missing), err)
 	}
+	if held, err := LoadHoldings(dir); err != nil || held != nil {
+		t.Errorf("%v, %v", held, err)
+	}
+	for _, text := range []string{"{", "[]"} {
+		if err := os.WriteFile(filepath.Join(dir, "connections.json"), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := LoadHoldings(dir); err == nil || !strings.Contains(err.Error(), "connections.json") {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
 	for _, text := range []string{"{", "{}"} {
 		if err := os.WriteFile(filepath.Join(dir, Grid[1].Name()+".json"), []byte(text), 0o600); err != nil {
 			t.Fatal(err)
