--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -123,11 +123,16 @@
 }{
 	{"bytes", func(c fleetrig.Cost) float64 { return c.Sent + c.Received }},
 	{"messages", func(c fleetrig.Cost) float64 { return c.Told + c.Heard }},
+	{"all bytes", func(c fleetrig.Cost) float64 { return c.Sent + c.Received + datagram*(c.Told+c.Heard) }},
 	{"cpu", func(c fleetrig.Cost) float64 { return c.CPU }},
 	{"hollow cpu", func(c fleetrig.Cost) float64 { return c.CPU }},
 	{"memory", func(c fleetrig.Cost) float64 { return c.MemoryMB }},
 }
 
+// datagram is the bytes of a message between brokers with the headers of IP and UDP: where each shard has one node, all are of volumes,
+// 7 bytes each.
+const datagram = 7 + 28
+
 // whole tells whether a measure is taken of whole brokers alone, or of hollow ones alone.
 var whole = map[string]bool{"cpu": true, "memory": true, "hollow cpu": false}
 
@@ -235,10 +240,11 @@
 }
 
 var (
-	budgets = map[string]float64{"bytes": Budget.Bytes, "hollow cpu": Budget.CPU, "memory": Budget.MemoryMB}
-	forms   = map[string]string{"bytes": "%.0f", "messages": "%.1f", "cpu": "%.4f", "hollow cpu": "%.4f", "memory": "%.1f"}
+	budgets = map[string]float64{"bytes": Budget.Bytes, "all bytes": Budget.Bytes, "hollow cpu": Budget.CPU, "memory": Budget.MemoryMB}
+	forms   = map[string]string{"bytes": "%.0f", "messages": "%.1f", "all bytes": "%.0f", "cpu": "%.4f", "hollow cpu": "%.4f", "memory": "%.1f"}
 	words   = map[string]string{"bytes": "bytes a second of agreement, sent and received", "messages": "messages a second to and from other brokers",
-		"cpu": "part of a core, whole brokers, their requests included", "hollow cpu": "part of a core, hollow brokers: their part of a process", "memory": "MB, requests included"}
+		"all bytes": "bytes a second of both, 35 a message",
+		"cpu":       "part of a core, whole brokers, their requests included", "hollow cpu": "part of a core, hollow brokers: their part of a process", "memory": "MB, requests included"}
 )
 
 // lineOf is the row of a role and a measure; any is false where no run has the role.
