Draw the slopes of control, and have the rig's discovery word the list of the start once

wharflab capacity report writes an HTML page with a plot for each measure that has a budget (gonum/plot, html/template).

--- a/cmd/wharflab/capacity.go
+++ b/cmd/wharflab/capacity.go
@@ -24,6 +24,8 @@
 				Flags: []cli.Flag{raw, &cli.StringFlag{Name: "program", Value: "bin/junctionwharf", Usage: "the broker; wharflab stands beside it"},
 					&cli.StringSliceFlag{Name: "cell", Usage: "`NAME` of one cell; without it all"}}, Action: runCapacity},
 			connectionsCommand(),
+			{Name: "report", Usage: "draw the slopes as an HTML page with plots beside it",
+				Flags: []cli.Flag{raw, &cli.StringFlag{Name: "to", Value: "capacity.html", Usage: "`FILE` of the page"}}, Action: reportCapacity},
 			{Name: "page", Usage: "write the tables into the page",
 				Flags: []cli.Flag{raw, &cli.StringFlag{Name: "page", Value: "docs/CAPACITY.md"},
 					&cli.BoolFlag{Name: "whole", Usage: "fail where a cell of the grid has no raw run"}}, Action: writeCapacity},
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -275,14 +275,7 @@
 	} else if has {
 		l.Budget, l.Verdict = fmt.Sprintf("%g", b), verdict(slices.Max(mosts), b)
 	}
-	var x, y []float64
-	for _, c := range Grid {
-		if c.Control == control && !c.Faults && c.Nodes == planNodes && c.Volumes == 1 && c.ChangeS == planS && runs[c.Name()] != nil {
-			if _, most, n := of(runs[c.Name()], role, measure); n > 0 {
-				x, y = append(x, float64(c.Brokers)), append(y, most)
-			}
-		}
-	}
+	x, y := slope(runs, control, role, measure)
 	if len(slices.Compact(slices.Sorted(slices.Values(x)))) < leastSizes {
 		return l, true
 	}
@@ -294,6 +287,58 @@
 	return l, true
 }
 
+// slope is the one with most of a measure in a role, by the number of brokers.
+func slope(runs Runs, control bool, role, measure string) (x, y []float64) {
+	for _, c := range Grid {
+		if c.Control == control && !c.Faults && c.Nodes == planNodes && c.Volumes == 1 && c.ChangeS == planS && runs[c.Name()] != nil {
+			if _, most, n := of(runs[c.Name()], role, measure); n > 0 {
+				x, y = append(x, float64(c.Brokers)), append(y, most)
+			}
+		}
+	}
+	return x, y
+}
+
+// Curve is how a measure grows with the number of brokers.
+type Curve struct {
+	Control bool // by machines set aside
+	Role    string
+	X, Y    []float64 // of each run: brokers, and the one with most
+	Fit     Fit       // over them; its Law is empty below three sizes
+}
+
+// Chart is a measure with its curves by role.
+type Chart struct {
+	Measure string
+	Budget  float64 // 0 for none
+	Curves  []Curve
+}
+
+// At is what the fit of a curve comes to.
+func (c Curve) At(brokers float64) float64 { return c.Fit.at(brokers) }
+
+// Charts are the measures that have a budget, with the runs that say how they grow.
+func Charts(runs Runs) (all []Chart) {
+	for _, m := range measures {
+		chart := Chart{Measure: words[m.name], Budget: budgets[m.name]}
+		for _, control := range []bool{false, true} {
+			for _, role := range Roles {
+				if x, y := slope(runs, control, role, m.name); len(x) > 0 && chart.Budget > 0 {
+					c := Curve{Control: control, Role: role, X: x, Y: y}
+					if len(slices.Compact(slices.Sorted(slices.Values(x)))) >= leastSizes {
+						c.Fit = Best(x, y)
+					}
+					chart.Curves = append(chart.Curves, c)
+				}
+			}
+		}
+		if len(chart.Curves) > 0 {
+			all = append(all, chart)
+		}
+	}
+	return all
+}
+
 // Render makes the section of the page.
 func Render(runs Runs, missing []string, held []Holding) (string, error) {
 	v := view{Missing: missing, Held: held}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -60,6 +60,13 @@
 	if strings.Contains(text, "leader |") {
 		t.Error("a role that nobody had")
 	}
+	charts := Charts(runs)
+	if len(charts) != 4 || len(charts[0].Curves) != 2 || charts[0].Budget != Budget.Bytes {
+		t.Fatalf("%+v", charts)
+	}
+	if c := charts[0].Curves[1]; c.Role != "feeder" || len(c.X) != 5 || c.Fit.Law != "linear" || math.Abs(c.At(930)-9300) > 1 {
+		t.Errorf("%+v", c)
+	}
 	if _, err := Render(Runs{Grid[2].Name(): report(1, 1)}, nil, nil); err == nil || !strings.Contains(err.Error(), Grid[0].Name()) {
 		t.Errorf("without a run at the planned size: %v", err)
 	}
--- a/internal/fleetrig/rig.go
+++ b/internal/fleetrig/rig.go
@@ -434,6 +434,7 @@
 	times   []time.Duration                  // of the versions, from 1 on
 	told    map[string]map[int]time.Duration // when a broker was told that a node leaves
 	calls   int
+	whole   []byte // the list of the start, nil until it was asked for
 }
 
 func newRegistry(r *Rig) (*registry, error) {
@@ -585,6 +586,22 @@
 
 // text is the list up to a version, or what is newer than another; the caller holds g.mu.
 func (g *registry) text(broker int, since, version uint64, watch bool) []byte {
+	if len(g.views) == 0 && len(g.entries) == len(g.rig.nodes) { // as at the start, when hundreds of brokers ask at once
+		switch {
+		case !watch && g.whole == nil:
+			g.whole = g.word(broker, 0, version, false)
+			fallthrough
+		case !watch:
+			return g.whole
+		case since >= version:
+			return fmt.Appendf(nil, `{"seq":%d,"whole":false,"hosts":[]}`, version)
+		}
+	}
+	return g.word(broker, since, version, watch)
+}
+
+// word makes that text.
+func (g *registry) word(broker int, since, version uint64, watch bool) []byte {
 	hosts := []standin.Host{}
 	v := g.views[broker]
 	for _, e := range g.latest(version) {
