Excuse requests of a broker that the rig stops from the moment of the stop

The rule on lost requests is of brokers that live; what a stopped one answers late is still judged by the client's deadline elsewhere. Not covered by a test of its own: it needs a stop of three seconds.

--- a/internal/fleetrig/play.go
+++ b/internal/fleetrig/play.go
@@ -436,6 +436,7 @@
 			case "stop":
 				p.setDown(true)
 				p.command.Process.Signal(syscall.SIGSTOP)
+				r.excuse(b) // of a long stop clients give up before its end
 				r.sleep(ctx, seconds(e.ForS))
 				r.excuse(b)
 				p.command.Process.Signal(syscall.SIGCONT)
