--- a/cmd/wharflab/connections.go
+++ b/cmd/wharflab/connections.go
@@ -85,25 +85,29 @@
 		return h, err
 	}
 	defer r.kill()
-	conns := make([]net.Conn, 0, count)
+	conns := make([]net.Conn, count)
 	defer func() {
 		for _, conn := range conns {
-			conn.Close()
+			if conn != nil {
+				conn.Close()
+			}
 		}
 	}()
-	for i := range count {
-		conn, err := net.Dial("tcp", r.address)
-		if err != nil {
+	// all within a moment: a broker may end one that has said nothing for ten seconds
+	faults := make(chan error, openers)
+	for first := range openers {
+		go func() {
+			var err error
+			for i := first; i < count && err == nil; i += openers {
+				conns[i], err = f.holdOne(r.address, i)
+			}
+			faults <- err
+		}()
+	}
+	for range openers {
+		if err := <-faults; err != nil {
 			return h, err
 		}
-		conns = append(conns, conn)
-		conn.SetDeadline(time.Now().Add(5 * time.Second))
-		id, list := fmt.Sprintf("held-%d", i), fmt.Sprintf("c=lesson-read,t=completo,d=750,volume=%016x,units=1,shard=%d,hosts=1", i, i%len(f.nodes))
-		fmt.Fprintf(conn, "*4\r\n$8\r\nBLK.READ\r\n$16\r\n%016x\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", i, len(id), id, len(list), list)
-		if line, err := bufio.NewReader(conn).ReadString('\n'); err != nil || !strings.HasPrefix(line, "$") && !strings.HasPrefix(line, "-BUSY") {
-			return h, errors.Join(err, fmt.Errorf("connection %d was answered %q", i, line))
-		}
-		conn.SetDeadline(time.Time{})
 	}
 	before, began := spent(r.command.Process.Pid), time.Now()
 	if rate > 0 {
@@ -134,6 +138,29 @@
 	return h, ctx.Err()
 }
 
+// openers is how many connections are opened at a time.
+const openers = 32
+
+// holdOne opens a connection and has it ask once.
+func (f *fleet) holdOne(address string, number int) (net.Conn, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	conn.SetDeadline(time.Now().Add(5 * time.Second))
+	id, list := fmt.Sprintf("held-%d", number), fmt.Sprintf("c=lesson-read,t=completo,d=750,volume=%016x,units=1,shard=%d,hosts=1", number, number%len(f.nodes))
+	fmt.Fprintf(conn, "*4\r\n$8\r\nBLK.READ\r\n$16\r\n%016x\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", number, len(id), id, len(list), list)
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	if err == nil && !strings.HasPrefix(line, "$") && !strings.HasPrefix(line, "-BUSY") {
+		err = fmt.Errorf("connection %d was answered %q", number, line)
+	}
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return conn, conn.SetDeadline(time.Time{})
+}
+
 // spent is the processor time of a process.
 func spent(pid int) time.Duration {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
--- a/logic/forget_test.go
+++ b/logic/forget_test.go
@@ -32,7 +32,7 @@
 		now += g.tick
 		g.Step(now, []Event{Timer{Token: timerTick}})
 	}
-	if n := g.nodes["n300"]; n == nil || !n.young {
+	if n := g.nodes["n300"]; n == nil || !n.cold {
 		t.Errorf("the last node: %+v", n)
 	}
 	for what, n := range map[string]int{"nodes": len(g.nodes), "listed nodes": len(g.nodeList), "shards": len(g.shards),
--- a/logic/held.go
+++ b/logic/held.go
@@ -266,7 +266,7 @@
 // them, none of them is paced or cold.
 func (s *shard) alike(g *Gateway) bool {
 	s.recount(g)
-	return s.fickle == 0 && !slices.ContainsFunc(s.nodes, func(n *node) bool { return n.young || n.bound < 1 || n.jammed(g) })
+	return s.fickle == 0 && !slices.ContainsFunc(s.nodes, func(n *node) bool { return n.cold || n.bound < 1 || n.jammed(g) })
 }
 
 // packed tells whether none of the shard's nodes has room, whatever is to be sent: each has out what its bound allows, rests, or
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -419,8 +419,8 @@
 	rest     time.Duration
 	faults   int  // attempts that failed since its last answer that served
 	bornAt   Time // earliest start that fits what is known, for the cold guard
-	young    bool
-	savings  float64 // units that may be sent to it while it is young
+	cold     bool
+	savings  float64 // units that may be sent to it while it is cold
 	savedAt  Time
 	flight   []*request // attempts out, in the order sent
 	home     *shard     // among whose nodes it stands
@@ -476,8 +476,8 @@
 func (g *Gateway) coldRoom(n *node, units float64) bool {
 	rules := g.set.Rules
 	age := g.now - n.bornAt
-	if !n.young || rules.FallTime <= 0 || age >= rules.ColdTime+rules.FallTime {
-		n.young = false
+	if !n.cold || rules.FallTime <= 0 || age >= rules.ColdTime+rules.FallTime {
+		n.cold = false
 		return true
 	}
 	multiple, span := max(2, rules.FallMultiple), rules.FallTime.Seconds()
@@ -505,7 +505,7 @@
 func earlier(a, b *request) int { return cmp.Or(cmp.Compare(a.due, b.due), cmp.Compare(a.ID, b.ID)) }
 
 // placeNew chooses the shard of a new object: of a few sound nodes, drawn so that hosts do not all take the
-// same, the one where it will wait least. A young node is one of them as far as it surely bears the object,
+// same, the one where it will wait least. A cold node is one of them as far as it surely bears the object,
 // else after many restarts all new work crowds the old ones; one that is not known counts as no quicker than
 // the usual. It hurts when reads of new objects follow to a node that is still cold.
 func (g *Gateway) placeNew(r *request) int {
@@ -764,9 +764,9 @@
 	case Success:
 		n.finished += r.Units
 		s, span := g.shards[n.Shard], g.set.Rules.ColdTime.Seconds()
-		if n.young && r.sentAt >= n.bornAt {
+		if n.cold && r.sentAt >= n.bornAt {
 			n.savings += r.Units
-		} else if !n.young && span > 0 {
+		} else if !n.cold && span > 0 {
 			s.served, s.servedAt = s.served*math.Exp(-(g.now-s.servedAt).Seconds()/span)+r.Units/span, g.now
 		}
 		n.answers++
@@ -1005,16 +1005,16 @@
 		g.nodes[info.Node] = n
 		g.nodeList = append(g.nodeList, n)
 		g.shardOf(info.Shard).add(n)
-		n.bornAt, n.young = g.now, !first
+		n.bornAt, n.cold = g.now, !first
 	}
 	if info.UpSince > n.UpSince || n.state == Gone && info.State == Ready {
 		n.bornAt, n.bound = g.now, boundStart
 		if info.UpSince > 0 {
 			n.bornAt = min(info.UpSince, g.now)
 		}
-		n.young = true
+		n.cold = true
 	}
-	if n.young && n.savedAt < n.bornAt-g.set.Rules.FallTime {
+	if n.cold && n.savedAt < n.bornAt-g.set.Rules.FallTime {
 		spread := g.rng.Float64() * (1 - 1/float64(g.set.Hosts)) // keeps first sends of many hosts apart
 		n.savings, n.savedAt = -spread*g.set.MeanUnits, g.now
 		if g.processes == 1 { // else the other process may have spent what was saved
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -514,9 +514,9 @@
 	}
 }
 
-// After many restarts all new objects once crowded the few old nodes (incident i8a520c): a young node takes
+// After many restarts all new objects once crowded the few old nodes (incident i8a520c): a cold node takes
 // what it surely bears.
-func TestYoungNodesTakeNewObjects(t *testing.T) {
+func TestColdNodesTakeNewObjects(t *testing.T) {
 	set := plain()
 	set.ColdUnits = 40
 	set.Rules.FallTime, set.Rules.ColdTime, set.Rules.ColdShare, set.Rules.FallMultiple = 2*second, 17*second, 0.2, 2
@@ -524,7 +524,7 @@
 	d.step(logic.NodeList{Kind: logic.ListChanges, Nodes: []logic.NodeInfo{{Node: "n:2", Shard: 1, UpSince: d.now - ms}}})
 	d.pass(second)
 	d.take()
-	young := 0
+	toCold := 0
 	for range 8 {
 		d.ids++
 		d.step(logic.Request{ID: d.ids, Class: "read", Plan: "high", Volume: "v", Units: 1, Shard: -1, Hosts: 1,
@@ -532,11 +532,11 @@
 	}
 	for _, action := range d.take() {
 		if send, ok := action.(logic.Send); ok && send.Node == "n:2" {
-			young++
+			toCold++
 		}
 	}
-	if young == 0 || young > 5 {
-		t.Errorf("%d of 8 new objects go to the young node", young)
+	if toCold == 0 || toCold > 5 {
+		t.Errorf("%d of 8 new objects go to the cold node", toCold)
 	}
 }
 
--- a/logic/spread.go
+++ b/logic/spread.go
@@ -125,7 +125,7 @@
 // warmth is the part of its capacity that a node that has just started surely has.
 func (g *Gateway) warmth(n *node) float64 {
 	rules := g.set.Rules
-	if !n.young || rules.ColdTime <= 0 || rules.ColdShare <= 0 {
+	if !n.cold || rules.ColdTime <= 0 || rules.ColdShare <= 0 {
 		return 1
 	}
 	return min(1, rules.ColdShare+(1-rules.ColdShare)*max(0, (g.now-n.bornAt).Seconds())/rules.ColdTime.Seconds())
