Have the rig's discovery list who joined; answer watches without news in one place

Read again: the list of the start, kept since it is asked for by hundreds of brokers at once, was told to hold by as many entries as nodes, which a node that joins makes true again: a broker that asked for the whole list later (one started again in a scenario with joins) got one without it. It is kept at the first version alone now; that a watch with nothing newer walks no list holds for any version and needs no case of its own. TestListHoldsWhoJoined fails on the version before.

--- a/internal/fleetrig/fleetrig_test.go
+++ b/internal/fleetrig/fleetrig_test.go
@@ -661,3 +661,26 @@
 		}
 	}
 }
+
+// A node that joins is in the list that a broker asks for whole, whatever was asked before.
+func TestListHoldsWhoJoined(t *testing.T) {
+	r := &Rig{scenario: &Scenario{Node: Node{Zones: 1}}}
+	g := &registry{rig: r, version: 1, news: make(chan struct{}), views: map[int]view{}, times: []time.Duration{Now()}, told: map[string]map[int]time.Duration{}}
+	r.nodes = []*node{{name: "first"}}
+	g.entries = []listed{g.entry(r.nodes[0], "SERVING", 1)}
+	if text := string(g.text(0, 0, 1, false)); !strings.Contains(text, "first") || text != string(g.known()) {
+		t.Errorf("at the start: %s", text)
+	}
+	if text := string(g.text(0, 1, 1, true)); !strings.Contains(text, `"hosts":[]`) {
+		t.Errorf("with nothing newer: %s", text)
+	}
+	joined := &node{name: "joined", number: 1}
+	r.nodes = append(r.nodes, joined)
+	g.change(g.entry(joined, "SERVING", 0))
+	if text := string(g.text(0, 0, 2, false)); !strings.Contains(text, "joined") || !strings.Contains(text, "first") {
+		t.Errorf("whole, behind the joining: %s", text)
+	}
+	if text := string(g.text(0, 1, 2, true)); !strings.Contains(text, "joined") || strings.Contains(text, "first") {
+		t.Errorf("what is newer: %s", text)
+	}
+}
--- a/internal/fleetrig/rig.go
+++ b/internal/fleetrig/rig.go
@@ -586,25 +586,24 @@
 
 // text is the list up to a version, or what is newer than another; the caller holds g.mu.
 func (g *registry) text(broker int, since, version uint64, watch bool) []byte {
-	if len(g.views) == 0 && len(g.entries) == len(g.rig.nodes) { // as at the start, when hundreds of brokers ask at once
-		switch {
-		case !watch && g.whole == nil:
-			g.whole = g.word(broker, 0, version, false)
-			fallthrough
-		case !watch:
-			return g.whole
-		case since >= version:
-			return fmt.Appendf(nil, `{"seq":%d,"whole":false,"hosts":[]}`, version)
-		}
+	if g.version > 1 || len(g.views) > 0 || watch {
+		return g.word(broker, since, version, watch)
+	}
+	if g.whole == nil { // at the start hundreds of brokers ask for it at once
+		g.whole = g.word(broker, 0, version, false)
 	}
-	return g.word(broker, since, version, watch)
+	return g.whole
 }
 
 // word makes that text.
 func (g *registry) word(broker int, since, version uint64, watch bool) []byte {
 	hosts := []standin.Host{}
 	v := g.views[broker]
-	for _, e := range g.latest(version) {
+	var list []listed
+	if !watch || since < version { // else there is nothing newer
+		list = g.latest(version)
+	}
+	for _, e := range list {
 		if slices.Contains(v.leaving, e.Host.Host) {
 			e.Health = "DRAINING"
 		}
