Say measures of capacity in one table, and reuse one RESP2 command and one reading of a process

Read again: a measure stood in a list and four maps by its name, and the curve of a role was made in two places; cells were told by position with two trailing flags; raw files were read twice alike; wharflab read a process' time and memory as the rig does (fleetrig.Spent) and worded commands by hand, as did the rig (load.Command).

--- a/cmd/wharflab/capacity_report.go
+++ b/cmd/wharflab/capacity_report.go
@@ -25,7 +25,7 @@
 {{range .Charts}}<h2>{{.Measure}}</h2>
 <p><img src="{{.Plot}}" alt="{{.Measure}} over brokers"></p>
 <table><tr><th>role<th>law<th>R²<th>runs<th>at 930 by it<th>budget</tr>
-{{$budget := .Budget}}{{range .Curves}}<tr><td>{{name .}}{{if .Fit.Law}}<td>{{.Fit.Law}}<td>{{printf "%.2f" .Fit.R2}}<td>{{.Fit.N}}<td>{{printf "%.4g" (.At 930)}}{{else}}<td>too few sizes<td><td>{{len .X}}<td>{{end}}<td>{{$budget}}</tr>
+{{$budget := .Budget}}{{range .Curves}}<tr><td>{{name .}}{{if .Fit.Law}}<td>{{.Fit.Law}}<td>{{printf "%.2f" .Fit.R2}}<td>{{.Fit.N}}<td>{{printf "%.4g" (.Fit.At 930)}}{{else}}<td>too few sizes<td><td>{{len .X}}<td>{{end}}<td>{{$budget}}</tr>
 {{end}}</table>{{end}}
 {{if .Missing}}<p>Not run: {{range .Missing}}{{.}} {{end}}</p>{{end}}`))
 
@@ -88,7 +88,7 @@
 		chart.Add(scatter)
 		chart.Legend.Add(curveName(curve), scatter)
 		for x := 60.0; curve.Fit.Law != "" && x <= 930; x *= 1.1 {
-			if y := curve.At(x); y > 0 {
+			if y := curve.Fit.At(x); y > 0 {
 				line = append(line, plotter.XY{X: x, Y: y})
 			}
 		}
--- a/cmd/wharflab/connections.go
+++ b/cmd/wharflab/connections.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"junctionwharf/internal/capacity"
+	"junctionwharf/internal/fleetrig"
 	"junctionwharf/internal/load"
 )
 
@@ -109,7 +109,8 @@
 			return h, err
 		}
 	}
-	before, began := spent(r.command.Process.Pid), time.Now()
+	began := time.Now()
+	before, _ := fleetrig.Spent(r.command.Process.Pid)
 	if rate > 0 {
 		t, err := f.traffic(cmd, rate, 1)
 		if err != nil {
@@ -127,8 +128,8 @@
 		case <-time.After(cmd.Duration("for")):
 		}
 	}
-	h.CPU = (spent(r.command.Process.Pid) - before).Seconds() / time.Since(began).Seconds()
-	h.MemoryMB = resident(r.command.Process.Pid)
+	h.CPU, h.MemoryMB = fleetrig.Spent(r.command.Process.Pid)
+	h.CPU = (h.CPU - before) / time.Since(began).Seconds()
 	for _, conn := range conns { // one that the broker ended reads an end of file
 		conn.SetReadDeadline(time.Now().Add(time.Millisecond))
 		if _, err := conn.Read(make([]byte, 1<<10)); !errors.Is(err, io.EOF) {
@@ -148,8 +149,8 @@
 		return nil, err
 	}
 	conn.SetDeadline(time.Now().Add(5 * time.Second))
-	id, list := fmt.Sprintf("held-%d", number), fmt.Sprintf("c=lesson-read,t=completo,d=750,volume=%016x,units=1,shard=%d,hosts=1", number, number%len(f.nodes))
-	fmt.Fprintf(conn, "*4\r\n$8\r\nBLK.READ\r\n$16\r\n%016x\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", number, len(id), id, len(list), list)
+	list := fmt.Sprintf("c=lesson-read,t=completo,d=750,volume=%016x,units=1,shard=%d,hosts=1", number, number%len(f.nodes))
+	conn.Write(load.Command(nil, "BLK.READ", fmt.Sprintf("%016x", number), fmt.Sprintf("held-%d", number), list))
 	line, err := bufio.NewReader(conn).ReadString('\n')
 	if err == nil && !strings.HasPrefix(line, "$") && !strings.HasPrefix(line, "-BUSY") {
 		err = fmt.Errorf("connection %d was answered %q", number, line)
@@ -160,30 +161,3 @@
 	}
 	return conn, conn.SetDeadline(time.Time{})
 }
-
-// spent is the processor time of a process.
-func spent(pid int) time.Duration {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0
-	}
-	const tick = 10 * time.Millisecond // as Linux tells times to programs
-	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
-	if len(fields) < 13 {
-		return 0
-	}
-	user, _ := strconv.Atoi(fields[11])
-	system, _ := strconv.Atoi(fields[12])
-	return time.Duration(user+system) * tick
-}
-
-// resident is the memory that a process holds now, in MB.
-func resident(pid int) float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
-	if err != nil {
-		return 0
-	}
-	var size, pages float64
-	fmt.Sscan(string(text), &size, &pages)
-	return pages * float64(os.Getpagesize()) / (1 << 20)
-}
--- a/cmd/wharflab/leavers.go
+++ b/cmd/wharflab/leavers.go
@@ -68,7 +68,7 @@
 	}
 	defer conn.Close()
 	list := "c=lesson-read,t=completo,d=750,volume=00000003b4d60021,units=1,shard=0,hosts=1"
-	if _, err := fmt.Fprintf(conn, "*4\r\n$8\r\nBLK.READ\r\n$16\r\n7f3a9c21e0b4d655\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n", len(id), id, len(list), list); err != nil {
+	if _, err := conn.Write(load.Command(nil, "BLK.READ", "7f3a9c21e0b4d655", id, list)); err != nil {
 		return err
 	}
 	time.Sleep(after)
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -52,19 +52,29 @@
 	planNodes = 400 // at which sizes of the fleet are compared
 )
 
+// at is the cell by which sizes of the fleet are compared.
+func at(brokers int, seed uint64) Cell {
+	return Cell{Brokers: brokers, Nodes: planNodes, Volumes: 1, ChangeS: planS, Seed: seed}
+}
+
+func (c Cell) nodes(count int) Cell            { c.Nodes = count; return c }
+func (c Cell) volumes(count int) Cell          { c.Volumes = count; return c }
+func (c Cell) changeEach(seconds float64) Cell { c.ChangeS = seconds; return c }
+func (c Cell) control(aside bool) Cell         { c.Control = aside; return c }
+func (c Cell) faults() Cell                    { c.Faults = true; return c }
+
 // Grid are the cells of the page, in the order in which they are run.
 var Grid = []Cell{
-	{Planned, planNodes, 1, planS, 1, false, false}, {480, planNodes, 1, planS, 1, false, false}, {240, planNodes, 1, planS, 1, false, false}, {60, planNodes, 1, planS, 1, false, false},
-	{Planned, planNodes, 1, planS, 2, false, false}, {Planned, planNodes, 1, planS, 3, false, false}, {Planned, 1600, 1, planS, 1, false, false}, {Planned, 100, 1, planS, 1, false, false},
-	{240, 1600, 1, planS, 1, false, false}, {240, 100, 1, planS, 1, false, false}, {240, planNodes, 0, planS, 1, false, false}, {240, planNodes, 8, planS, 1, false, false},
-	{Planned, planNodes, 1, 1, 1, false, false}, {240, planNodes, 1, 1, 1, false, false},
-	{Planned, planNodes, 1, planS, 1, true, false}, {Planned, planNodes, 1, planS, 2, true, false}, {Planned, planNodes, 1, planS, 3, true, false}, {240, planNodes, 1, planS, 1, true, false},
-	{Planned, planNodes, 1, 1, 1, true, false}, {Planned, planNodes, 1, 1, 1, true, true}, {240, planNodes, 1, 1, 1, true, true},
+	at(Planned, 1), at(480, 1), at(240, 1), at(60, 1), at(Planned, 2), at(Planned, 3),
+	at(Planned, 1).nodes(1600), at(Planned, 1).nodes(100), at(240, 1).nodes(1600), at(240, 1).nodes(100), at(240, 1).volumes(0), at(240, 1).volumes(8),
+	at(Planned, 1).changeEach(1), at(240, 1).changeEach(1),
+	at(Planned, 1).control(true), at(Planned, 2).control(true), at(Planned, 3).control(true), at(240, 1).control(true),
+	at(Planned, 1).changeEach(1).control(true), at(Planned, 1).changeEach(1).control(true).faults(), at(240, 1).changeEach(1).control(true).faults(),
 }
 
-// faults are those of the plan's day, all within one run: four brokers restart, one dies, one machine set aside for control dies and comes
+// dayOfFaults are those of the plan's day, all within one run: four brokers restart, one dies, one machine set aside for control dies and comes
 // back, one broker stands still, and three are cut off from what is agreed. They are of whole processes.
-var faults = []fleetrig.Event{
+var dayOfFaults = []fleetrig.Event{
 	{AtS: 4, What: "kill", Brokers: []int{7, 8, 9, 10}, ForS: 2}, {AtS: 6, What: "kill", Brokers: []int{11}}, {AtS: 9, What: "kill", Brokers: []int{2}, ForS: 3},
 	{AtS: 10, What: "stop", Brokers: []int{12}, ForS: 3}, {AtS: 14, What: "agree_cut", Brokers: []int{13, 14, 15}, ForS: 4},
 }
@@ -75,7 +85,7 @@
 		Node: fleetrig.Node{Count: c.Nodes, Zones: 6}, Agreement: fleetrig.Agreement{Voters: 7, ChangeS: c.ChangeS, Control: c.Control},
 		Hollow: fleetrig.Hollow{Brokers: max(0, c.Brokers-realOnes), Rate: requests, Volumes: requests * c.Volumes}}
 	if c.Faults {
-		s.Events = slices.Clone(faults)
+		s.Events = slices.Clone(dayOfFaults)
 	}
 	if c.Volumes == 0 {
 		s.Rate, s.Hollow.Rate = 0.1, 0
@@ -93,62 +103,81 @@
 func Load(dir string) (runs Runs, missing []string, err error) {
 	runs = Runs{}
 	for _, c := range Grid {
-		text, err := os.ReadFile(filepath.Join(dir, c.Name()+".json"))
-		if errors.Is(err, os.ErrNotExist) {
-			missing = append(missing, c.Name())
-			continue
-		}
 		var r fleetrig.Report
-		if err == nil {
-			err = json.Unmarshal(text, &r)
-		}
-		if err == nil && len(r.Costs) == 0 {
-			err = errors.New("no costs in it")
-		}
-		if err != nil {
-			return nil, nil, fmt.Errorf("%s: %w", c.Name(), err)
+		there, err := readRaw(dir, c.Name()+".json", &r, func() bool { return len(r.Costs) > 0 })
+		switch {
+		case err != nil:
+			return nil, nil, err
+		case there:
+			runs[c.Name()] = &r
+		default:
+			missing = append(missing, c.Name())
 		}
-		runs[c.Name()] = &r
 	}
 	return runs, missing, nil
 }
 
+// readRaw reads a file of raw figures and tells whether it is there. One that can't be read, or says nothing, is an error that names it.
+func readRaw(dir, name string, to any, says func() bool) (there bool, err error) {
+	text, err := os.ReadFile(filepath.Join(dir, name))
+	if errors.Is(err, os.ErrNotExist) {
+		return false, nil
+	}
+	if err == nil {
+		err = json.Unmarshal(text, to)
+	}
+	if err == nil && !says() {
+		err = errors.New("no figures in it")
+	}
+	if err != nil {
+		return false, fmt.Errorf("%s: %w", name, err)
+	}
+	return true, nil
+}
+
 // Roles are told apart by what a broker does for others.
 var Roles = []string{"leaf", "feeder", "voter", "leader"}
 
-// measures of a broker, and what of them a role is judged by: the one that has most of it.
-var measures = []struct {
-	name string
-	of   func(fleetrig.Cost) float64
-}{
-	{"bytes", func(c fleetrig.Cost) float64 { return c.Sent + c.Received }},
-	{"messages", func(c fleetrig.Cost) float64 { return c.Told + c.Heard }},
-	{"all bytes", func(c fleetrig.Cost) float64 { return c.Sent + c.Received + datagram*(c.Told+c.Heard) }},
-	{"cpu", func(c fleetrig.Cost) float64 { return c.CPU }},
-	{"hollow cpu", func(c fleetrig.Cost) float64 { return c.CPU }},
-	{"memory", func(c fleetrig.Cost) float64 { return c.MemoryMB }},
+// measure is a figure of a broker. A role is judged by the one that has most of it.
+type measure struct {
+	words  string
+	form   string  // of a figure
+	budget float64 // 0 for none
+	kind   kind
+	of     func(fleetrig.Cost) float64
 }
 
+// kind is of which brokers a measure is taken.
+type kind int
+
+const (
+	anyBroker kind = iota
+	wholeOnes
+	hollowOnes
+)
+
 // datagram is the bytes of a message between brokers with the headers of IP and UDP: where each shard has one node, all are of volumes,
 // 7 bytes each.
 const datagram = 7 + 28
 
-// whole tells whether a measure is taken of whole brokers alone, or of hollow ones alone.
-var whole = map[string]bool{"cpu": true, "memory": true, "hollow cpu": false}
-
-// of returns the mean and the most of a measure over the brokers of a role.
-func of(r *fleetrig.Report, role, measure string) (mean, most float64, n int) {
-	at := slices.IndexFunc(measures, func(m struct {
-		name string
-		of   func(fleetrig.Cost) float64
-	}) bool {
-		return m.name == measure
-	})
+var (
+	agreed    = measure{"bytes a second of agreement, sent and received", "%.0f", Budget.Bytes, anyBroker, func(c fleetrig.Cost) float64 { return c.Sent + c.Received }}
+	messages  = measure{"messages a second to and from other brokers", "%.1f", 0, anyBroker, func(c fleetrig.Cost) float64 { return c.Told + c.Heard }}
+	allBytes  = measure{"bytes a second of both, 35 a message", "%.0f", Budget.Bytes, anyBroker, func(c fleetrig.Cost) float64 { return agreed.of(c) + datagram*messages.of(c) }}
+	wholeCPU  = measure{"part of a core, whole brokers, their requests included", "%.4f", 0, wholeOnes, func(c fleetrig.Cost) float64 { return c.CPU }}
+	hollowCPU = measure{"part of a core, hollow brokers: their part of a process", "%.4f", Budget.CPU, hollowOnes, wholeCPU.of}
+	memory    = measure{"MB, requests included", "%.1f", Budget.MemoryMB, wholeOnes, func(c fleetrig.Cost) float64 { return c.MemoryMB }}
+
+	measures = []measure{agreed, messages, allBytes, wholeCPU, hollowCPU, memory}
+)
+
+// over returns the mean and the most of a measure over the brokers of a role, and how many these are.
+func (m measure) over(r *fleetrig.Report, role string) (mean, most float64, n int) {
 	for _, c := range r.Costs {
-		if is, only := whole[measure]; c.Role != role || only && c.Hollow == is {
+		if c.Role != role || m.kind == wholeOnes && c.Hollow || m.kind == hollowOnes && !c.Hollow {
 			continue
 		}
-		v := measures[at].of(c)
+		v := m.of(c)
 		mean, most, n = mean+v, max(most, v), n+1
 	}
 	return mean / float64(max(1, n)), most, n
@@ -162,8 +191,8 @@
 	N    int
 }
 
-// at is what it comes to.
-func (f Fit) at(x float64) float64 { return f.A + f.B*laws[f.Law](x) }
+// At is what it comes to.
+func (f Fit) At(x float64) float64 { return f.A + f.B*laws[f.Law](x) }
 
 var laws = map[string]func(float64) float64{
 	"constant": func(float64) float64 { return 0 }, "linear": func(x float64) float64 { return x }, "logarithmic": math.Log, "quadratic": func(x float64) float64 { return x * x },
@@ -232,26 +261,18 @@
 // plannedRuns are those at the planned size, by seed.
 func plannedRuns(runs Runs, control bool) (planned []*fleetrig.Report) {
 	for seed := uint64(1); seed <= 3; seed++ {
-		if r := runs[Cell{Planned, planNodes, 1, planS, seed, control, false}.Name()]; r != nil {
+		if r := runs[at(Planned, seed).control(control).Name()]; r != nil {
 			planned = append(planned, r)
 		}
 	}
 	return planned
 }
 
-var (
-	budgets = map[string]float64{"bytes": Budget.Bytes, "all bytes": Budget.Bytes, "hollow cpu": Budget.CPU, "memory": Budget.MemoryMB}
-	forms   = map[string]string{"bytes": "%.0f", "messages": "%.1f", "all bytes": "%.0f", "cpu": "%.4f", "hollow cpu": "%.4f", "memory": "%.1f"}
-	words   = map[string]string{"bytes": "bytes a second of agreement, sent and received", "messages": "messages a second to and from other brokers",
-		"all bytes": "bytes a second of both, 35 a message",
-		"cpu":       "part of a core, whole brokers, their requests included", "hollow cpu": "part of a core, hollow brokers: their part of a process", "memory": "MB, requests included"}
-)
-
 // lineOf is the row of a role and a measure; any is false where no run has the role.
-func lineOf(runs Runs, control bool, role, measure string) (l line, any bool) {
+func lineOf(runs Runs, control bool, role string, m measure) (l line, any bool) {
 	var means, mosts []float64
 	for _, r := range plannedRuns(runs, control) {
-		if mean, most, n := of(r, role, measure); n > 0 {
+		if mean, most, n := m.over(r, role); n > 0 {
 			means, mosts = append(means, mean), append(mosts, most)
 		}
 	}
@@ -261,25 +282,24 @@
 	form := func(values []float64) string {
 		mean, half := interval(values)
 		if half == 0 {
-			return fmt.Sprintf(forms[measure], mean)
+			return fmt.Sprintf(m.form, mean)
 		}
-		return fmt.Sprintf(forms[measure]+" ± "+forms[measure], mean, half)
+		return fmt.Sprintf(m.form+" ± "+m.form, mean, half)
 	}
-	l = line{Control: "brokers", Role: role, Measure: words[measure], Mean: form(means), Most: form(mosts)}
+	l = line{Control: "brokers", Role: role, Measure: m.words, Mean: form(means), Most: form(mosts)}
 	aside := control && (role == "voter" || role == "leader")
 	if control {
 		l.Control = "set aside"
 	}
-	if b, has := budgets[measure]; has && aside {
+	switch {
+	case m.budget > 0 && aside:
 		l.Verdict = "on a machine set aside"
-	} else if has {
-		l.Budget, l.Verdict = fmt.Sprintf("%g", b), verdict(slices.Max(mosts), b)
+	case m.budget > 0:
+		l.Budget, l.Verdict = fmt.Sprintf("%g", m.budget), verdict(slices.Max(mosts), m.budget)
 	}
-	x, y := slope(runs, control, role, measure)
-	if len(slices.Compact(slices.Sorted(slices.Values(x)))) < leastSizes {
+	if f := curve(runs, control, role, m).Fit; f.Law == "" {
 		return l, true
-	}
-	if f := Best(x, y); f.R2 < leastR2 {
+	} else if f.R2 < leastR2 {
 		l.Slope = fmt.Sprintf("not clear: the best, %s, has R² %.2f of %d", f.Law, f.R2, f.N)
 	} else {
 		l.Slope = fmt.Sprintf("%s, R² %.2f of %d", f.Law, f.R2, f.N)
@@ -287,47 +307,47 @@
 	return l, true
 }
 
-// slope is the one with most of a measure in a role, by the number of brokers.
-func slope(runs Runs, control bool, role, measure string) (x, y []float64) {
-	for _, c := range Grid {
-		if c.Control == control && !c.Faults && c.Nodes == planNodes && c.Volumes == 1 && c.ChangeS == planS && runs[c.Name()] != nil {
-			if _, most, n := of(runs[c.Name()], role, measure); n > 0 {
-				x, y = append(x, float64(c.Brokers)), append(y, most)
-			}
-		}
-	}
-	return x, y
-}
-
 // Curve is how a measure grows with the number of brokers.
 type Curve struct {
 	Control bool // by machines set aside
 	Role    string
 	X, Y    []float64 // of each run: brokers, and the one with most
-	Fit     Fit       // over them; its Law is empty below three sizes
+	Fit     Fit       // over them; its Law is empty below leastSizes
+}
+
+// curve is that of a measure in a role.
+func curve(runs Runs, control bool, role string, m measure) Curve {
+	curve := Curve{Control: control, Role: role}
+	for _, c := range Grid {
+		if r := runs[c.Name()]; r != nil && c == at(c.Brokers, c.Seed).control(control) {
+			if _, most, n := m.over(r, role); n > 0 {
+				curve.X, curve.Y = append(curve.X, float64(c.Brokers)), append(curve.Y, most)
+			}
+		}
+	}
+	if len(slices.Compact(slices.Sorted(slices.Values(curve.X)))) >= leastSizes {
+		curve.Fit = Best(curve.X, curve.Y)
+	}
+	return curve
 }
 
 // Chart is a measure with its curves by role.
 type Chart struct {
 	Measure string
-	Budget  float64 // 0 for none
+	Budget  float64
 	Curves  []Curve
 }
 
-// At is what the fit of a curve comes to.
-func (c Curve) At(brokers float64) float64 { return c.Fit.at(brokers) }
-
 // Charts are the measures that have a budget, with the runs that say how they grow.
 func Charts(runs Runs) (all []Chart) {
 	for _, m := range measures {
-		chart := Chart{Measure: words[m.name], Budget: budgets[m.name]}
+		if m.budget == 0 {
+			continue
+		}
+		chart := Chart{Measure: m.words, Budget: m.budget}
 		for _, control := range []bool{false, true} {
 			for _, role := range Roles {
-				if x, y := slope(runs, control, role, m.name); len(x) > 0 && chart.Budget > 0 {
-					c := Curve{Control: control, Role: role, X: x, Y: y}
-					if len(slices.Compact(slices.Sorted(slices.Values(x)))) >= leastSizes {
-						c.Fit = Best(x, y)
-					}
+				if c := curve(runs, control, role, m); len(c.X) > 0 {
 					chart.Curves = append(chart.Curves, c)
 				}
 			}
@@ -344,12 +364,12 @@
 	v := view{Missing: missing, Held: held}
 	planned := plannedRuns(runs, false)
 	if len(planned) == 0 {
-		return "", fmt.Errorf("%s: there is no run of it", Cell{Planned, planNodes, 1, planS, 1, false, false}.Name())
+		return "", fmt.Errorf("%s: there is no run of it", at(Planned, 1).Name())
 	}
 	for _, control := range []bool{false, true} {
 		for _, role := range Roles {
 			for _, m := range measures {
-				if l, any := lineOf(runs, control, role, m.name); any {
+				if l, any := lineOf(runs, control, role, m); any {
 					v.Lines = append(v.Lines, l)
 				}
 			}
@@ -365,9 +385,9 @@
 	for _, r := range planned {
 		for _, c := range r.Costs {
 			if c.Role == "leaf" && c.Hollow {
-				hollow = append(hollow, c.Sent+c.Received)
+				hollow = append(hollow, agreed.of(c))
 			} else if c.Role == "leaf" {
-				real = append(real, c.Sent+c.Received)
+				real = append(real, agreed.of(c))
 			}
 		}
 	}
@@ -375,9 +395,9 @@
 		a, b := stat.Mean(real, nil), stat.Mean(hollow, nil)
 		v.Error = fmt.Sprintf("Leaves of agreement at %d brokers: %.0f bytes a second for %d whole brokers, %.0f for %d hollow ones, %+.1f%%.", Planned, a, len(real), b, len(hollow), 100*(b/a-1))
 	}
-	if r := runs[Cell{240, planNodes, 0, planS, 1, false, false}.Name()]; r != nil {
-		a, _, n := of(r, "leaf", "cpu")
-		if b, _, m := of(r, "leaf", "hollow cpu"); n > 0 && m > 0 {
+	if r := runs[at(240, 1).volumes(0).Name()]; r != nil {
+		a, _, n := wholeCPU.over(r, "leaf")
+		if b, _, m := hollowCPU.over(r, "leaf"); n > 0 && m > 0 {
 			v.Error += fmt.Sprintf(" Processor time of leaves without requests, 240 brokers: %.4f of a core for %d whole ones, %.4f for %d hollow ones, %+.0f%%.", a, n, b, m, 100*(b/a-1))
 		}
 	}
@@ -392,8 +412,8 @@
 func row(c Cell, r *fleetrig.Report) string {
 	sum, most, cpu, whole := 0.0, 0.0, 0.0, 0
 	for _, k := range r.Costs {
-		sum += k.Sent + k.Received
-		most = max(most, k.Sent+k.Received)
+		sum += agreed.of(k)
+		most = max(most, agreed.of(k))
 		if !k.Hollow {
 			cpu, whole = cpu+k.CPU, whole+1
 		}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -15,7 +15,7 @@
 	x := []float64{60, 240, 480, 930}
 	for law, f := range laws {
 		if law == "constant" {
-			if got := Best(x, []float64{5, 5, 5, 5}); got.Law != law || got.at(77) != 5 {
+			if got := Best(x, []float64{5, 5, 5, 5}); got.Law != law || got.At(77) != 5 {
 				t.Errorf("%+v", got)
 			}
 			continue
@@ -25,7 +25,7 @@
 			y[i] = 7 + 3*f(x[i])
 		}
 		got := Best(x, y)
-		if got.Law != law || math.Abs(got.A-7) > 1e-6 || math.Abs(got.B-3) > 1e-6 || got.R2 < 0.999 || math.Abs(got.at(930)-y[3]) > 1e-3 {
+		if got.Law != law || math.Abs(got.A-7) > 1e-6 || math.Abs(got.B-3) > 1e-6 || got.R2 < 0.999 || math.Abs(got.At(930)-y[3]) > 1e-3 {
 			t.Errorf("%s: %+v", law, got)
 		}
 	}
@@ -64,7 +64,7 @@
 	if len(charts) != 4 || len(charts[0].Curves) != 2 || charts[0].Budget != Budget.Bytes {
 		t.Fatalf("%+v", charts)
 	}
-	if c := charts[0].Curves[1]; c.Role != "feeder" || len(c.X) != 5 || c.Fit.Law != "linear" || math.Abs(c.At(930)-9300) > 1 {
+	if c := charts[0].Curves[1]; c.Role != "feeder" || len(c.X) != 5 || c.Fit.Law != "linear" || math.Abs(c.Fit.At(930)-9300) > 1 {
 		t.Errorf("%+v", c)
 	}
 	if _, err := Render(Runs{Grid[2].Name(): report(1, 1)}, nil, nil); err == nil || !strings.Contains(err.Error(), Grid[0].Name()) {
--- a/internal/capacity/holding.go
+++ b/internal/capacity/holding.go
@@ -1,12 +1,6 @@
 package capacity
 
-import (
-	"encoding/json"
-	"errors"
-	"fmt"
-	"os"
-	"path/filepath"
-)
+import "fmt"
 
 // Holding is what one broker cost that held so many clients' connections.
 type Holding struct {
@@ -30,19 +24,8 @@
 
 // LoadHoldings reads the raw figures of connections that a directory has, none if it lacks them.
 func LoadHoldings(dir string) (all []Holding, err error) {
-	const name = "connections.json"
-	text, err := os.ReadFile(filepath.Join(dir, name))
-	if errors.Is(err, os.ErrNotExist) {
-		return nil, nil
-	}
-	if err == nil {
-		err = json.Unmarshal(text, &all)
-	}
-	if err == nil && len(all) == 0 {
-		err = errors.New("no figures in it")
-	}
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
+	if _, err := readRaw(dir, "connections.json", &all, func() bool { return len(all) > 0 }); err != nil {
+		return nil, err
 	}
 	return all, nil
 }
--- a/internal/fleetrig/hollow.go
+++ b/internal/fleetrig/hollow.go
@@ -255,7 +255,7 @@
 				return nil
 			}
 		}
-		m.cpu, m.memory = spentBy(command.Process.Pid)
+		m.cpu, m.memory = Spent(command.Process.Pid)
 		if n := shared[command.Process.Pid]; n > 0 {
 			m.cpu, m.memory = m.cpu/n, m.memory/n
 		}
@@ -265,8 +265,8 @@
 	return all
 }
 
-// spentBy is the processor time of a process in seconds, and its resident memory in MB.
-func spentBy(pid int) (cpu, memory float64) {
+// Spent is the processor time of a process in seconds, and its resident memory in MB.
+func Spent(pid int) (cpu, memory float64) {
 	const ticks = 100 // a second, as Linux tells times to programs
 	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid)); err == nil {
 		fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
--- a/internal/fleetrig/play.go
+++ b/internal/fleetrig/play.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"junctionwharf/internal/load"
 )
 
 // client sends one broker's requests, open loop: a new connection whenever all are busy.
@@ -98,13 +100,12 @@
 }
 
 func (c *client) ask(s *story, shard, volume int, key uint64) {
-	command, class, extra := "BLK.READ", "lesson-read", ""
-	args := 4
+	command, class, body := "BLK.READ", "lesson-read", []string(nil)
 	if s.write {
-		command, class, extra, args = "BLK.WRITE", "record-write", "$4\r\nBODY\r\n", 5
+		command, class, body = "BLK.WRITE", "record-write", []string{"BODY"}
 	}
 	list := fmt.Sprintf("c=%s,t=basico,d=%d,volume=%016x,units=%g,shard=%d,hosts=%d", class, s.deadline.Milliseconds(), volume, s.units, shard, c.rig.scenario.total())
-	text := fmt.Sprintf("*%d\r\n$%d\r\n%s\r\n$16\r\n%016x\r\n$16\r\n%s\r\n$%d\r\n%s\r\n%s", args, len(command), command, key, s.id, len(list), list, extra)
+	text := string(load.Command(nil, append([]string{command, fmt.Sprintf("%016x", key), s.id, list}, body...)...))
 	for {
 		conn, err := c.take()
 		if err != nil {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -378,6 +378,15 @@
 	used bool // it has had an answer
 }
 
+// Command appends a RESP2 command of these words.
+func Command(to []byte, words ...string) []byte {
+	to = fmt.Appendf(to, "*%d\r\n", len(words))
+	for _, word := range words {
+		to = fmt.Appendf(to, "$%d\r\n%s\r\n", len(word), word)
+	}
+	return to
+}
+
 func (c *client) ask(t Traffic, a Arrival, number int, until time.Time) (Verdict, error) {
 	kind := t.Kinds[a.Kind]
 	list := fmt.Sprintf("c=%s,t=%s,d=%d,volume=%016x,units=%d,shard=%d,hosts=%d", kind.Class, t.Plans[a.Plan], kind.Deadline.Milliseconds(),
@@ -387,10 +396,7 @@
 		args[0] = "BLK.WRITE"
 		args = append(args, "BODY")
 	}
-	c.out = fmt.Appendf(c.out[:0], "*%d\r\n", len(args))
-	for _, arg := range args {
-		c.out = fmt.Appendf(c.out, "$%d\r\n%s\r\n", len(arg), arg)
-	}
+	c.out = Command(c.out[:0], args...)
 	c.conn.SetDeadline(until)
 	if _, err := c.conn.Write(c.out); err != nil {
 		return Lost, err
