Wait for a connection's place in one way; say which outcomes may have run once

Read again, behaviour unchanged: Table.acquire and admit were the same wait with and without rejection, with a try in front of Acquire, which tries by itself; crowdClients and the branch of Admission.Controller for no bound were dead since the bound holds at all sizes; the core and the module spelled out which outcomes prove that nothing ran (Outcome.MayHaveRun); serve and control loaded their configuration and log alike; Loop.Starved, which is true while many requests are open, is StillBusy; the two plays of discovery's silence share how a drain is told and waited for, their assertions as before.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -97,7 +97,7 @@
 	came     int    // those let in
 	offered  []float64
 	shedding bool
-	allowed  float64 // a window, while it is shut
+	allowed  float64 // a window, while it sheds
 	marginal int     // the rank that is let in by part
 	part     float64 // of it
 	owed     float64 // of it, by the requests so far
--- a/broker/loop.go
+++ b/broker/loop.go
@@ -229,8 +229,8 @@
 // Busy tells each time that many requests have come to be open at once, so that somebody may begin to measure.
 func (l *Loop) Busy() <-chan struct{} { return l.busy }
 
-// Starved tells whether it is worth measuring on: many requests are open, or work lately waited for a processor.
-func (l *Loop) Starved() bool {
+// StillBusy tells whether it is worth measuring on: many requests are open, or work lately waited for a processor.
+func (l *Loop) StillBusy() bool {
 	return l.Figures.open.Load() >= l.many() || l.slow.Load() || l.overloaded.Load()
 }
 
--- a/broker/loop_test.go
+++ b/broker/loop_test.go
@@ -194,8 +194,8 @@
 	}
 	for i := range crowd + 1 {
 		loop.Enter(request("read", 0), func(Final) {})
-		if got := busy(); got != (i == crowd/2-1) || loop.Starved() != (i >= crowd/2-1) {
-			t.Errorf("with %d open: busy %v, starved %v", i+1, got, loop.Starved())
+		if got := busy(); got != (i == crowd/2-1) || loop.StillBusy() != (i >= crowd/2-1) {
+			t.Errorf("with %d open: busy %v, still %v", i+1, got, loop.StillBusy())
 		}
 	}
 	loop.Measured(true)
--- a/broker/reducer.go
+++ b/broker/reducer.go
@@ -462,7 +462,7 @@
 // end tells the gateway of an attempt's one outcome and passes a served answer on.
 func (s *State) end(id uint64, r *entry, outcome logic.Outcome, result Result) {
 	r.out, r.stopped = false, false
-	if !r.ran && outcome != logic.Overloaded && outcome != logic.Unreachable && outcome != logic.Void {
+	if !r.ran && outcome.MayHaveRun() {
 		r.ran, r.ranAt = true, r.sentAt
 	}
 	s.facts = append(s.facts, telemetry.Fact{Kind: telemetry.AttemptEnded, Outcome: outcomes[outcome], Class: r.req.Class, Plan: r.req.Plan,
--- a/cmd/junctionwharf/main.go
+++ b/cmd/junctionwharf/main.go
@@ -77,14 +77,20 @@
 	return c, err
 }
 
-func serveCommand(ctx context.Context, cmd *cli.Command) error {
-	reload := make(chan os.Signal, 1) // unhandled, the signal would end the process
-	signal.Notify(reload, syscall.SIGHUP)
+// loadAndLog loads the configuration and opens the log that the flags want.
+func loadAndLog(cmd *cli.Command) (*config.Config, *slog.Logger, error) {
 	c, err := load(cmd)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	log, err := logger(cmd, c.Name)
+	return c, log, err
+}
+
+func serveCommand(ctx context.Context, cmd *cli.Command) error {
+	reload := make(chan os.Signal, 1) // unhandled, the signal would end the process
+	signal.Notify(reload, syscall.SIGHUP)
+	c, log, err := loadAndLog(cmd)
 	if err != nil {
 		return err
 	}
@@ -95,11 +101,7 @@
 }
 
 func controlCommand(ctx context.Context, cmd *cli.Command) error {
-	c, err := load(cmd)
-	if err != nil {
-		return err
-	}
-	log, err := logger(cmd, c.Name)
+	c, log, err := loadAndLog(cmd)
 	if err != nil {
 		return err
 	}
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -76,11 +76,8 @@
 	return nil
 }
 
-// Controller returns what decides on admission, nil for none. crowd is admission.Settings.Crowd, 0 for none.
+// Controller returns what decides on admission. crowd is admission.Settings.Crowd, 0 for none.
 func (a Admission) Controller(set logic.Settings, crowd int) *admission.Controller {
-	if a.LagMS == 0 && a.MostOpen == 0 && crowd == 0 {
-		return nil
-	}
 	return admission.New(admission.Settings{Target: int64(a.LagMS * 1000), MostOpen: a.MostOpen, Crowd: crowd}, set)
 }
 
--- a/internal/daemon/pressure.go
+++ b/internal/daemon/pressure.go
@@ -59,7 +59,7 @@
 		p.waited()
 		loop.Measured(true)
 		tick := time.NewTicker(time.Duration(admission.DefaultWindow) * time.Microsecond)
-		for always || loop.Starved() {
+		for always || loop.StillBusy() {
 			select {
 			case <-ctx.Done():
 				tick.Stop()
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -35,7 +35,6 @@
 	clientPart    = 0.5      // of Go's memory for these at the most: were live memory near its limit, collections would take the processor
 	overflowPart  = 16       // a part of the sockets: connections that are rejected or on their way out at a time
 	leastOverflow = 16
-	crowdClients  = 1024 // with fewer connections than this these are the bound on what waits
 	crowdPerCore  = 64
 	clientMemory  = 0.2 // of the limit for requests and answers that wait
 	gcPercent     = 100 // the live heap is small: more would let it grow through the first hours of a small machine
--- a/internal/discovery/silence_test.go
+++ b/internal/discovery/silence_test.go
@@ -71,12 +71,47 @@
 	}
 }
 
+// answerDrain tells of the drain, whole or as a change; who knows it waits.
+func answerDrain(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Query().Get("index") {
+	case "":
+		fmt.Fprint(w, strings.Replace(strings.Replace(wholeText, "41", "42", 1), "SERVING", "DRAINING", 1))
+	case "41":
+		fmt.Fprint(w, strings.Replace(changeText, "43", "42", 1))
+	default:
+		<-r.Context().Done()
+	}
+}
+
+// drainKnown runs a watcher until it knows of the drain, ends it and the server, and returns when that was.
+func drainKnown(w *Watcher, server *http.Server) time.Time {
+	ctx, cancel := context.WithCancel(context.Background())
+	known, ended := make(chan time.Time, 1), make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.Run(ctx, broker.NewClock(), func(e broker.Event) {
+			if l := e.(broker.Listed); len(l.Nodes) == 1 && l.Nodes[0].State == logic.Draining {
+				select {
+				case known <- time.Now():
+				default:
+				}
+			}
+		})
+	}()
+	at := <-known
+	cancel()
+	<-ended
+	w.client.CloseIdleConnections()
+	server.Close()
+	synctest.Wait()
+	return at
+}
+
 func drainBehindSilence(t *testing.T, grace time.Duration, brokers int, quiet, silent time.Duration) {
 	began := time.Now()
 	silence := began.Add(quiet)
 	back := silence.Add(silent)
 	var last time.Time // when the call that fell silent began
-	draining := strings.Replace(changeText, "43", "42", 1)
 	ln := newPipes()
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		call := time.Now()
@@ -92,32 +127,12 @@
 			<-r.Context().Done()
 			return
 		}
-		switch index {
-		case "":
-			fmt.Fprint(w, strings.Replace(strings.Replace(wholeText, "41", "42", 1), "SERVING", "DRAINING", 1))
-		case "41":
-			fmt.Fprint(w, draining)
-		default:
-			<-r.Context().Done()
-		}
+		answerDrain(w, r)
 	})}
 	go server.Serve(ln)
 	w := NewWatcher("agent", Options{Brokers: brokers, Grace: grace, Log: logs.Discard()})
 	w.client.Transport = &http.Transport{DialContext: ln.dial}
-	ctx, cancel := context.WithCancel(context.Background())
-	known, ended := make(chan time.Time, 1), make(chan struct{})
-	go func() {
-		defer close(ended)
-		w.Run(ctx, broker.NewClock(), func(e broker.Event) {
-			if l := e.(broker.Listed); len(l.Nodes) == 1 && l.Nodes[0].State == logic.Draining {
-				select {
-				case known <- time.Now():
-				default:
-				}
-			}
-		})
-	}()
-	at := <-known
+	at := drainKnown(w, server)
 	most := back
 	if !last.IsZero() {
 		// A watch that waits is silent to who asked, whatever the agent does; a call that wants the whole list is no watch.
@@ -128,11 +143,6 @@
 	if late := at.Sub(most); late > grace {
 		t.Errorf("grace %v, %d brokers: silent from %v for %v: known %v after it counts as told", grace, brokers, quiet, silent, late)
 	}
-	cancel()
-	<-ended
-	w.client.CloseIdleConnections()
-	server.Close()
-	synctest.Wait()
 }
 
 // Whatever became of the calls before, refused, not connected or given up, and whether or not discovery is asked by all brokers: a
@@ -171,12 +181,8 @@
 			http.Error(w, "busy", http.StatusServiceUnavailable)
 		case call.Before(back): // it says nothing any more; of a watch that hangs from before, how 3
 			<-r.Context().Done()
-		case index == "":
-			fmt.Fprint(w, strings.Replace(strings.Replace(wholeText, "41", "42", 1), "SERVING", "DRAINING", 1))
-		case index == "41":
-			fmt.Fprint(w, strings.Replace(changeText, "43", "42", 1))
 		default:
-			<-r.Context().Done()
+			answerDrain(w, r)
 		}
 	})}
 	go server.Serve(ln)
@@ -187,27 +193,9 @@
 		}
 		return ln.dial(ctx, network, address)
 	}}
-	ctx, cancel := context.WithCancel(context.Background())
-	known, ended := make(chan time.Time, 1), make(chan struct{})
-	go func() {
-		defer close(ended)
-		w.Run(ctx, broker.NewClock(), func(e broker.Event) {
-			if l := e.(broker.Listed); len(l.Nodes) == 1 && l.Nodes[0].State == logic.Draining {
-				select {
-				case known <- time.Now():
-				default:
-				}
-			}
-		})
-	}()
-	if late := (<-known).Sub(had.Add(toldAfter)); late > grace {
+	if late := drainKnown(w, server).Sub(had.Add(toldAfter)); late > grace {
 		t.Errorf("asked %v, grace %v, %d brokers, way %d, down for %v: known %v after it counts as told", asked, grace, brokers, how, down, late)
 	}
-	cancel()
-	<-ended
-	w.client.CloseIdleConnections()
-	server.Close()
-	synctest.Wait()
 }
 
 // A whole list of an older count is not believed, but whom it names as draining gets nothing more. Changes of one are not taken.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -120,7 +120,7 @@
 	t.mu.Unlock()
 	for {
 		if t.reject == nil {
-			t.acquire()
+			t.admit()
 		}
 		conn, err := ln.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) { // no time is left, but some may wait in the queue
@@ -153,29 +153,25 @@
 	}
 }
 
-// admit takes a place for a connection that was accepted, or else one among those that are rejected.
-func (t *Table) admit() bool {
-	for {
-		if t.limit.TryAcquire() {
-			return true
-		}
+// admit takes a place for a connection, or else, where connections are rejected and nobody can be evicted, one of the overflow. It tells
+// which it was.
+func (t *Table) admit() (within bool) {
+	for !t.limit.TryAcquire() {
 		t.mu.Lock()
-		gave := t.evict()
+		evicted := t.evict()
 		t.mu.Unlock()
-		from := t.overflow
-		if gave {
-			from = t.limit
-		}
-		if from.TryAcquire() {
-			return gave
+		within, from := true, t.limit
+		if t.reject != nil && !evicted {
+			within, from = false, t.overflow
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), evictPause)
 		err := from.Acquire(ctx)
 		cancel()
 		if err == nil {
-			return gave
+			return within
 		}
 	}
+	return true
 }
 
 // Add adds an accepted connection and tells whether it came while others leave.
@@ -229,21 +225,6 @@
 	}
 }
 
-// acquire takes a place as soon as there is one.
-func (t *Table) acquire() {
-	for !t.limit.TryAcquire() {
-		t.mu.Lock()
-		t.evict()
-		t.mu.Unlock()
-		ctx, cancel := context.WithTimeout(context.Background(), evictPause)
-		err := t.limit.Acquire(ctx)
-		cancel()
-		if err == nil {
-			break
-		}
-	}
-}
-
 // Greeted notes that a connection sent a command that asks for nothing.
 func (t *Table) Greeted(c Connection) {
 	t.mu.Lock()
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -176,7 +176,7 @@
 	}
 }
 
-// rejectTime is how long a connection for which there is no room may take to say something.
+// rejectTime is how long a connection beyond the limit may take to say something.
 const rejectTime = 200 * time.Millisecond
 
 var rejectBuffers = sync.Pool{New: func() any { b := make([]byte, 2048); return &b }}
--- a/logic/api.go
+++ b/logic/api.go
@@ -260,6 +260,9 @@
 // Outcome says how an attempt or a probe ended.
 type Outcome int
 
+// MayHaveRun tells whether an attempt that ended so may have run.
+func (o Outcome) MayHaveRun() bool { return o != Overloaded && o != Unreachable && o != Void }
+
 // The outcomes. Overloaded, Unreachable and Void prove that the attempt never ran.
 const (
 	Success Outcome = iota
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -694,8 +694,7 @@
 	}
 	g.learn(n, r, e)
 	g.observe(n, r, e)
-	ran := e.Outcome != Overloaded && e.Outcome != Unreachable && e.Outcome != Void
-	if ran && r.ranAt == nil {
+	if e.Outcome.MayHaveRun() && r.ranAt == nil {
 		r.ranAt, r.firstRun = n, r.sentAt
 		r.volume.limit.Arrive(r.ID)
 	}
