--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,12 +11,6 @@
 	cases["many-commands"] = playManyCommands
 }
 
-func env(name string, value int) int {
-	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
-		return n
-	}
-	return value
-}
 
 // watchMemory stands in for the platform: it kills a broker whose memory is over the limit. It returns the peak.
 func (s *scene) watchMemory(b *brokerProcess, until <-chan struct{}) (peak int, killed bool) {
--- a/review/standin/second.go
+++ b/review/standin/second.go
@@ -15,7 +15,7 @@
 // playSecondAnswers: nodes send some answers a second time, some milliseconds later, when nothing else waits on the
 // connection. A client must be served with the value that was made for its request.
 func playSecondAnswers(s *scene) (bool, error) {
-	const shards, brokers, length = 8, 3, 40 * time.Second
+	const shards, brokers, length = 8, 3, 50 * time.Second
 	var nodes []*storageNode
 	for shard := range shards {
 		zone := []string{"hall-a", "hall-b"}[shard%2]
@@ -23,7 +23,7 @@
 		n.log = true
 		if s.trouble {
 			n.second = func() (bool, time.Duration) {
-				return rand.IntN(20) == 0, microseconds(2000 + rand.IntN(7000))
+				return rand.IntN(10) == 0, microseconds(2000 + rand.IntN(7000))
 			}
 		}
 		nodes = append(nodes, n)
