--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 [ -x "$root/review/bin/standin" ] && [ -x "$root/bin/junctionwharf" ] || exit 2
-exec "$root/review/bin/standin" -root "$root" -record "$here/record.txt" leaving
+exec "$root/review/bin/standin" -root "$root" -record "$here/record.txt" pipelines
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,3 @@
 cd "$(dirname "$0")/standin"
 mkdir -p ../bin
 GOWORK=off go build -o ../bin/standin .
-cd ../..
-go build -o review/bin/host ./review/host
