--- a/review/standin/pipelines.go
+++ b/review/standin/pipelines.go
@@ -25,7 +25,7 @@
 		valueLen = 60 << 10
 		length   = 20 * time.Second
 	)
-	s.limits = limits{1, 64, 512}
+	s.limits = limits{1, 48, 512}
 	var nodes []*storageNode
 	for shard := range shards {
 		n := newNode(shard, "hall-a", s.rec)
