--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -55,6 +55,7 @@
 					}
 				}
 				r := newRequest(classRead, 0)
+				s.rec.line("usual client sends %s (%s, shard %d)", r.id, r.class, r.shard)
 				a, took, err := c.ask(r, time.Duration(r.waitMS)*time.Millisecond+lateBy)
 				if err != nil {
 					lost.Add(1)
@@ -76,6 +77,7 @@
 	const brokers, crowd, commands, body = 3, 8, 500, 60 << 10
 	s.limits = limits{1, 64, 512}
 	n := newNode(0, "hall-a", s.rec)
+	n.log = true
 	if err := s.startWorld(brokers, []*storageNode{n}, func(*storageNode) int { return 0 }); err != nil {
 		return false, err
 	}
@@ -95,11 +97,17 @@
 					return
 				}
 				defer c.close()
-				s.rec.line("client %d sends %d commands at once, each with a value of %d bytes", i, commands, body)
+				var requests []request
+				var ids []string
+				for range commands {
+					r := newRequest(classWrite, 0)
+					requests = append(requests, r)
+					ids = append(ids, r.id)
+				}
+				s.rec.line("client %d sends %d commands at once, each with a value of %d bytes: %v", i, commands, body, ids)
 				_ = c.conn.SetDeadline(time.Now().Add(20 * time.Second))
 				go func() {
-					for range commands {
-						r := newRequest(classWrite, 0)
+					for _, r := range requests {
 						r.body = make([]byte, body)
 						if _, err := c.conn.Write(r.encode()); err != nil {
 							return
@@ -107,13 +115,14 @@
 					}
 				}()
 				kinds := map[string]int{}
-				for range commands {
+				for _, id := range ids {
 					a, err := readAnswer(c.reader)
 					if err != nil {
 						s.rec.line("client %d: %v", i, err)
 						break
 					}
 					kinds[a.kind]++
+					s.rec.line("client %d: %s is %s", i, id, a.kind)
 				}
 				s.rec.line("client %d read %v", i, kinds)
 			})
--- a/review/standin/pipelines.go
+++ b/review/standin/pipelines.go
@@ -29,6 +29,7 @@
 	var nodes []*storageNode
 	for shard := range shards {
 		n := newNode(shard, "hall-a", s.rec)
+		n.log = true
 		n.work = func(class string) time.Duration {
 			if class == classExport {
 				return time.Duration(40+rand.IntN(24)) * time.Millisecond
@@ -71,28 +72,32 @@
 			defer func() { _ = conn.Close() }()
 			reader := bufio.NewReader(conn)
 			for time.Now().Before(end) {
-				all := newRequest(classExport, shards-1-i%hung).encode()
+				head := newRequest(classExport, shards-1-i%hung)
+				ids := []string{head.id}
+				all := head.encode()
 				for row := range rows {
 					first := newRequest(classExport, (i+row)%(shards-hung))
 					for range inRow {
 						r := first
 						r.id = newHex()
+						ids = append(ids, r.id)
 						all = append(all, r.encode()...)
 					}
 				}
 				_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
-				s.rec.line("client %d sends %d commands at once, the first to shard %d", i, rows*inRow+1, shards-1-i%hung)
+				s.rec.line("client %d sends %d commands at once, the first to shard %d: %v", i, len(ids), head.shard, ids)
 				if _, err := conn.Write(all); err != nil {
 					return
 				}
 				count := map[string]int64{}
-				for range rows*inRow + 1 {
+				for _, id := range ids {
 					a, err := readAnswer(reader)
 					if err != nil {
 						s.rec.line("client %d: %v", i, err)
 						return
 					}
 					count[a.kind]++
+					s.rec.line("client %d: %s is %s", i, id, a.kind)
 				}
 				served.Add(count["served"])
 				refused.Add(count["refused"])
