--- a/internal/resp/overload.go
+++ b/internal/resp/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"time"
 
 	"junctionwharf/broker"
@@ -70,7 +71,7 @@
 // whether the answer was written.
 func (c *client) writeDirectReply(line []byte, overloaded bool) bool {
 	c.server.RequestReceived(c, overloaded)
-	_, err := c.socket.Write(line)
+	err := writeAll(c.socket, net.Buffers{line}) // an earlier write has left its deadline on the connection
 	c.mu.Lock()
 	c.writing = false
 	c.directReply = false
--- a/internal/resp/overload_test.go
+++ b/internal/resp/overload_test.go
@@ -137,3 +137,17 @@
 		}
 	}
 }
+
+// An earlier write leaves its deadline on a connection. A rejection that the reader writes after this time must still
+// reach the client.
+func TestDirectReplyAfterAnOldWriteDeadline(t *testing.T) {
+	f := newFixture(t)
+	c, peer := f.accept(nil)
+	if err := c.socket.SetWriteDeadline(longAgo); err != nil {
+		t.Fatal(err)
+	}
+	if !c.beginDirectReply() || !c.writeDirectReply([]byte(pongLine), false) {
+		t.Fatal("the answer was not written")
+	}
+	expectLine(t, bufio.NewReader(peer), pongLine)
+}
