--- a/broker/inbox.go
+++ b/broker/inbox.go
@@ -51,6 +51,9 @@
 	maxQueuedRejections = 1 << 12
 )
 
+// Now returns the time on the loop's clock.
+func (l *Loop) Now() Micros { return l.clock.Now() }
+
 // Submit submits a request and returns its id, or 0 if admission control rejected it. The loop's goroutine calls reply
 // once with the final answer, unless it handles a Cancel of the request first. reply must not block.
 func (l *Loop) Submit(request *Request, reply func(Response)) uint64 {
@@ -64,7 +67,10 @@
 // SubmitAdmitted is Submit for a request that Admit has admitted.
 func (l *Loop) SubmitAdmitted(request *Request, reply func(Response)) uint64 {
 	id := l.nextID.Add(1)
-	at := l.clock.Now()
+	at := request.ReceivedAt
+	if at == 0 {
+		at = l.clock.Now()
+	}
 	l.overload.noteOpen(l.Metrics.open.Add(1))
 	l.inbox.mu.Lock()
 	l.inbox.newClients[id] = client{request.Class, reply}
--- a/broker/loop_test.go
+++ b/broker/loop_test.go
@@ -271,3 +271,29 @@
 			loop.OpenRequests(), len(loop.cancelledBeforeArrival))
 	}
 }
+
+// A protocol server waits before it submits a request. The time since the request was received counts against the
+// client's timeout: a request that was submitted too late must be answered at once.
+func TestTimeoutCountsFromReceipt(t *testing.T) {
+	transport := recordingTransport{started: map[string]bool{}}
+	loop := NewLoop(newState(t, testSettings()), NewClock(), transport, Dependencies{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	loop.Post(fullList(0, testNode("n1", 0, scheduler.Ready)))
+	request := testRequest("read", 0)
+	request.Message = "late"
+	request.ReceivedAt = loop.Now()
+	for loop.Now() < request.ReceivedAt+request.Timeout {
+		time.Sleep(time.Millisecond)
+	}
+	responses := make(chan Response, 1)
+	submitted := loop.Now()
+	loop.Submit(request, func(r Response) { responses <- r })
+	go loop.Run(ctx)
+	if r := <-responses; r.Verdict == Served || loop.Now()-submitted >= request.Timeout {
+		t.Errorf("response %+v after %d µs, want a rejection or a failure at once", r, loop.Now()-submitted)
+	}
+	if transport.started["late"] {
+		t.Error("the request was sent to a node after its timeout")
+	}
+}
--- a/broker/request.go
+++ b/broker/request.go
@@ -7,14 +7,15 @@
 	Key    string
 	Volume string
 
-	Units     float64
-	Shard     int // the shard that stores the data, -1 for a new object
-	Brokers   int // number of brokers that receive requests of the volume
-	Retry     bool
-	Write     bool
-	Timeout   Micros    // how long the client waits, from the submission on
-	Message   any       // the message that the transport sends
-	Transport Transport // nil for the loop's transport
+	Units      float64
+	Shard      int // the shard that stores the data, -1 for a new object
+	Brokers    int // number of brokers that receive requests of the volume
+	Retry      bool
+	Write      bool
+	Timeout    Micros    // how long the client waits, from ReceivedAt on
+	ReceivedAt Micros    // when the request was received, on the loop's clock; 0 for the time of the submission
+	Message    any       // the message that the transport sends
+	Transport  Transport // nil for the loop's transport
 }
 
 // Verdict is the kind of a final answer.
--- a/internal/resp/read.go
+++ b/internal/resp/read.go
@@ -86,6 +86,7 @@
 		return false
 	}
 	loop := c.server.loop
+	request.ReceivedAt = loop.Now()
 	if loop.Backlogged() {
 		c.whileWatchingPeer(func() { loop.WaitForCapacity(c.peerClosed.Load) })
 	}
