--- a/broker/attempts.go
+++ b/broker/attempts.go
@@ -155,7 +155,7 @@
 		AttemptMicros:  int64(s.now - r.sentAt),
 	})
 	if outcome == scheduler.Success && !r.answered {
-		s.respond(id, r, Response{Verdict: Served, Value: result.Value})
+		s.respond(id, r, s.successResponse(r, result))
 	} else {
 		s.discard(result.Value)
 	}
@@ -173,6 +173,20 @@
 	s.forget(id, r)
 }
 
+// successResponse returns the final answer to a request that a node has served. Without the value, the client may send
+// the request again only if its class is idempotent.
+func (s *State) successResponse(r *requestState, result Result) Response {
+	if !result.ValueDiscarded {
+		return Response{Verdict: Served, Value: result.Value}
+	}
+	for _, class := range s.scheduler.Classes() {
+		if class.Name == r.request.Class && class.Idempotency == scheduler.Idempotent {
+			return Response{Verdict: Rejected}
+		}
+	}
+	return Response{Verdict: Failed}
+}
+
 // telemetryOutcomes maps scheduler outcomes to telemetry's. NotSent is the outcome of an attempt that was canceled
 // before it was sent.
 var telemetryOutcomes = [...]telemetry.AttemptOutcome{
--- a/broker/overload.go
+++ b/broker/overload.go
@@ -86,6 +86,11 @@
 // RejectOverload counts a request that a protocol server rejected unread because of Overloaded.
 func (l *Loop) RejectOverload(class string) {
 	l.overload.rejectedUnread.Store(true)
+	l.CountRejection(class)
+}
+
+// CountRejection counts a request that a protocol server rejected without submitting it.
+func (l *Loop) CountRejection(class string) {
 	l.Metrics.received.Add(1)
 	l.Metrics.rejected.Add(1)
 	if known := l.Metrics.findClass(class); known != nil {
--- a/broker/requests_test.go
+++ b/broker/requests_test.go
@@ -143,3 +143,20 @@
 	}
 	t.Error("no message of 1 to 256 bytes was sent to peer 1")
 }
+
+// A node serves a request, but the broker has no memory for the value. The client gets one answer without a value. It
+// may send the request again only if its class is idempotent.
+func TestValueDiscarded(t *testing.T) {
+	for class, want := range map[string]Verdict{"read": Rejected, "write": Failed} {
+		t.Run(class, func(t *testing.T) {
+			h := newHarness(t)
+			h.turn(RequestArrived{ID: 1, Request: testRequest(class, 0)})
+			h.turn(AttemptEnded{1, 0, Result{ValueDiscarded: true, Load: scheduler.NoLoadReport}})
+			h.advance(2 * Second)
+			h.response(1, want)
+			if len(h.starts) != 1 || len(h.state.requests) != 0 {
+				t.Errorf("%d attempts, %d requests kept, want 1 and 0", len(h.starts), len(h.state.requests))
+			}
+		})
+	}
+}
--- a/broker/transport.go
+++ b/broker/transport.go
@@ -46,6 +46,7 @@
 	Err             *AttemptError
 	Reply           Reply
 	Value           any
+	ValueDiscarded  bool    // the node served the request, but the broker had no memory for its value
 	RateUsed        int     // as in scheduler.AttemptEnded
 	ServedElsewhere float64 // as in scheduler.AttemptEnded
 	Load            scheduler.LoadReport
--- a/internal/resp/client.go
+++ b/internal/resp/client.go
@@ -25,9 +25,12 @@
 type client struct {
 	server *Server
 	reader commandReader
-	input  *inputGuard   // the connection that redcon's reader reads
+	memory *requestMemory // of the command that is being read; used only by the reading goroutine
+	input  *inputGuard
 	socket net.Conn      // the raw connection, on which net.Buffers writes several buffers in one call
 	wake   chan struct{} // makes the writer check for answers that are ready
+	// idle receives a value when no answer is pending any longer, or the connection ends. It ends a wait for memory.
+	idle chan struct{}
 	// peerClosed is set when whileWatchingPeer finds that the client has disconnected.
 	peerClosed atomic.Bool
 
@@ -50,9 +53,9 @@
 	loopID          uint64 // the loop's ID of the request, 0 if none
 	clientRequestID string // the client's ID of the request, empty if none
 	ready           bool
-	rejection       bool // admission control rejected the request
-	last            bool // the connection is closed after this answer is written
-	reserved        int  // bytes reserved in the budget
+	rejection       bool           // admission control rejected the request
+	last            bool           // the connection is closed after this answer is written
+	memory          *requestMemory // nil for an answer to malformed input
 	text            net.Buffers
 	value           *stream // a long value that is written after text, nil if none
 }
@@ -64,6 +67,7 @@
 		input:  input,
 		socket: input.Conn,
 		wake:   make(chan struct{}, 1),
+		idle:   make(chan struct{}, 1),
 	}
 	c.hasSpace = sync.NewCond(&c.mu)
 	if server.loop != nil {
@@ -87,6 +91,14 @@
 	}
 }
 
+// signalIdle ends a wait of the reader for memory.
+func (c *client) signalIdle() {
+	select {
+	case c.idle <- struct{}{}:
+	default:
+	}
+}
+
 // State implements clientconn.Connection.
 func (c *client) State() (clientconn.State, time.Duration) {
 	c.mu.Lock()
--- a/internal/resp/closing.go
+++ b/internal/resp/closing.go
@@ -86,6 +86,7 @@
 		c.mu.Unlock()
 		return false, false
 	case commandRead:
+		c.releaseMemory()
 		c.input.interrupt() // makes the next read end, so that the caller calls closeAsRequested again
 		c.mu.Unlock()
 		c.writeBusy()
@@ -156,6 +157,7 @@
 // handleInputEnd is called after the last read. It closes the connection and cancels the pending requests, unless
 // inputEnded is set. In that case the client may still be connected, and the writer writes the pending answers.
 func (c *client) handleInputEnd() {
+	c.releaseMemory()
 	c.mu.Lock()
 	gone := !c.inputEnded
 	if gone {
--- a/internal/resp/command.go
+++ b/internal/resp/command.go
@@ -29,6 +29,7 @@
 	raw     []byte
 	options []byte // the list of name=value pairs, a slice of raw
 	timeout []byte // the value of optionTimeout, a slice of options
+	memory  *requestMemory
 }
 
 // parseCommand parses a command. The strings of the returned request are copies, but its Message refers to raw.
--- a/internal/resp/overload.go
+++ b/internal/resp/overload.go
@@ -26,20 +26,26 @@
 	if !c.server.loop.Overloaded() {
 		return false
 	}
+	class, isRequest := classOf(raw)
+	if !isRequest || !c.beginDirectReply() {
+		return false
+	}
+	c.server.loop.RejectOverload(class)
+	return c.writeDirectReply(c.server.limits.Load().busyLine, true)
+}
+
+// classOf returns the class of a request that is not parsed, or an empty string if its first bytes do not contain it.
+// isRequest is false for a greeting and for malformed input.
+func classOf(raw []byte) (class string, isRequest bool) {
 	_, rest, found := bytes.Cut(raw, blockCommandMark)
 	if !found || len(raw)-len(rest) > maxCountLineBytes {
-		return false // a greeting or malformed input
+		return "", false
 	}
-	if !c.beginDirectReply() {
-		return false
-	}
-	class := ""
 	if _, afterMark, found := bytes.Cut(rest, classOptionMark); found {
 		name, _, _ := bytes.Cut(afterMark, []byte(","))
 		class = string(name)
 	}
-	c.server.loop.RejectOverload(class)
-	return c.writeDirectReply(c.server.limits.Load().busyLine, true)
+	return class, true
 }
 
 // replyRejection answers a request that admission control rejected, and reports whether to read on. If no other answer
@@ -47,7 +53,7 @@
 func (c *client) replyRejection(rejection *broker.Response) bool {
 	text := encodeResponse(*rejection)
 	if !c.beginDirectReply() {
-		return c.push(&pendingReply{ready: true, rejection: true, text: text})
+		return c.pushReady(text, true)
 	}
 	return c.writeDirectReply(text[0], c.server.loop.SheddingLoad())
 }
--- a/internal/resp/read.go
+++ b/internal/resp/read.go
@@ -35,25 +35,28 @@
 				continue
 			}
 		}
-		if timedOut && c.mayBeSilent() {
-			continue
-		}
-		if errors.Is(err, errProtocol) || errors.Is(err, errSlowCommand) {
+		switch {
+		case timedOut && c.mayBeSilent():
+		case errors.Is(err, errProtocol) || errors.Is(err, errSlowCommand):
 			c.failMalformed(err)
 			c.discardInput()
 			return
-		}
-		if err != nil {
+		case err != nil:
 			return
-		}
-		if !c.take(cmd) {
+		case !c.handle(cmd):
 			c.discardInput()
 			return
 		}
-		c.input.commandDone()
 	}
 }
 
+// handle handles one command and reports whether to read the next one.
+func (c *client) handle(cmd redcon.Command) (readOn bool) {
+	defer c.input.commandDone()
+	defer c.releaseMemory()
+	return c.take(cmd)
+}
+
 // mayBeSilent reports whether a connection stays open after a read timed out. It stays open if its client waits for an
 // answer, if the read was interrupted and closeAsRequested did not close the connection, or if the socket has unread
 // input. mayBeSilent also returns true if the client has disconnected: the next read then fails.
@@ -75,7 +78,7 @@
 // take handles one command and reports whether to read the next one.
 func (c *client) take(cmd redcon.Command) bool {
 	if len(cmd.Args) == 1 && strings.EqualFold(string(cmd.Args[0]), commandPing) {
-		return c.push(&pendingReply{ready: true, text: net.Buffers{[]byte(pongLine)}})
+		return c.reserve(len(cmd.Raw), 0) && c.pushReady(net.Buffers{[]byte(pongLine)}, false)
 	}
 	request, err := parseCommand(cmd.Raw, cmd.Args)
 	if err == nil {
@@ -85,6 +88,9 @@
 		c.failMalformed(err)
 		return false
 	}
+	if !c.reserve(len(cmd.Raw), c.server.answers.expect(request.Class)) {
+		return c.rejectWithoutMemory(cmd.Raw)
+	}
 	loop := c.server.loop
 	request.ReceivedAt = loop.Now()
 	if loop.Backlogged() {
@@ -93,12 +99,17 @@
 	if rejection := loop.Admit(request); rejection != nil {
 		return c.replyRejection(rejection)
 	}
-	reply := &pendingReply{reserved: len(cmd.Raw), clientRequestID: string(cmd.Args[argID])}
+	reply := &pendingReply{memory: c.takeMemory(), clientRequestID: string(cmd.Args[argID])}
+	reply.memory.class = request.Class
+	reply.memory.sizes = c.server.answers
+	reply.memory.isNext = func() bool { return c.isNext(reply) }
+	request.Message.(*command).memory = reply.memory
 	if err := c.server.ids.add(reply.clientRequestID); err != nil {
+		reply.memory.end()
 		c.failMalformed(err)
 		return false
 	}
-	if !c.reserve(reply.reserved) || !c.push(reply) {
+	if !c.push(reply) {
 		c.server.ids.remove(reply.clientRequestID)
 		return false
 	}
@@ -106,18 +117,6 @@
 	return true
 }
 
-// reserve reserves bytes in the server's budget. It waits while the budget is full, and returns false if the client
-// disconnects in the meantime.
-func (c *client) reserve(size int) bool {
-	budget := c.server.budget
-	if budget.TryReserve(size) {
-		return true
-	}
-	reserved := false
-	c.whileWatchingPeer(func() { reserved = budget.Reserve(size, c.peerClosed.Load) })
-	return reserved
-}
-
 // submit submits an admitted request to the loop. The loop's response completes the reply.
 func (c *client) submit(request *broker.Request, reply *pendingReply) {
 	id := c.server.loop.SubmitAdmitted(request, func(response broker.Response) {
@@ -133,7 +132,6 @@
 // complete fills in a reply with the response to its request. If the writer has ended, it discards the response.
 func (c *client) complete(reply *pendingReply, response broker.Response) {
 	text := encodeResponse(response)
-	value, _ := response.Value.([]byte)
 	long, _ := response.Value.(*stream)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -143,27 +141,50 @@
 		}
 		return
 	}
-	c.server.budget.ForceReserve(len(value))
-	reply.reserved += len(value)
+	reply.memory.answered(answerBytes(response))
 	reply.text = text
 	reply.value = long
 	reply.ready = true
 }
 
-// push queues a reply. It waits while maxPipeline replies are pending. It returns false if the writer has ended, so
-// that the reply will not be written.
-func (c *client) push(reply *pendingReply) bool {
+// answerBytes returns the number of bytes that the server buffers for a response until it is written.
+func answerBytes(response broker.Response) int {
+	switch value := response.Value.(type) {
+	case []byte:
+		return len(value)
+	case *stream:
+		return pieceBytes
+	}
+	return 0
+}
+
+// pushReady queues an answer that needs no request to a node. rejection says whether it rejects a request.
+func (c *client) pushReady(text net.Buffers, rejection bool) bool {
+	reply := &pendingReply{ready: true, rejection: rejection, memory: c.takeMemory(), text: text}
+	reply.memory.answered(0)
+	return c.push(reply)
+}
+
+// awaitSpace waits while maxPipeline replies are pending.
+func (c *client) awaitSpace() {
 	c.mu.Lock()
-	if len(c.pending) >= maxPipeline && !c.released {
-		c.whileWatchingPeer(func() {
-			for len(c.pending) >= maxPipeline && !c.released {
-				c.hasSpace.Wait()
-			}
-		})
+	defer c.mu.Unlock()
+	if len(c.pending) < maxPipeline || c.released {
+		return
 	}
+	c.whileWatchingPeer(func() {
+		for len(c.pending) >= maxPipeline && !c.released {
+			c.hasSpace.Wait()
+		}
+	})
+}
+
+// push queues a reply. It returns false if the writer has ended, so that the reply will not be written.
+func (c *client) push(reply *pendingReply) bool {
+	c.mu.Lock()
 	released := c.released
-	if released { // the writer has ended, so it will not release these bytes
-		c.server.budget.Release(reply.reserved)
+	if released { // the writer has ended, so it will not release the memory
+		reply.endMemory()
 	} else {
 		c.pending = append(c.pending, reply)
 	}
@@ -215,6 +236,6 @@
 	c.mu.Unlock()
 	c.close()
 	c.Wake() // the writer ends and wakes a reader that waits for space in pending
-	c.server.budget.Recheck()
+	c.signalIdle()
 	c.cancelPending()
 }
--- a/internal/resp/reply.go
+++ b/internal/resp/reply.go
@@ -31,13 +31,13 @@
 
 // replyRest describes the unread rest of a reply.
 type replyRest struct {
-	streamed int // length in bytes of a value that is too long to be buffered, 0 if the value was read
+	streamed int // length in bytes of a value that is streamed, 0 if the value was read
 	parts    int // number of bulk strings after the value
 }
 
-// readReply reads a node's reply up to the end of its value, or up to the header of a value that is too long to be
-// buffered. rest describes the unread part of the reply.
-func readReply(r *bufio.Reader) (result broker.Result, rest replyRest, err error) {
+// readReply reads a node's reply up to the end of its value, or up to the header of a value that is streamed. memory
+// decides what happens to the value; it may be nil. rest describes the unread part of the reply.
+func readReply(r *bufio.Reader, memory *requestMemory) (result broker.Result, rest replyRest, err error) {
 	result = broker.Result{Load: scheduler.NoLoadReport}
 	line, err := readLine(r)
 	if err != nil {
@@ -48,7 +48,7 @@
 		readError(line[1:], &result)
 		return result, rest, nil
 	case '*':
-		err = readArray(r, line, &result, &rest)
+		err = readArray(r, line, memory, &result, &rest)
 		return result, rest, err
 	}
 	return result, rest, fmt.Errorf("%w: %.20q is not an array", errReply, line)
@@ -67,7 +67,7 @@
 }
 
 // readArray reads an array reply, whose first line is line, up to the end of its value.
-func readArray(r *bufio.Reader, line []byte, result *broker.Result, rest *replyRest) error {
+func readArray(r *bufio.Reader, line []byte, memory *requestMemory, result *broker.Result, rest *replyRest) error {
 	parts, err := strconv.Atoi(string(line[1:]))
 	if err != nil || parts < 1 || parts > maxReplyParts {
 		return fmt.Errorf("%w: %.20q is not an array of 1 to %d parts", errReply, line, maxReplyParts)
@@ -77,9 +77,15 @@
 	if err != nil {
 		return err
 	}
-	if size > maxValueBytes {
+	switch memory.handlingOf(size) {
+	case valueStreamed:
 		rest.streamed = size
 		return nil
+	case valueDiscarded:
+		result.ValueDiscarded = true
+		_, err := r.Discard(size + len(lineEnd))
+		return err
+	case valueBuffered:
 	}
 	value, err := readBulkContents(r, size)
 	if err != nil {
@@ -110,7 +116,7 @@
 // reply, for example an error, to readReply.
 func readHealthCheck(r *bufio.Reader) (broker.Result, error) {
 	if next, err := r.Peek(1); err != nil || next[0] != '$' {
-		result, _, err := readReply(r)
+		result, _, err := readReply(r, nil)
 		return result, err
 	}
 	result := broker.Result{Load: scheduler.NoLoadReport}
--- a/internal/resp/reply_test.go
+++ b/internal/resp/reply_test.go
@@ -57,7 +57,7 @@
 
 // readWholeReply reads a complete reply. A long value is streamed over a client's connection.
 func readWholeReply(reader *bufio.Reader) (broker.Result, error) {
-	result, rest, err := readReply(reader)
+	result, rest, err := readReply(reader, nil)
 	if err == nil && rest.streamed > 0 {
 		near, far := net.Pipe()
 		received := make(chan []byte)
--- a/internal/resp/server.go
+++ b/internal/resp/server.go
@@ -21,6 +21,9 @@
 	budget    *clientconn.ByteBudget // of buffered requests and answers
 	ids       *requestIDs
 	malformed *malformedLog
+	answers   *answerSizes
+	// withoutMemory counts the requests that were rejected because there was no memory for them.
+	withoutMemory atomic.Uint64
 }
 
 // NewServer returns a server for at most maxConnections connections and at most maxBytes of buffered requests and
@@ -35,6 +38,7 @@
 		budget:    clientconn.NewByteBudget(maxBytes),
 		ids:       newRequestIDs(),
 		malformed: &malformedLog{logger: logger},
+		answers:   newAnswerSizes(),
 	}
 	s.SetLimits(limits)
 	return s
@@ -55,6 +59,12 @@
 // ResizeBudget sets the maximum number of bytes of buffered requests and answers.
 func (s *Server) ResizeBudget(maxBytes int) { s.budget.Resize(maxBytes) }
 
+// BufferedBytes returns the number of bytes that are reserved for buffered requests and answers.
+func (s *Server) BufferedBytes() int { return s.budget.Reserved() }
+
+// RejectedWithoutMemory returns the number of requests that were rejected so far because there was no memory for them.
+func (s *Server) RejectedWithoutMemory() uint64 { return s.withoutMemory.Load() }
+
 // OnRequestChange sets a function that is called when a request opens or ends. During a handover the function notifies
 // the broker's other process. It must not block. OnRequestChange must be called before Serve.
 func (s *Server) OnRequestChange(notify func(id string, opened bool)) { s.ids.onChange = notify }
--- a/internal/resp/transport.go
+++ b/internal/resp/transport.go
@@ -42,7 +42,7 @@
 	if err := e.Send(message, pool.MessageSize(message)); err != nil {
 		return broker.Result{}, err
 	}
-	result, rest, err := readReply(e.Reader)
+	result, rest, err := readReply(e.Reader, cmd.memory)
 	if err == nil && rest.streamed > 0 {
 		err = streamValue(e, rest.streamed, result)
 	}
--- a/internal/resp/write.go
+++ b/internal/resp/write.go
@@ -3,18 +3,38 @@
 import (
 	"net"
 	"time"
+
+	"junctionwharf/internal/pool"
 )
 
+// maxBatchBytes is the size in bytes at which a batch takes no further answers. The memory of all answers in a batch is
+// released together, so with a larger value, clients that read slowly would occupy memory for longer. With a smaller
+// value, short answers would need more system calls.
+const maxBatchBytes = maxValueBytes
+
 // batch is a sequence of answers that are written together. An answer with a stream, or the last answer of the
 // connection, ends a batch.
 type batch struct {
-	text     net.Buffers
-	reserved int     // bytes reserved in the budget
-	value    *stream // a long value that is written after text, nil if none
-	last     bool    // the connection is closed after this batch
-	gone     bool    // the client has disconnected, so nothing is written
+	replies []*pendingReply
+	text    net.Buffers
+	size    int     // bytes of text
+	value   *stream // a long value that is written after text, nil if none
+	last    bool    // the connection is closed after this batch
+	gone    bool    // the client has disconnected, so nothing is written
 }
 
+// add adds an answer to the batch.
+func (b *batch) add(reply *pendingReply) {
+	b.replies = append(b.replies, reply)
+	b.text = append(b.text, reply.text...)
+	b.size += pool.MessageSize(reply.text)
+	b.value = reply.value
+	b.last = reply.last
+}
+
+// full reports whether the batch takes no further answers.
+func (b *batch) full() bool { return b.last || b.value != nil || b.size >= maxBatchBytes }
+
 // write writes answers in the order of their commands until the connection ends. It runs in its own goroutine, which
 // releases the connection's slot when it ends.
 func (c *client) write() {
@@ -54,13 +74,10 @@
 	if c.directReply { // the reader handles no further command until its answer is written
 		return batch{}
 	}
-	for len(c.pending) > 0 && c.pending[0].ready && !next.last && next.value == nil {
-		reply := c.pending[0]
+	for len(c.pending) > 0 && c.pending[0].ready && !next.full() {
+		next.add(c.pending[0])
+		c.pending[0] = nil // the array behind the slice must not keep the answer
 		c.pending = c.pending[1:]
-		next.text = append(next.text, reply.text...)
-		next.reserved += reply.reserved
-		next.last = reply.last
-		next.value = reply.value
 	}
 	c.writing = len(next.text) > 0
 	c.hasSpace.Signal()
@@ -69,8 +86,8 @@
 
 // writeBatch writes the answers of a batch and reports whether more can be written.
 func (c *client) writeBatch(next batch) bool {
+	defer next.release()
 	err := writeAll(c.socket, next.text)
-	c.server.budget.Release(next.reserved)
 	if next.value != nil {
 		if err != nil {
 			next.value.abandon()
@@ -81,20 +98,31 @@
 	c.mu.Lock()
 	c.writing = false
 	c.lastReplyAt = time.Now()
+	if !c.owesReply() {
+		c.signalIdle()
+	}
 	c.mu.Unlock()
 	return err == nil
 }
 
+// release releases the memory of the answers.
+func (b *batch) release() {
+	for _, reply := range b.replies {
+		reply.endMemory()
+	}
+}
+
 // release releases the connection's resources when its writer ends.
 func (c *client) release() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.released = true
 	for _, reply := range c.pending {
-		c.server.budget.Release(reply.reserved)
+		reply.endMemory()
 		if reply.value != nil {
 			reply.value.abandon()
 		}
 	}
 	c.hasSpace.Signal()
+	c.signalIdle()
 }
