--- a/internal/resp/client.go
+++ b/internal/resp/client.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/tidwall/redcon"
-
 	"junctionwharf/internal/clientconn"
 )
 
@@ -16,15 +14,10 @@
 // clients that pipeline would wait for round trips.
 const maxPipeline = 64
 
-// commandReader reads commands from the input guard.
-type commandReader interface {
-	ReadCommand() (redcon.Command, error)
-}
-
 // client is one client connection. Two goroutines, read and write, serve it. Either of them may end first.
 type client struct {
 	server *Server
-	reader commandReader
+	reader commandSource
 	memory *requestMemory // of the command that is being read; used only by the reading goroutine
 	input  *inputGuard
 	socket net.Conn      // the raw connection, on which net.Buffers writes several buffers in one call
@@ -60,19 +53,21 @@
 	value           *stream // a long value that is written after text, nil if none
 }
 
-func newClient(server *Server, reader commandReader, input *inputGuard) *client {
+func newClient(server *Server, input *inputGuard) *client {
 	c := &client{
 		server: server,
-		reader: reader,
 		input:  input,
 		socket: input.Conn,
 		wake:   make(chan struct{}, 1),
 		idle:   make(chan struct{}, 1),
 	}
 	c.hasSpace = sync.NewCond(&c.mu)
+	reader := newCommandReader(input)
+	reader.reserve = func(size int) bool { return c.reserve(size, 0) }
 	if server.loop != nil {
-		input.onCommand = c.rejectOverload
+		reader.onCommand = c.rejectOverload
 	}
+	c.reader = reader
 	// A drain does not close a connection that is handling a command. Such a connection checks for a drain again when
 	// its reader begins to wait for the next command.
 	input.onWait = func() {
--- a/internal/resp/command.go
+++ b/internal/resp/command.go
@@ -30,6 +30,9 @@
 	options []byte // the list of name=value pairs, a slice of raw
 	timeout []byte // the value of optionTimeout, a slice of options
 	memory  *requestMemory
+	// forwarded is set when an attempt is started. An attempt may still write raw after its request is answered. Only
+	// the loop's goroutine uses forwarded.
+	forwarded bool
 }
 
 // parseCommand parses a command. The strings of the returned request are copies, but its Message refers to raw.
--- a/internal/resp/commandscanner.go
+++ b/internal/resp/commandscanner.go
@@ -21,23 +21,25 @@
 	number   int // the number being scanned, noDigit before its first digit
 	argsLeft int // bulk strings of the current command that are not scanned completely
 	skip     int // bytes of the bulk string, including its line end, still to be skipped
-	commands int // complete commands scanned so far
 }
 
-// scan scans bytes and returns the number of bytes before the first malformed one, or len(p) if there is none. It must
-// not be called again after a malformed byte.
-func (s *commandScanner) scan(p []byte) int {
-	for i := 0; i < len(p); {
+// scan scans bytes up to the end of the current command and returns their number. If p ends before the command does, n
+// is len(p). valid reports whether the bytes are well formed. If they are not, scan must not be called again.
+func (s *commandScanner) scan(p []byte) (n int, valid bool) {
+	for n < len(p) {
 		if s.state == inArgContents {
-			i += s.skipContents(len(p) - i)
-			continue
+			n += s.skipContents(len(p) - n)
+		} else {
+			if !s.scanByte(p[n]) {
+				return n, false
+			}
+			n++
 		}
-		if !s.scanByte(p[i]) {
-			return i
+		if s.state == atCommand {
+			break
 		}
-		i++
 	}
-	return len(p)
+	return n, true
 }
 
 // scanByte scans a byte outside a bulk string's contents and reports whether the byte is well formed.
@@ -83,7 +85,6 @@
 	s.argsLeft--
 	if s.argsLeft == 0 {
 		s.state = atCommand
-		s.commands++
 	}
 	return n
 }
--- a/internal/resp/helpers_test.go
+++ b/internal/resp/helpers_test.go
@@ -68,12 +68,11 @@
 
 func (c *cutConn) SetReadDeadline(time.Time) error { return nil }
 
-// readCommands reads all commands of text through an input guard and redcon's reader. The seed determines the size of
-// each read.
+// readCommands reads all commands of text with a command reader. The seed determines the size of each read.
 func readCommands(text []byte, seed uint64) ([]redcon.Command, error) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	conn := &cutConn{in: bytes.NewReader(text), rng: rng}
-	reader := redcon.NewReader(&inputGuard{Conn: conn, detached: true})
+	reader := newCommandReader(&inputGuard{Conn: conn, detached: true})
 	var all []redcon.Command
 	for {
 		cmd, err := reader.ReadCommand()
--- a/internal/resp/inputguard.go
+++ b/internal/resp/inputguard.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -42,81 +43,54 @@
 // longAgo is a read deadline in the past. It makes reads fail at once.
 var longAgo = time.Unix(1, 0)
 
-// inputGuard is the client connection that redcon's reader reads. It returns only well-formed input, so that no length
-// in the input can make that reader allocate, count or index without bound. It also limits the time that a client may
-// take to send a command. Only the reading goroutine uses the fields other than Conn, phase and interrupted.
+// inputGuard is a client connection whose reads have deadlines: it limits the time that a client may take to send a
+// command. redcon reads only takeOverCommand from it; commandReader reads the client's input. Only the reading goroutine
+// uses the fields other than Conn, phase and interrupted.
 type inputGuard struct {
 	net.Conn
 
 	// onWait is called when the guard begins to wait for a command. It may be nil.
 	onWait func()
-	// onCommand is called with the bytes of a read that returned exactly one complete command. It may answer the
-	// command and reports whether it did. An answered command is not passed to redcon's reader. onCommand may be nil.
-	onCommand func(raw []byte) bool
 
-	scanner         commandScanner
 	detached        bool      // Read has returned takeOverCommand
 	commandReceived bool      // a complete command was received
 	commandDeadline time.Time // when the current command must be complete, zero for none
 	readDeadline    time.Time // when the current read times out
-	err             error     // returned by all further reads
-	aloneAndWhole   bool      // the last read returned exactly one complete command
 
 	phase       atomic.Int32 // a readPhase
 	interrupted atomic.Bool  // reads must fail at once, until clearInterrupt is called
 }
 
-// Read implements net.Conn. The first call returns takeOverCommand. Later calls return the client's well-formed input.
-// After malformed input all calls fail.
+// Read implements net.Conn for redcon. The first call returns takeOverCommand, and all later calls fail.
 func (g *inputGuard) Read(p []byte) (int, error) {
-	if !g.detached {
-		g.detached = true
-		return copy(p, takeOverCommand), nil
-	}
-	if g.err != nil {
-		return 0, g.err
-	}
-	for {
-		n, err := g.readOnce(p)
-		if n == 0 || err != nil || g.onCommand == nil || !g.aloneAndWhole || !g.onCommand(p[:n]) {
-			return n, err
-		}
-		g.commandDone()
+	if g.detached {
+		return 0, io.EOF
 	}
+	g.detached = true
+	return copy(p, takeOverCommand), nil
 }
 
-// readOnce reads from the connection once and returns the bytes that precede any malformed one.
-func (g *inputGuard) readOnce(p []byte) (int, error) {
-	g.aloneAndWhole = false
-	g.startWaiting()
+// read reads input once. inside says whether part of the current command has been received.
+func (g *inputGuard) read(p []byte, inside bool) (int, error) {
+	g.startWaiting(inside)
 	n, err := g.Conn.Read(p)
 	if n > 0 {
 		g.phase.Store(takingCommand)
 	}
-	startedAt := g.scanner.state
-	if errors.Is(err, os.ErrDeadlineExceeded) && startedAt != atCommand && !g.wasInterrupted() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && inside && !g.wasInterrupted() {
 		err = errSlowCommand
 	}
-	commands := g.scanner.commands
-	if valid := g.scanner.scan(p[:n]); valid < n {
-		g.err = errProtocol
-		if valid == 0 {
-			return 0, g.err
-		}
-		return valid, nil
-	}
-	g.aloneAndWhole = startedAt == atCommand && g.scanner.state == atCommand && g.scanner.commands == commands+1
 	return n, err
 }
 
 // startWaiting sets the deadline and the phase of the next read.
-func (g *inputGuard) startWaiting() {
-	g.readDeadline = g.nextDeadline(time.Now())
+func (g *inputGuard) startWaiting(inside bool) {
+	g.readDeadline = g.nextDeadline(time.Now(), inside)
 	g.setReadDeadline(g.readDeadline)
 	if g.interrupted.Load() { // the line above may have overwritten an interrupt's deadline
 		g.setReadDeadline(longAgo)
 	}
-	if g.scanner.state != atCommand {
+	if inside {
 		g.phase.Store(insideCommand)
 		return
 	}
@@ -132,9 +106,9 @@
 // nextDeadline returns the deadline of the next read: the time by which the current command must be complete or, after
 // the first command, by which the next one must begin. The deadlines keep clients that send nothing, or only part of a
 // command, from occupying slots and memory. Between commands a client may be silent for longer.
-func (g *inputGuard) nextDeadline(now time.Time) time.Time {
+func (g *inputGuard) nextDeadline(now time.Time, inside bool) time.Time {
 	switch {
-	case g.scanner.state == atCommand && g.commandReceived:
+	case !inside && g.commandReceived:
 		g.commandDeadline = time.Time{}
 		return now.Add(idleTimeout)
 	case g.commandDeadline.IsZero() && g.commandReceived:
@@ -151,6 +125,13 @@
 	g.commandDeadline = time.Time{}
 }
 
+// extendDeadline gives the client more time to send the current command, since the server did not read for this time.
+func (g *inputGuard) extendDeadline(notRead time.Duration) {
+	if !g.commandDeadline.IsZero() {
+		g.commandDeadline = g.commandDeadline.Add(notRead)
+	}
+}
+
 // interrupt makes the current read and all later ones fail with os.ErrDeadlineExceeded until clearInterrupt is called.
 // It may be called from any goroutine.
 func (g *inputGuard) interrupt() {
--- a/internal/resp/inputguard_test.go
+++ b/internal/resp/inputguard_test.go
@@ -1,6 +1,7 @@
 package resp
 
 import (
+	"errors"
 	"io"
 	"net"
 	"strings"
@@ -26,12 +27,12 @@
 	guard := &inputGuard{Conn: near, detached: true}
 	guard.onWait = func() { phases <- guard.phase.Load() }
 	go sendParts(t, far, pingText[:5], pingText[5:])
-	for buffer := make([]byte, 64); ; {
-		if _, err := guard.Read(buffer); err != nil {
+	for reader := newCommandReader(guard); ; {
+		if _, err := reader.ReadCommand(); err != nil {
 			break
 		}
 		if guard.phase.Load() != takingCommand {
-			t.Error("after Read returned input, the phase is not takingCommand")
+			t.Error("after a command was returned, the phase is not takingCommand")
 		}
 	}
 	close(phases)
@@ -47,9 +48,9 @@
 	}
 }
 
-// While too many requests wait for the processor, onCommand rejects requests. Read must call it only with a complete
-// command that arrived alone in one read. Input that arrives in parts or together with other input, and commands that
-// onCommand does not answer, must be returned completely.
+// While too many requests wait for the processor, onCommand rejects requests. The command reader must call it only with
+// a complete command that arrived alone in one read. Input that arrives in parts or together with other input, and
+// commands that onCommand does not answer, must be returned completely.
 func TestWholeRequestMayBeAnsweredUnread(t *testing.T) {
 	request := "*2\r\n$8\r\nBLK.READ\r\n$1\r\nx\r\n"
 	for _, test := range []struct {
@@ -68,16 +69,21 @@
 		t.Run(test.name, func(t *testing.T) {
 			near, far := net.Pipe()
 			rejected := 0
-			guard := &inputGuard{Conn: near, detached: true, onCommand: func(raw []byte) bool {
+			reader := newCommandReader(&inputGuard{Conn: near, detached: true})
+			reader.onCommand = func(raw []byte) bool {
 				if !strings.Contains(string(raw), "BLK.") {
 					return false
 				}
 				rejected++
 				return true
-			}}
+			}
 			go sendParts(t, far, test.parts...)
-			passed, err := io.ReadAll(guard)
-			if rejected != test.rejected || string(passed) != test.passed || err != nil {
+			var passed []byte
+			cmd, err := reader.ReadCommand()
+			for ; err == nil; cmd, err = reader.ReadCommand() {
+				passed = append(passed, cmd.Raw...)
+			}
+			if rejected != test.rejected || string(passed) != test.passed || !errors.Is(err, io.EOF) {
 				t.Errorf("%d rejected, %q returned, error %v, want %d rejected and %q", rejected, passed, err,
 					test.rejected, test.passed)
 			}
--- a/internal/resp/memory.go
+++ b/internal/resp/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"junctionwharf/internal/clientconn"
 )
@@ -175,8 +176,10 @@
 // awaitMemory waits for memory for a queued command. It returns false if no answer is pending any longer or the
 // connection has ended.
 func (c *client) awaitMemory(command, answer int) bool {
+	began := time.Now()
 	reserved := false
 	c.whileWatchingPeer(func() { reserved = c.memory.awaitQueued(command, answer, c.idle) })
+	c.input.extendDeadline(time.Since(began))
 	return reserved
 }
 
--- a/internal/resp/memory_test.go
+++ b/internal/resp/memory_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
+	"strings"
 	"testing"
+	"time"
 
 	"junctionwharf/internal/clientconn"
 )
@@ -116,6 +119,25 @@
 	}
 }
 
+// A client that stops inside a large command must not occupy the memory of the whole command, and no memory once the
+// command is too late.
+func TestPartOfACommandOccupiesLittle(t *testing.T) {
+	f := newFixture(t)
+	f.serveClients()
+	conn := f.dial()
+	text := largeWrite("part")
+	write(t, conn, text[:2*readBufferBytes])
+	eventually(t, waitLimit, "the part is read", func() bool { return f.server.BufferedBytes() > 0 })
+	if got := f.server.BufferedBytes(); got > mediumCommandBytes {
+		t.Errorf("%d bytes are reserved for a part of %d bytes", got, 2*readBufferBytes)
+	}
+	answer, err := io.ReadAll(conn)
+	if err != nil || !strings.HasPrefix(string(answer), errorPrefix) {
+		t.Errorf("read %q, error %v, want an error", answer, err)
+	}
+	eventually(t, waitLimit, "no bytes are reserved", func() bool { return f.server.BufferedBytes() == 0 })
+}
+
 // Answers that wait for a slow reader occupy memory, so a batch must not take many large ones.
 func TestBatchIsBounded(t *testing.T) {
 	f := newFixture(t)
@@ -143,3 +165,18 @@
 		t.Errorf("after %d small answers %d bytes are expected", sizeDecay, got)
 	}
 }
+
+// The extension of a command's deadline must not start one.
+func TestExtendDeadline(t *testing.T) {
+	guard := &inputGuard{}
+	guard.extendDeadline(time.Second)
+	if !guard.commandDeadline.IsZero() {
+		t.Error("a command that has not begun has a deadline")
+	}
+	at := time.Now()
+	guard.commandDeadline = at
+	guard.extendDeadline(time.Second)
+	if !guard.commandDeadline.Equal(at.Add(time.Second)) {
+		t.Error("the deadline was not extended")
+	}
+}
--- a/internal/resp/overload_test.go
+++ b/internal/resp/overload_test.go
@@ -111,7 +111,7 @@
 	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Dependencies{Admission: controller})
 	server := NewServer(loop, NewRequestLimits(settings, 0), 4, 4, 1<<20, logging.Discard())
 	near, far := net.Pipe()
-	c := newClient(server, nil, &inputGuard{Conn: near})
+	c := newClient(server, &inputGuard{Conn: near})
 	raw := []byte("*4\r\n$8\r\nBLK.READ\r\n$1\r\nx\r\n$1\r\ni\r\n$7\r\nc=w,t=p\r\n")
 	loop.SubmitAdmitted(&broker.Request{Class: "w"}, func(broker.Response) {})
 	if c.rejectOverload(raw) {
--- a/internal/resp/read.go
+++ b/internal/resp/read.go
@@ -26,8 +26,9 @@
 	for {
 		cmd, err := c.reader.ReadCommand()
 		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
-		if err == nil || timedOut {
-			ended, readOn := c.closeAsRequested(err == nil)
+		received := err == nil || errors.Is(err, errNoMemory)
+		if received || timedOut {
+			ended, readOn := c.closeAsRequested(received)
 			if ended {
 				return
 			}
@@ -41,19 +42,23 @@
 			c.failMalformed(err)
 			c.discardInput()
 			return
-		case err != nil:
+		case !received:
 			return
-		case !c.handle(cmd):
+		case !c.handle(cmd, err):
 			c.discardInput()
 			return
 		}
 	}
 }
 
-// handle handles one command and reports whether to read the next one.
-func (c *client) handle(cmd redcon.Command) (readOn bool) {
+// handle handles one command that was received, of which err is nil or errNoMemory, and reports whether to read the next
+// one.
+func (c *client) handle(cmd redcon.Command, err error) (readOn bool) {
 	defer c.input.commandDone()
 	defer c.releaseMemory()
+	if err != nil {
+		return c.rejectWithoutMemory(cmd.Raw)
+	}
 	return c.take(cmd)
 }
 
@@ -88,7 +93,7 @@
 		c.failMalformed(err)
 		return false
 	}
-	if !c.reserve(len(cmd.Raw), c.server.answers.expect(request.Class)) {
+	if !c.reserve(cap(cmd.Raw), c.server.answers.expect(request.Class)) {
 		return c.rejectWithoutMemory(cmd.Raw)
 	}
 	loop := c.server.loop
@@ -97,6 +102,7 @@
 		c.whileWatchingPeer(func() { loop.WaitForCapacity(c.peerClosed.Load) })
 	}
 	if rejection := loop.Admit(request); rejection != nil {
+		recycleCommandBuffer(cmd.Raw)
 		return c.replyRejection(rejection)
 	}
 	reply := &pendingReply{memory: c.takeMemory(), clientRequestID: string(cmd.Args[argID])}
@@ -121,6 +127,9 @@
 func (c *client) submit(request *broker.Request, reply *pendingReply) {
 	id := c.server.loop.SubmitAdmitted(request, func(response broker.Response) {
 		c.server.ids.remove(reply.clientRequestID)
+		if sent := request.Message.(*command); !sent.forwarded {
+			recycleCommandBuffer(sent.raw)
+		}
 		c.complete(reply, response)
 		c.Wake()
 	})
--- a/internal/resp/server.go
+++ b/internal/resp/server.go
@@ -108,7 +108,8 @@
 // serveDetached receives a connection's first command, which inputGuard generated, and detaches the connection from
 // redcon. redcon's own loop would not read a further command before the previous one is answered.
 func (s *Server) serveDetached(conn redcon.Conn, _ redcon.Command) {
-	c := newClient(s, conn.Detach(), conn.NetConn().(*inputGuard))
+	c := newClient(s, conn.NetConn().(*inputGuard))
+	conn.Detach() // redcon's reader and its buffers are not used any longer
 	c.awaitingFirst = s.Add(c)
 	go c.read()
 	go c.write()
--- a/internal/resp/stub_test.go
+++ b/internal/resp/stub_test.go
@@ -124,7 +124,7 @@
 
 // failFirst is a command reader whose first read fails.
 type failFirst struct {
-	*redcon.Reader
+	commandSource
 	err error
 }
 
@@ -133,7 +133,7 @@
 		r.err = nil
 		return redcon.Command{}, err
 	}
-	return r.Reader.ReadCommand()
+	return r.commandSource.ReadCommand()
 }
 
 // accept returns a client of the server, whose goroutines do not run yet, and its peer. If firstError is not nil, the
@@ -146,7 +146,8 @@
 		f.Fatal(err)
 	}
 	guard := &inputGuard{Conn: conn, detached: true}
-	c := newClient(f.server, &failFirst{redcon.NewReader(guard), firstError}, guard)
+	c := newClient(f.server, guard)
+	c.reader = &failFirst{c.reader, firstError}
 	c.awaitingFirst = f.server.Add(c)
 	guard.phase.Store(waitingForCommand)
 	return c, peer
--- a/internal/resp/transport.go
+++ b/internal/resp/transport.go
@@ -32,6 +32,7 @@
 	if !ok {
 		return pool.FailAttempt(errNotRESP, onResult)
 	}
+	cmd.forwarded = true
 	call := func(e *pool.Exchange) (broker.Result, error) { return exchange(e, cmd, attempt.Timeout) }
 	return t.pool.Start(attempt.Address, call, 0, attempt.OnWritten, onResult)
 }
--- a/internal/resp/transport_test.go
+++ b/internal/resp/transport_test.go
@@ -1,8 +1,12 @@
 package resp
 
 import (
+	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -79,3 +83,44 @@
 		t.Errorf("%d connections to the node, want 1", n)
 	}
 }
+
+// The buffer of a rejected command is used again. A command that was forwarded must not count as one, since an attempt
+// may still write it after the request is answered.
+func TestForwardedCommandKeepsItsBuffer(t *testing.T) {
+	ln := listen(t)
+	transport := NewTransport(pool.New(pool.Options{ConnectTimeout: time.Second, MaxConnections: 1, Logger: testLogger(t)}))
+	cmd := readOne(t, bulk(commandRead, testKey, "id", testOptions))
+	request, err := parseCommand(cmd.Raw, cmd.Args)
+	if err != nil {
+		t.Fatal(err)
+	}
+	forwarded := &request.Message.(*command).forwarded
+	if *forwarded {
+		t.Error("a command counts as forwarded before its first attempt")
+	}
+	attempt := broker.Attempt{Node: "n", Address: ln.Addr().String(), Request: request, Timeout: broker.Second}
+	transport.Start(attempt, func(broker.Result) {}).Stop()
+	if !*forwarded {
+		t.Error("a command does not count as forwarded after its first attempt")
+	}
+}
+
+// Clients that repeat rejected commands at full speed made garbage faster than it was collected. The buffer of a command
+// that is rejected for lack of memory must be used again.
+func TestRejectedCommandsReuseBuffers(t *testing.T) {
+	const commands = 200
+	conn := &cutConn{in: strings.NewReader(strings.Repeat(largeWrite("w"), commands)), rng: rand.New(rand.NewPCG(1, 1))}
+	reader := newCommandReader(&inputGuard{Conn: conn, detached: true})
+	reader.reserve = func(size int) bool { return size <= mediumCommandBytes }
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range commands {
+		if cmd, err := reader.ReadCommand(); !errors.Is(err, errNoMemory) || len(cmd.Raw) != discardedPrefixBytes {
+			t.Fatalf("read %d bytes, error %v, want the first bytes of a discarded command", len(cmd.Raw), err)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if each := (after.TotalAlloc - before.TotalAlloc) / commands; each > mediumCommandBytes/2 {
+		t.Errorf("each discarded command allocated %d bytes, want only its first bytes", each)
+	}
+}
