--- a/internal/resp/overload.go
+++ b/internal/resp/overload.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"runtime"
 	"time"
 
 	"junctionwharf/broker"
@@ -83,6 +84,7 @@
 	c.directReply = false
 	c.lastReplyAt = time.Now()
 	c.mu.Unlock()
+	runtime.Gosched() // a client that repeats rejected requests at full speed must not delay the others
 	if c.server.Draining() {
 		c.Wake() // the writer keeps the connection open while this answer is being written
 	}
--- a/internal/resp/overload_test.go
+++ b/internal/resp/overload_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"io"
 	"net"
+	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -151,3 +153,53 @@
 	}
 	expectLine(t, bufio.NewReader(peer), pongLine)
 }
+
+// floodConn is the connection of a client that repeats one command without end and reads all answers at once.
+type floodConn struct {
+	net.Conn
+	command string
+	sent    int
+	answers atomic.Int64
+	ended   atomic.Bool
+}
+
+func (c *floodConn) Read(p []byte) (int, error) {
+	if c.ended.Load() {
+		return 0, io.EOF
+	}
+	n := copy(p, c.command[c.sent:])
+	c.sent = (c.sent + n) % len(c.command)
+	return n, nil
+}
+
+func (c *floodConn) Write(p []byte) (int, error) {
+	c.answers.Add(1)
+	return len(p), nil
+}
+
+func (c *floodConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *floodConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *floodConn) Close() error                     { return nil }
+
+// Clients that sent large commands again the moment they were rejected kept the only processor for milliseconds at a
+// time, since their reads never blocked, and requests of other clients got no answer in time. A reader must yield the
+// processor after each rejection.
+func TestRejectedFloodYields(t *testing.T) {
+	const turns = 200
+	f := newFixture(t)
+	fillBudget(t, f.server)
+	flood := &floodConn{command: largeWrite("flood")}
+	c := newClient(f.server, &inputGuard{Conn: flood, detached: true})
+	f.server.Add(c)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	defer flood.ended.Store(true)
+	go c.read()
+	eventually(t, waitLimit, "the first command is rejected", func() bool { return flood.answers.Load() > 0 })
+	before := flood.answers.Load()
+	for range turns {
+		runtime.Gosched()
+	}
+	if got := flood.answers.Load() - before; got == 0 || got > 4*turns {
+		t.Errorf("%d commands were rejected in %d turns of another goroutine, want about one each", got, turns)
+	}
+}
