--- a/internal/conformance/sftp_test.go
+++ b/internal/conformance/sftp_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/clientconn"
 	"junctionwharf/internal/pool"
 	"junctionwharf/internal/sftp"
 	"junctionwharf/scheduler"
@@ -31,7 +32,7 @@
 }
 
 func (sftpProtocol) server(loop *broker.Loop, transport broker.Transport, log *slog.Logger) server {
-	return sftp.NewServer(loop, transport, newMapping(settings(), "read"), 64, log)
+	return sftp.NewServer(loop, transport, newMapping(settings(), "read"), 64, clientconn.NewByteBudget(1<<20), log)
 }
 
 func (sftpProtocol) applySettings(s server, _ client, set scheduler.Settings, class string) {
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -95,7 +95,8 @@
 	options.Handshake = sftp.Handshake
 	nodes := pool.New(options)
 	transport := sftp.NewTransport(nodes, settings.NodePort)
-	s.files = sftp.NewServer(s.loop, transport, settings.Plan(), settings.Connections, s.log)
+	s.files = sftp.NewServer(s.loop, transport, settings.Plan(), settings.Connections, s.clients.Budget(),
+		s.log)
 	s.servers = append(s.servers, s.files)
 	s.pools = append(s.pools, nodes)
 }
--- a/internal/resp/memory_test.go
+++ b/internal/resp/memory_test.go
@@ -104,9 +104,7 @@
 				return f.loop.OpenRequests() == 0 && f.server.Count() == 0
 			})
 			release()
-			if f.server.BufferedBytes() != 0 {
-				t.Errorf("%d bytes are reserved for a client that has left", f.server.BufferedBytes())
-			}
+			eventually(t, waitLimit, "no bytes are reserved", func() bool { return f.server.BufferedBytes() == 0 })
 			continue
 		}
 		first.serve()
--- a/internal/resp/server.go
+++ b/internal/resp/server.go
@@ -59,6 +59,9 @@
 // ResizeBudget sets the maximum number of bytes of buffered requests and answers.
 func (s *Server) ResizeBudget(maxBytes int) { s.budget.Resize(maxBytes) }
 
+// Budget returns the budget of buffered requests and answers, which servers of other protocols may share.
+func (s *Server) Budget() *clientconn.ByteBudget { return s.budget }
+
 // BufferedBytes returns the number of bytes that are reserved for buffered requests and answers.
 func (s *Server) BufferedBytes() int { return s.budget.Reserved() }
 
--- a/internal/sftp/exchange.go
+++ b/internal/sftp/exchange.go
@@ -167,6 +167,10 @@
 		if size > maxListingBytes {
 			return broker.Result{}, fmt.Errorf("%w: directory listing exceeds %d bytes", errPacket, maxListingBytes)
 		}
+		if !op.reserveListing(size) {
+			x.closeHandle(noEffect, handle)
+			return broker.Result{ValueDiscarded: true, Load: scheduler.NoLoadReport}, nil
+		}
 		names = append(names, p.body)
 	}
 }
--- a/internal/sftp/handles.go
+++ b/internal/sftp/handles.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"net"
+
+	"junctionwharf/internal/clientconn"
 )
 
 // maxHandles bounds the open handles of one connection. With a larger value, one client could use more memory.
@@ -13,8 +15,9 @@
 	path   string
 	flags  uint32
 	isDir  bool
-	listed bool     // the directory has been read from a node
-	names  [][]byte // bodies of NAME packets of a listed directory that the client has not read
+	listed bool                    // the directory has been read from a node
+	names  [][]byte                // bodies of NAME packets of a listed directory that the client has not read
+	memory *clientconn.Reservation // of names, nil if there are none
 }
 
 // addHandle adds a handle under a new name and encodes the answer with this name. If too many handles are open, it only
@@ -35,7 +38,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.handles[string(name)]
-	if closeIt {
+	if closeIt && h != nil {
+		h.releaseNames()
 		delete(s.handles, string(name))
 	}
 	return h
@@ -114,8 +118,7 @@
 		if a.kind != typeName {
 			return a.packet(id)
 		}
-		h.listed = true
-		h.names = a.names
+		h.holdNames(s.server.budget, a.names)
 		return nextNames(id, h)
 	})
 }
@@ -123,6 +126,7 @@
 // nextNames encodes the next part of a listed directory, or EOF after the last part. The caller holds session.mu.
 func nextNames(id uint32, h *handle) net.Buffers {
 	if len(h.names) == 0 {
+		h.releaseNames()
 		return encodeStatus(id, statusEOF, "end of directory")
 	}
 	body := h.names[0]
--- a/internal/sftp/helpers_test.go
+++ b/internal/sftp/helpers_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/clientconn"
 	"junctionwharf/internal/logging"
 	"junctionwharf/scheduler"
 )
@@ -88,7 +89,7 @@
 	}
 	loop := broker.NewLoop(state, broker.NewClock(), nil, broker.Dependencies{})
 	logger := logging.ToFunc(func(line string) { t.Error(line) })
-	server := NewServer(loop, nil, testMapping(t), 1, logger)
+	server := NewServer(loop, nil, testMapping(t), 1, clientconn.NewByteBudget(1<<20), logger)
 	near, far := net.Pipe()
 	return newSession(server, near), far
 }
--- /dev/null
+++ b/internal/sftp/memory.go
@@ -0,0 +1,106 @@
+package sftp
+
+import (
+	"time"
+
+	"junctionwharf/internal/clientconn"
+	"junctionwharf/internal/pool"
+)
+
+// commandOverhead is the memory of a pending command in bytes, besides its data and its answer. The limit on connections
+// accounts for the packet that is being read.
+const commandOverhead = 2 << 10
+
+// memoryBytes returns the memory of an operation and its longest answer in bytes. A listing may need more, which
+// reserveListing reserves.
+func (op *operation) memoryBytes() int {
+	size := commandOverhead + len(op.path) + len(op.attrs) + len(op.data)
+	switch op.command {
+	case Read:
+		size += int(op.length)
+	case List:
+		size += maxPacketBytes
+	case Open, OpenWrite, Write, Remove, Stat:
+	}
+	return size
+}
+
+// reserveListing reserves memory for a listing of size bytes without waiting, and reports whether there was enough.
+func (op *operation) reserveListing(size int) bool {
+	if op.memory == nil || size <= maxPacketBytes { // no memory is accounted for without a session
+		return true
+	}
+	return op.memory.TryResize(op.memoryBytes() - maxPacketBytes + size)
+}
+
+// reserve reserves memory for an operation and its answer. While the session has other commands or answers, it waits
+// until there is enough, at most until the deadline. Otherwise it never waits. It returns nil if there is not enough,
+// and the command must be rejected.
+func (s *session) reserve(op *operation, deadline time.Time) *clientconn.Reservation {
+	memory := s.server.budget.NewReservation()
+	size := op.memoryBytes()
+	if memory.TryResizeQueued(size) {
+		return memory
+	}
+	timer := time.AfterFunc(time.Until(deadline), s.signalIdle)
+	defer timer.Stop()
+	for s.isBusy() && time.Now().Before(deadline) {
+		if memory.AwaitResize(size, s.idle) {
+			return memory
+		}
+	}
+	if memory.TryResize(size) {
+		return memory
+	}
+	return nil
+}
+
+// isBusy reports whether a command or an answer is pending on a session that accepts commands.
+func (s *session) isBusy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.closedToCommands && (len(s.pending) > 0 || s.unwritten > 0)
+}
+
+// signalIdle ends a wait of the reader for memory.
+func (s *session) signalIdle() {
+	select {
+	case s.idle <- struct{}{}:
+	default:
+	}
+}
+
+// awaitSpace waits while maxPending commands and answers are pending, so that the answers to a client that does not read
+// stay bounded.
+func (s *session) awaitSpace() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.pending)+s.unwritten >= maxPending && !s.closedToCommands && !s.writerEnded {
+		s.hasSpace.Wait()
+	}
+}
+
+// endMemory releases the memory of a command that gets no answer.
+func (c *pendingCommand) endMemory() {
+	if c.memory != nil {
+		c.memory.End()
+	}
+}
+
+// holdNames makes the handle hold the names of a listed directory, and accounts for their bytes until they are read or
+// the handle is closed. The caller holds session.mu.
+func (h *handle) holdNames(budget *clientconn.ByteBudget, names [][]byte) {
+	h.listed = true
+	h.names = names
+	h.releaseNames()
+	h.memory = budget.NewReservation()
+	h.memory.ForceResize(pool.MessageSize(names))
+}
+
+// releaseNames releases the memory of the names. The caller holds session.mu.
+func (h *handle) releaseNames() {
+	if h.memory != nil {
+		h.memory.End()
+		h.memory = nil
+	}
+}
--- a/internal/sftp/operation.go
+++ b/internal/sftp/operation.go
@@ -1,6 +1,10 @@
 package sftp
 
-import "math"
+import (
+	"math"
+
+	"junctionwharf/internal/clientconn"
+)
 
 // operation is a file command with its arguments.
 type operation struct {
@@ -9,8 +13,9 @@
 	flags   uint32 // flags of the OPEN packet
 	attrs   []byte // attributes of the OPEN packet, as received
 	offset  uint64
-	length  uint32 // number of bytes to read
-	data    []byte // data to write
+	length  uint32                  // number of bytes to read
+	data    []byte                  // data to write
+	memory  *clientconn.Reservation // of the command and its answer; nil without a session
 }
 
 // size returns the number of bytes that the operation reads or writes, 0 if it does neither.
--- a/internal/sftp/ordering.go
+++ b/internal/sftp/ordering.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/pool"
 )
 
 // pendingCommand is a command that waits for its answer. It may first wait for earlier commands on the same file.
@@ -39,9 +40,15 @@
 		deadline:  time.Now().Add(timeout),
 		served:    served,
 	}
+	op.memory = s.reserve(op, command.deadline)
+	if op.memory == nil {
+		s.send(encodeRejection(id, 0))
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.queue(command); err != nil {
+		command.endMemory()
 		return err
 	}
 	if s.mayStart(command) {
@@ -58,12 +65,9 @@
 	return nil
 }
 
-// queue adds a command to s.pending. It blocks while maxPending commands are pending. It returns an error if the
-// session is closed to commands, or if a pending command has the same id. The caller holds s.mu.
+// queue adds a command to s.pending. It returns an error if the session is closed to commands, or if a pending command
+// has the same id. The caller holds s.mu.
 func (s *session) queue(command *pendingCommand) error {
-	for len(s.pending) >= maxPending && !s.closedToCommands {
-		s.hasSpace.Wait()
-	}
 	if s.closedToCommands {
 		return net.ErrClosed
 	}
@@ -113,15 +117,20 @@
 	}
 	s.pending = append(s.pending[:index:index], s.pending[index+1:]...)
 	if s.closedToCommands {
+		command.endMemory()
 		return
 	}
-	s.out = append(s.out, encodeResponse(command.id, response, command.served)...)
+	m := encodeResponse(command.id, response, command.served)
+	if command.memory != nil {
+		command.memory.ForceResize(commandOverhead + pool.MessageSize(m))
+		s.outMemory = append(s.outMemory, command.memory)
+	}
+	s.appendOut(m)
 	for _, next := range s.pending {
 		if !next.submitted && s.mayStart(next) {
 			s.start(next)
 		}
 	}
-	s.hasSpace.Signal()
 	s.Wake()
 }
 
--- a/internal/sftp/read.go
+++ b/internal/sftp/read.go
@@ -27,6 +27,7 @@
 		p, err := s.readNext(reader)
 		if err == nil {
 			s.server.RequestReceived(s, false)
+			s.awaitSpace()
 			err = s.dispatch(p)
 		}
 		if errors.Is(err, errPacket) {
--- a/internal/sftp/server.go
+++ b/internal/sftp/server.go
@@ -15,18 +15,20 @@
 	loop      *broker.Loop
 	transport broker.Transport
 	mapping   atomic.Pointer[Mapping]
+	budget    *clientconn.ByteBudget
 	logger    *slog.Logger
 }
 
 // NewServer returns a server for at most maxConnections connections, which sends commands to nodes over transport. The
-// caller must have called mapping.Check.
+// caller must have called mapping.Check. The bytes of commands and answers are reserved in budget.
 func NewServer(loop *broker.Loop, transport broker.Transport, mapping *Mapping, maxConnections int,
-	logger *slog.Logger) *Server {
+	budget *clientconn.ByteBudget, logger *slog.Logger) *Server {
 	logger = logger.With("front", "files")
 	s := &Server{
 		Table:     clientconn.NewTable(maxConnections, maxConnections, logger),
 		loop:      loop,
 		transport: transport,
+		budget:    budget,
 		logger:    logger,
 	}
 	s.SetMapping(mapping)
--- a/internal/sftp/session.go
+++ b/internal/sftp/session.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// maxPending bounds the pending commands of one connection. At the limit, the reader waits before it queues another
-	// command. With a larger value, one client could use more memory. With a smaller value, clients that pipeline
+	// maxPending bounds the pending commands and unwritten answers of one connection. At the limit, the reader waits
+	// before it handles another command. With a larger value, one client could use more memory. With a smaller value, clients that pipeline
 	// commands would wait for round trips.
 	maxPending = 16
 	// writeTimeout bounds the time in which a client accepts a batch of answers. With a larger value, a stalled client
@@ -24,18 +24,24 @@
 	server *Server
 	conn   net.Conn
 	wake   chan struct{} // makes the writer check for answers
+	// idle receives a value when no command or answer is pending any longer, the session ends, or a wait for memory is
+	// over. It ends a wait for memory.
+	idle chan struct{}
 
 	mu               sync.Mutex        // guards the fields below; the table's lock is never acquired while mu is held
 	pending          []*pendingCommand // in the order of arrival
-	hasSpace         *sync.Cond        // signaled when a command leaves pending
+	hasSpace         *sync.Cond        // signaled when answers were written, or the session ends
 	handles          map[string]*handle
-	handlesOpened    uint64      // number of handles opened so far, from which handles are named
-	insidePacket     bool        // part of a packet has been received
-	writing          bool        // an answer is being written
-	awaitingFirst    bool        // the connection was accepted while the server drains and has sent no command
-	out              net.Buffers // encoded answers that the writer has not taken yet
-	closeAfterOut    bool        // the connection closes after the packets in out are written
-	closedToCommands bool        // no further command is accepted
+	handlesOpened    uint64                    // number of handles opened so far, from which handles are named
+	insidePacket     bool                      // part of a packet has been received
+	writing          bool                      // an answer is being written
+	awaitingFirst    bool                      // the connection was accepted while the server drains and has sent no command
+	out              net.Buffers               // encoded answers that the writer has not taken yet
+	outMemory        []*clientconn.Reservation // memory of the answers in out
+	unwritten        int                       // answers in out and answers that are being written
+	writerEnded      bool                      // no more answers are written
+	closeAfterOut    bool                      // the connection closes after the packets in out are written
+	closedToCommands bool                      // no further command is accepted
 }
 
 func newSession(server *Server, conn net.Conn) *session {
@@ -43,6 +49,7 @@
 		server:  server,
 		conn:    conn,
 		wake:    make(chan struct{}, 1),
+		idle:    make(chan struct{}, 1),
 		handles: map[string]*handle{},
 	}
 	s.hasSpace = sync.NewCond(&s.mu)
@@ -105,9 +112,13 @@
 	s.closedToCommands = true
 	pending := s.pending
 	s.pending = nil
+	for _, h := range s.handles {
+		h.releaseNames()
+	}
 	flush := s.closeAfterOut
 	s.mu.Unlock()
 	for _, command := range pending {
+		command.endMemory()
 		if command.timer != nil {
 			command.timer.Stop()
 		}
@@ -125,18 +136,24 @@
 // goroutine.
 func (s *session) write() {
 	defer s.server.Remove(s)
+	defer s.handleOutputEnd()
 	defer s.close()
 	defer s.recoverPanic()
 	for range s.wake {
 		s.mu.Lock()
 		out := s.out
+		memory := s.outMemory
+		taken := s.unwritten
 		s.out = nil
+		s.outMemory = nil
 		s.writing = len(out) > 0
 		ended := s.closeAfterOut || s.closedToCommands
 		idle := len(s.pending) == 0
 		awaitingFirst := s.awaitingFirst
 		s.mu.Unlock() // not held for ShouldClose, since the table calls State with its own lock held
-		if !s.writeOut(out) || ended {
+		written := s.writeOut(out)
+		s.finishAnswers(taken, memory)
+		if !written || ended {
 			return
 		}
 		if idle && s.server.ShouldClose(awaitingFirst) && s.closeToCommands() {
@@ -160,14 +177,45 @@
 	return true
 }
 
+// finishAnswers records that the writer has finished a number of answers, and releases their memory.
+func (s *session) finishAnswers(count int, memory []*clientconn.Reservation) {
+	for _, answer := range memory {
+		answer.End()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unwritten -= count
+	s.hasSpace.Signal()
+	if s.unwritten == 0 && len(s.pending) == 0 {
+		s.signalIdle()
+	}
+}
+
+// handleOutputEnd runs when the writer has ended. Answers that it has not taken are dropped.
+func (s *session) handleOutputEnd() {
+	s.mu.Lock()
+	s.writerEnded = true
+	memory := s.outMemory
+	s.outMemory = nil
+	s.mu.Unlock()
+	s.finishAnswers(0, memory)
+	s.signalIdle()
+}
+
 // send queues a packet for the writer.
 func (s *session) send(m net.Buffers) {
 	s.mu.Lock()
-	s.out = append(s.out, m...)
+	s.appendOut(m)
 	s.mu.Unlock()
 	s.Wake()
 }
 
+// appendOut adds an answer to those that the writer takes next. The caller holds s.mu.
+func (s *session) appendOut(m net.Buffers) {
+	s.out = append(s.out, m...)
+	s.unwritten++
+}
+
 // sendStatus queues a STATUS packet for the writer.
 func (s *session) sendStatus(id, code uint32, text string) {
 	s.send(encodeStatus(id, code, text))
--- a/internal/sftp/session_test.go
+++ b/internal/sftp/session_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"junctionwharf/broker"
+	"junctionwharf/internal/clientconn"
 	"junctionwharf/internal/logging"
 	"junctionwharf/internal/pool"
 )
@@ -71,7 +72,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return newSession(NewServer(nil, nil, testMapping(t), 4, logging.Discard()), conn), client
+	return newSession(NewServer(nil, nil, testMapping(t), 4, clientconn.NewByteBudget(1<<20), logging.Discard()), conn), client
 }
 
 // An eviction or a drain must not close a connection while a command is pending, part of a command has been received,
