--- a/internal/daemon/sizing.go
+++ b/internal/daemon/sizing.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 
 	"junctionwharf/internal/config"
+	"junctionwharf/internal/sftp"
 )
 
 // Memory. The platform kills the process when its whole memory exceeds the limit.
@@ -23,13 +24,15 @@
 	// requestFraction is the fraction of the memory limit for buffered requests and answers. With a larger fraction,
 	// less memory is left for connections. With a smaller fraction, large requests are rejected.
 	requestFraction = 0.2
+	// minRequestBytes is the memory in bytes that is left for requests if the file server's packets would use all of it.
+	minRequestBytes = 1 << 20
 	// gcPercent and largeGCPercent set how far the heap grows between collections. With larger values, the heap of a
 	// small machine keeps growing for its first hours. With smaller values, collections use processor time for as long
 	// as there are connections.
 	gcPercent      = 100
 	largeGCPercent = 400
-	// clientBytes is the memory of one client connection with a request, in bytes: buffers, stacks, and the request's
-	// state in the core. With a larger value, clients are rejected although they would fit. With a smaller
+	// clientBytes is the memory of one client connection with a request, in bytes: buffers, stacks, a small request and
+	// its answer, for which nothing is reserved, and the request's state in the core. With a larger value, clients are rejected although they would fit. With a smaller
 	// value, clients fill the heap.
 	clientBytes = 20 << 10
 	// clientHeapFraction is the fraction of the heap that clients may fill. With a larger value, live memory approaches
@@ -90,7 +93,9 @@
 	s.overflow = min(sockets/overflowDivisor, minOverflow/processes+max(0, bySockets-byMemory))
 	s.clientSockets = min(bySockets, byMemory)
 	if files := c.Site.SFTP; files.Listen != "" {
-		s.clientSockets -= files.Connections/processes + s.nodeSockets
+		connections := files.Connections / processes
+		s.clientSockets -= connections + s.nodeSockets
+		s.requestBytes = max(minRequestBytes, s.requestBytes-connections*sftp.MaxPacketBytes)
 	}
 	s.clientSockets = max(1, s.clientSockets)
 	return s
--- a/internal/daemon/sizing_test.go
+++ b/internal/daemon/sizing_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"junctionwharf/internal/config"
+	"junctionwharf/internal/sftp"
 )
 
 // Both memory and sockets bound the number of client connections. 3,800 connections on 128 MB once left no memory for
@@ -37,3 +38,20 @@
 		}
 	}
 }
+
+// Each connection of the file server holds a packet, which takes memory from the requests of all clients.
+func TestFilePacketsTakeMemoryFromRequests(t *testing.T) {
+	var conf config.Config
+	conf.Limits = config.Limits{Cores: 1, MemoryMB: 64, Sockets: 1024}
+	without := computeSizes(&conf, 1)
+	conf.Site.SFTP.Listen = "127.0.0.1:2022"
+	conf.Site.SFTP.Connections = 32
+	with := computeSizes(&conf, 1)
+	if taken := without.requestBytes - with.requestBytes; taken != 32*sftp.MaxPacketBytes {
+		t.Errorf("32 connections take %d bytes, want %d", taken, 32*sftp.MaxPacketBytes)
+	}
+	conf.Site.SFTP.Connections = 256
+	if few := computeSizes(&conf, 1); few.requestBytes != minRequestBytes {
+		t.Errorf("%d bytes are left for requests, want %d", few.requestBytes, minRequestBytes)
+	}
+}
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -108,7 +108,8 @@
 
 // consoleOnlyMetrics returns the metrics that the console shows but that are not exported.
 func (s *service) consoleOnlyMetrics() []broker.Metric {
-	return []broker.Metric{{Name: "connections_turned_away", Value: s.clients.Rejected(), Counter: true}}
+	rejected := broker.Metric{Name: "connections_turned_away", Value: s.clients.Rejected(), Counter: true}
+	return append(s.clients.MemoryMetrics(), rejected)
 }
 
 func (s *service) clientCount() int {
--- a/internal/resp/commandreader.go
+++ b/internal/resp/commandreader.go
@@ -64,14 +64,15 @@
 		if r.err != nil {
 			return redcon.Command{}, r.err
 		}
-		if r.complete() {
-			if cmd, err, answered := r.take(); !answered {
-				return cmd, err
+		switch {
+		case !r.complete():
+			if err := r.fill(); err != nil {
+				return redcon.Command{}, err
 			}
-			continue
-		}
-		if err := r.fill(); err != nil {
-			return redcon.Command{}, err
+		case r.answered():
+			r.next()
+		default:
+			return r.take()
 		}
 	}
 }
@@ -88,23 +89,29 @@
 	return r.scanner.state == atCommand && (r.scanned > r.start || r.long != nil)
 }
 
-// take removes the current command, which is complete, and returns it. answered reports that onCommand answered it.
-func (r *commandReader) take() (cmd redcon.Command, err error, answered bool) {
+// answered calls onCommand for the current command, which is complete, if the command arrived alone in one read. It
+// reports whether onCommand answered it.
+func (r *commandReader) answered() bool {
+	alone := r.arrived && r.long == nil && r.start == 0 && r.scanned == r.end
+	if !alone || r.onCommand == nil || !r.onCommand(r.buffer[:r.end]) {
+		return false
+	}
+	r.input.commandDone()
+	return true
+}
+
+// take removes the current command, which is complete, and returns it.
+func (r *commandReader) take() (redcon.Command, error) {
 	defer r.next()
 	buffered := r.buffer[r.start:r.scanned]
 	if r.long == nil {
-		if r.arrivedAlone() && r.onCommand != nil && r.onCommand(buffered) {
-			return redcon.Command{}, nil, true
-		}
-		cmd, err = parseRaw(bytes.Clone(buffered))
-		return cmd, err, false
+		return parseRaw(bytes.Clone(buffered))
 	}
 	r.store(buffered)
 	if r.discarded {
-		return redcon.Command{Raw: r.long}, errNoMemory, false
+		return redcon.Command{Raw: r.long}, errNoMemory
 	}
-	cmd, err = parseRaw(r.long)
-	return cmd, err, false
+	return parseRaw(r.long)
 }
 
 // parseRaw parses a complete command. The arguments are slices of raw.
@@ -116,9 +123,6 @@
 	return cmd, nil
 }
 
-// arrivedAlone reports whether one read returned the current command and nothing else.
-func (r *commandReader) arrivedAlone() bool { return r.arrived && r.start == 0 && r.scanned == r.end }
-
 // next begins the next command.
 func (r *commandReader) next() {
 	r.long = nil
--- a/internal/resp/memory.go
+++ b/internal/resp/memory.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"junctionwharf/broker"
 	"junctionwharf/internal/clientconn"
 )
 
@@ -17,6 +19,38 @@
 	queuedOverhead = 1 << 10
 )
 
+// The names of the metrics of a server's memory, as the console shows them.
+const (
+	metricBufferedBytes   = "buffered_bytes"
+	metricRejectedMemory  = "memory_refused"
+	metricStreamedMemory  = "memory_streamed"
+	metricDiscardedMemory = "memory_discarded"
+)
+
+// serverMemory is the memory that the requests of all connections of a server share. Its methods may be called from any
+// goroutine.
+type serverMemory struct {
+	budget    *clientconn.ByteBudget
+	sizes     *answerSizes
+	rejected  atomic.Uint64 // requests whose command did not fit
+	streamed  atomic.Uint64 // values that were streamed because they did not fit
+	discarded atomic.Uint64 // values that were discarded because they did not fit
+}
+
+func newServerMemory(maxBytes int) *serverMemory {
+	return &serverMemory{budget: clientconn.NewByteBudget(maxBytes), sizes: newAnswerSizes()}
+}
+
+// metrics returns how much memory is reserved, in bytes, and how often it was not enough.
+func (s *serverMemory) metrics() []broker.Metric {
+	return []broker.Metric{
+		{Name: metricBufferedBytes, Value: uint64(s.budget.Reserved())},
+		{Name: metricRejectedMemory, Value: s.rejected.Load(), Counter: true},
+		{Name: metricStreamedMemory, Value: s.streamed.Load(), Counter: true},
+		{Name: metricDiscardedMemory, Value: s.discarded.Load(), Counter: true},
+	}
+}
+
 // requestMemory accounts for the bytes of one request and its answer in the server's budget. All bytes are reserved
 // before they are read:
 //   - A request whose answer is the next one of its connection never waits for memory, since its client's time runs. If
@@ -25,11 +59,11 @@
 //     of the expected size, or until it is no longer queued. Its client's time does not run while an earlier answer is
 //     pending. If the answer is larger than expected and there is no memory, the value is discarded.
 type requestMemory struct {
+	server      *serverMemory
 	reservation *clientconn.Reservation
 
 	// Set before the submission of the request.
 	class  string
-	sizes  *answerSizes
 	isNext func() bool // reports whether the answer is the next one of the connection
 
 	mu      sync.Mutex // guards the fields below
@@ -38,8 +72,9 @@
 	answer  int // bytes that are reserved for the answer, or bytes of the answer
 }
 
-func newRequestMemory(budget *clientconn.ByteBudget) *requestMemory {
-	return &requestMemory{reservation: budget.NewReservation()}
+// newRequest returns the memory of a request, of which nothing is reserved yet.
+func (s *serverMemory) newRequest() *requestMemory {
+	return &requestMemory{server: s, reservation: s.budget.NewReservation()}
 }
 
 // reserved returns the size of the reservation in bytes. The caller holds m.mu.
@@ -110,13 +145,15 @@
 	case size <= 0 || m == nil: // m is nil for a health check
 		return valueBuffered
 	}
-	m.sizes.record(m.class, size)
+	m.server.sizes.record(m.class, size)
 	if m.reserveValue(size) {
 		return valueBuffered
 	}
 	if m.isNext() {
+		m.server.streamed.Add(1)
 		return valueStreamed
 	}
+	m.server.discarded.Add(1)
 	return valueDiscarded
 }
 
@@ -157,9 +194,10 @@
 // place among the pending replies. It returns false, and releases the command's memory, if there is not enough or the
 // connection has ended.
 func (c *client) reserve(command, answer int) bool {
+	defer c.extendDeadline(time.Now())
 	c.awaitSpace()
 	if c.memory == nil {
-		c.memory = newRequestMemory(c.server.budget)
+		c.memory = c.server.memory.newRequest()
 	}
 	for c.isQueued() {
 		if c.memory.tryQueued(command, answer) || c.awaitMemory(command, answer) {
@@ -176,13 +214,15 @@
 // awaitMemory waits for memory for a queued command. It returns false if no answer is pending any longer or the
 // connection has ended.
 func (c *client) awaitMemory(command, answer int) bool {
-	began := time.Now()
 	reserved := false
 	c.whileWatchingPeer(func() { reserved = c.memory.awaitQueued(command, answer, c.idle) })
-	c.input.extendDeadline(time.Since(began))
 	return reserved
 }
 
+// extendDeadline gives the client more time for the command that it is sending, since the server has not read since a
+// time.
+func (c *client) extendDeadline(since time.Time) { c.input.extendDeadline(time.Since(since)) }
+
 // isNext reports whether a reply is the first pending one.
 func (c *client) isNext(reply *pendingReply) bool {
 	c.mu.Lock()
@@ -214,7 +254,7 @@
 	if !c.beginDirectReply() {
 		return false // the connection has ended
 	}
-	c.server.withoutMemory.Add(1)
+	c.server.memory.rejected.Add(1)
 	c.server.loop.CountRejection(class)
 	return c.writeDirectReply(c.server.limits.Load().busyLine, c.server.loop.SheddingLoad())
 }
--- a/internal/resp/memory_test.go
+++ b/internal/resp/memory_test.go
@@ -7,14 +7,12 @@
 	"strings"
 	"testing"
 	"time"
-
-	"junctionwharf/internal/clientconn"
 )
 
 // fillBudget reserves the whole budget of a server until the returned function is called.
 func fillBudget(t *testing.T, server *Server) (release func()) {
 	t.Helper()
-	all := server.budget.NewReservation()
+	all := server.Budget().NewReservation()
 	if !all.TryResize(1 << 20) {
 		t.Fatal("the budget is not free")
 	}
@@ -24,12 +22,12 @@
 // Without memory, the value of the request that is answered next must be streamed, and the value of a queued one must be
 // discarded, since its client cannot receive it yet. Small values must always be buffered.
 func TestValueWithoutMemory(t *testing.T) {
-	budget := clientconn.NewByteBudget(1)
+	shared := newServerMemory(1)
+	budget := shared.budget
 	full := budget.NewReservation()
 	full.ForceResize(1)
 	newMemory := func(next bool) *requestMemory {
-		memory := newRequestMemory(budget)
-		memory.sizes = newAnswerSizes()
+		memory := shared.newRequest()
 		memory.isNext = func() bool { return next }
 		return memory
 	}
@@ -52,6 +50,9 @@
 			t.Errorf("%s: handling %d, want %d", test.name, got, test.want)
 		}
 	}
+	if shared.streamed.Load() != 1 || shared.discarded.Load() != 1 {
+		t.Errorf("metrics %+v, want one value streamed and one discarded", shared.metrics())
+	}
 	full.End()
 	if got := next.handlingOf(smallBytes + 1); got != valueBuffered {
 		t.Errorf("with memory a large value has handling %d, want it buffered", got)
@@ -75,7 +76,7 @@
 	f.attempt().serve()
 	expectLine(t, reader, "$1\r\n")
 	expectLine(t, reader, "v\r\n")
-	if got := f.server.RejectedWithoutMemory(); got != 1 {
+	if got := f.server.memory.rejected.Load(); got != 1 {
 		t.Errorf("%d requests were rejected without memory, want 1", got)
 	}
 	release()
@@ -83,7 +84,7 @@
 	f.attempt().serve()
 	expectLine(t, reader, "$1\r\n")
 	expectLine(t, reader, "v\r\n")
-	eventually(t, waitLimit, "no bytes are reserved", func() bool { return f.server.BufferedBytes() == 0 })
+	eventually(t, waitLimit, "no bytes are reserved", func() bool { return f.server.Budget().Reserved() == 0 })
 }
 
 // A queued request waits for memory. It must be read as soon as there is memory or no earlier answer is pending, and a
@@ -104,7 +105,7 @@
 				return f.loop.OpenRequests() == 0 && f.server.Count() == 0
 			})
 			release()
-			eventually(t, waitLimit, "no bytes are reserved", func() bool { return f.server.BufferedBytes() == 0 })
+			eventually(t, waitLimit, "no bytes are reserved", func() bool { return f.server.Budget().Reserved() == 0 })
 			continue
 		}
 		first.serve()
@@ -125,15 +126,15 @@
 	conn := f.dial()
 	text := largeWrite("part")
 	write(t, conn, text[:2*readBufferBytes])
-	eventually(t, waitLimit, "the part is read", func() bool { return f.server.BufferedBytes() > 0 })
-	if got := f.server.BufferedBytes(); got > mediumCommandBytes {
+	eventually(t, waitLimit, "the part is read", func() bool { return f.server.Budget().Reserved() > 0 })
+	if got := f.server.Budget().Reserved(); got > mediumCommandBytes {
 		t.Errorf("%d bytes are reserved for a part of %d bytes", got, 2*readBufferBytes)
 	}
 	answer, err := io.ReadAll(conn)
 	if err != nil || !strings.HasPrefix(string(answer), errorPrefix) {
 		t.Errorf("read %q, error %v, want an error", answer, err)
 	}
-	eventually(t, waitLimit, "no bytes are reserved", func() bool { return f.server.BufferedBytes() == 0 })
+	eventually(t, waitLimit, "no bytes are reserved", func() bool { return f.server.Budget().Reserved() == 0 })
 }
 
 // Answers that wait for a slow reader occupy memory, so a batch must not take many large ones.
--- a/internal/resp/pipeline_test.go
+++ b/internal/resp/pipeline_test.go
@@ -130,7 +130,7 @@
 		write(t, pipeline, bulk(commandRead, testKey, fmt.Sprint("queued", i), options))
 	}
 	eventually(t, waitLimit, "the node has answered the queued requests, or as many as there is memory for", func() bool {
-		return answered.Load() == queued || server.BufferedBytes() > budgetBytes/2-2*largeBodyBytes
+		return answered.Load() == queued || server.Budget().Reserved() > budgetBytes/2-2*largeBodyBytes
 	})
 	const inTime = 2 * time.Second // well before the hanging request fails
 	other := dial(t, address, inTime)
--- a/internal/resp/read.go
+++ b/internal/resp/read.go
@@ -93,7 +93,7 @@
 		c.failMalformed(err)
 		return false
 	}
-	if !c.reserve(cap(cmd.Raw), c.server.answers.expect(request.Class)) {
+	if !c.reserve(cap(cmd.Raw), c.server.memory.sizes.expect(request.Class)) {
 		return c.rejectWithoutMemory(cmd.Raw)
 	}
 	loop := c.server.loop
@@ -107,7 +107,6 @@
 	}
 	reply := &pendingReply{memory: c.takeMemory(), clientRequestID: string(cmd.Args[argID])}
 	reply.memory.class = request.Class
-	reply.memory.sizes = c.server.answers
 	reply.memory.isNext = func() bool { return c.isNext(reply) }
 	request.Message.(*command).memory = reply.memory
 	if err := c.server.ids.add(reply.clientRequestID); err != nil {
--- a/internal/resp/server.go
+++ b/internal/resp/server.go
@@ -18,12 +18,9 @@
 	loop      *broker.Loop
 	logger    *slog.Logger
 	limits    atomic.Pointer[RequestLimits]
-	budget    *clientconn.ByteBudget // of buffered requests and answers
+	memory    *serverMemory // of buffered requests and answers
 	ids       *requestIDs
 	malformed *malformedLog
-	answers   *answerSizes
-	// withoutMemory counts the requests that were rejected because there was no memory for them.
-	withoutMemory atomic.Uint64
 }
 
 // NewServer returns a server for at most maxConnections connections and at most maxBytes of buffered requests and
@@ -35,10 +32,9 @@
 		Table:     clientconn.NewTable(maxConnections, maxIdle, logger),
 		loop:      loop,
 		logger:    logger,
-		budget:    clientconn.NewByteBudget(maxBytes),
+		memory:    newServerMemory(maxBytes),
 		ids:       newRequestIDs(),
 		malformed: &malformedLog{logger: logger},
-		answers:   newAnswerSizes(),
 	}
 	s.SetLimits(limits)
 	return s
@@ -57,16 +53,13 @@
 }
 
 // ResizeBudget sets the maximum number of bytes of buffered requests and answers.
-func (s *Server) ResizeBudget(maxBytes int) { s.budget.Resize(maxBytes) }
+func (s *Server) ResizeBudget(maxBytes int) { s.memory.budget.Resize(maxBytes) }
 
 // Budget returns the budget of buffered requests and answers, which servers of other protocols may share.
-func (s *Server) Budget() *clientconn.ByteBudget { return s.budget }
+func (s *Server) Budget() *clientconn.ByteBudget { return s.memory.budget }
 
-// BufferedBytes returns the number of bytes that are reserved for buffered requests and answers.
-func (s *Server) BufferedBytes() int { return s.budget.Reserved() }
-
-// RejectedWithoutMemory returns the number of requests that were rejected so far because there was no memory for them.
-func (s *Server) RejectedWithoutMemory() uint64 { return s.withoutMemory.Load() }
+// MemoryMetrics returns the metrics of the memory of buffered requests and answers.
+func (s *Server) MemoryMetrics() []broker.Metric { return s.memory.metrics() }
 
 // OnRequestChange sets a function that is called when a request opens or ends. During a handover the function notifies
 // the broker's other process. It must not block. OnRequestChange must be called before Serve.
--- a/internal/sftp/answer.go
+++ b/internal/sftp/answer.go
@@ -46,7 +46,7 @@
 	}
 	f := fields{rest: p.body}
 	code := f.uint32()
-	text := string(f.string(maxPacketBytes))
+	text := string(f.string(MaxPacketBytes))
 	switch code {
 	case statusOK, statusEOF, statusNoSuchFile, statusDenied, statusBadMessage, statusUnsupported:
 		return answered, nil
--- a/internal/sftp/memory.go
+++ b/internal/sftp/memory.go
@@ -19,7 +19,7 @@
 	case Read:
 		size += int(op.length)
 	case List:
-		size += maxPacketBytes
+		size += MaxPacketBytes
 	case Open, OpenWrite, Write, Remove, Stat:
 	}
 	return size
@@ -27,10 +27,10 @@
 
 // reserveListing reserves memory for a listing of size bytes without waiting, and reports whether there was enough.
 func (op *operation) reserveListing(size int) bool {
-	if op.memory == nil || size <= maxPacketBytes { // no memory is accounted for without a session
+	if op.memory == nil || size <= MaxPacketBytes { // no memory is accounted for without a session
 		return true
 	}
-	return op.memory.TryResize(op.memoryBytes() - maxPacketBytes + size)
+	return op.memory.TryResize(op.memoryBytes() - MaxPacketBytes + size)
 }
 
 // reserve reserves memory for an operation and its answer. While the session has other commands or answers, it waits
--- a/internal/sftp/packet.go
+++ b/internal/sftp/packet.go
@@ -61,8 +61,9 @@
 	// maxDataBytes bounds the data that one command reads or writes. With a larger value, each command could use more
 	// memory. With a smaller value, clients would need more commands.
 	maxDataBytes = 64 << 10
-	// maxPacketBytes bounds a packet: the data and 4096 bytes for its other fields.
-	maxPacketBytes = maxDataBytes + 4096
+	// MaxPacketBytes bounds a packet in bytes: the data and 4096 bytes for its other fields. Each connection may hold one
+	// packet that is being read, for which nothing is reserved.
+	MaxPacketBytes = maxDataBytes + 4096
 	// maxPathBytes and maxHandleBytes bound the paths and handles in packets. The draft allows handles of 256 bytes.
 	maxPathBytes   = 2048
 	maxHandleBytes = 256
@@ -85,7 +86,7 @@
 		return packet{}, err
 	}
 	length := binary.BigEndian.Uint32(header[:])
-	if length < headerBytes || length > maxPacketBytes {
+	if length < headerBytes || length > MaxPacketBytes {
 		return packet{}, fmt.Errorf("%w: length %d", errPacket, length)
 	}
 	text := make([]byte, length)
