--- a/internal/clientconn/doc.go
+++ b/internal/clientconn/doc.go
@@ -14,6 +14,9 @@
 // Closing a socket with unread input resets the connection, which may destroy an answer that was already written. An
 // eviction therefore normally only asks a connection to close, and the connection closes itself.
 //
+// All bytes that a server buffers for requests and answers are reserved in a ByteBudget before they are read. Requests
+// that may wait for memory use half of it, in the order in which they began to wait. All others get an answer at once.
+//
 // # State and owners
 //
 // Table owns its entries and lists, and decides when the listener ends. Table.mu guards this state. Table starts one
--- a/internal/sftp/doc.go
+++ b/internal/sftp/doc.go
@@ -10,6 +10,9 @@
 // concurrently. A command whose deadline passes while it waits for an earlier command is rejected. Such a command was
 // never sent, so the client can safely retry it.
 //
+// Commands and answers share the byte budget of the server for other clients. The only command of a session never waits
+// for memory; without memory it is rejected. The pending commands and unwritten answers of a session are bounded.
+//
 // An eviction or a drain closes a connection only if no command is pending and no input is unread. Closing a socket
 // with unread input resets the connection, and the reset may overtake an answer that was already written.
 //
