--- a/internal/clientconn/budget.go
+++ b/internal/clientconn/budget.go
@@ -74,37 +74,27 @@
 // TryResize changes a reservation to size bytes if they fit in the budget, and reports whether it did. A smaller size
 // always fits. After End it returns false.
 func (r *Reservation) TryResize(size int) bool {
-	b := r.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if r.ended || size > r.held && !b.fits(size-r.held, b.limit) {
-		return false
-	}
-	r.set(size)
-	b.resizeWaiters()
-	return true
+	return r.tryResize(size, func() bool { return r.budget.fits(size-r.held, r.budget.limit) })
 }
 
 // TryResizeQueued changes a reservation to size bytes if they fit in the part of the budget for requests that may wait,
-// and no call of AwaitResize waits. It reports whether it did. A smaller size always fits.
+// and no call of AwaitResize waits. It reports whether it did. A smaller size always fits. After End it returns false.
 func (r *Reservation) TryResizeQueued(size int) bool {
-	b := r.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if size > r.held && (len(b.waiters) > 0 || !r.fitsQueued(size)) {
-		return false
-	}
-	r.set(size)
-	b.resizeWaiters()
-	return true
+	return r.tryResize(size, func() bool { return len(r.budget.waiters) == 0 && r.fitsQueued(size) })
 }
 
-// TryGrowQueued is TryResizeQueued, but does not give way to calls of AwaitResize. After End it returns false.
+// TryGrowQueued is TryResizeQueued, but does not give way to calls of AwaitResize.
 func (r *Reservation) TryGrowQueued(size int) bool {
+	return r.tryResize(size, func() bool { return r.fitsQueued(size) })
+}
+
+// tryResize changes a reservation to size bytes if fits allows it, and reports whether it did. A smaller size always
+// fits. fits is called with the budget's mu held.
+func (r *Reservation) tryResize(size int, fits func() bool) bool {
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r.ended || !r.fitsQueued(size) {
+	if r.ended || size > r.held && !fits() {
 		return false
 	}
 	r.set(size)
--- a/internal/clientconn/budget_test.go
+++ b/internal/clientconn/budget_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// A request that may wait uses half of the budget at most, and waits in order until bytes are released or it is stopped.
-// A request that may not wait uses all of it, and is told at once that there is no room.
+// A request that may wait uses half of the budget at most, and waits in order until bytes are released or it is
+// stopped. A request that may not wait uses all of it, and is told at once that there is no room.
 func TestByteBudget(t *testing.T) {
 	budget := NewByteBudget(20)
 	large := budget.NewReservation()
--- a/internal/daemon/sizing.go
+++ b/internal/daemon/sizing.go
@@ -32,8 +32,8 @@
 	gcPercent      = 100
 	largeGCPercent = 400
 	// clientBytes is the memory of one client connection with a request, in bytes: buffers, stacks, a small request and
-	// its answer, for which nothing is reserved, and the request's state in the core. With a larger value, clients are rejected although they would fit. With a smaller
-	// value, clients fill the heap.
+	// its answer, for which nothing is reserved, and the request's state in the core. With a larger value, clients are
+	// rejected although they would fit. With a smaller value, clients fill the heap.
 	clientBytes = 20 << 10
 	// clientHeapFraction is the fraction of the heap that clients may fill. With a larger value, live memory approaches
 	// the limit, and collections use up the processor. With a smaller value, clients are rejected that could be served.
--- a/internal/resp/commandbuffer.go
+++ b/internal/resp/commandbuffer.go
@@ -9,8 +9,8 @@
 	largeCommandBytes  = maxValueBytes + readBufferBytes
 )
 
-// Buffers of commands that were rejected are used again. Clients can make a broker reject thousands of commands a second,
-// and the garbage collector might free their buffers too late to stay below the memory limit.
+// Buffers of commands that were rejected are used again. Clients can make a broker reject thousands of commands a
+// second, and the garbage collector might free their buffers too late to stay below the memory limit.
 var (
 	mediumCommandBuffers = sync.Pool{New: func() any { return new([mediumCommandBytes]byte) }}
 	largeCommandBuffers  = sync.Pool{New: func() any { return new([largeCommandBytes]byte) }}
--- a/internal/resp/doc.go
+++ b/internal/resp/doc.go
@@ -19,16 +19,16 @@
 // that has sent a request, after it has found no unread input. The input after a malformed command is read and
 // discarded.
 //
-// A node's value is called long if it has more than maxValueBytes. A long value, or one for which there is no memory, is
-// not buffered as a whole. A stream forwards it from the node to the client piece by piece.
+// A node's value is called long if it has more than maxValueBytes. A long value, or one for which there is no memory,
+// is not buffered as a whole. A stream forwards it from the node to the client piece by piece.
 //
 // # State and owners
 //
 // Server owns the table of connections (clientconn.Table), the IDs of open requests (requestIDs) and the memory of
-// buffered requests and answers (serverMemory). Each client connection has two goroutines: client.read reads and handles commands, and client.write
-// writes answers. Both end with the connection. While client.read waits for something other than input, a third
-// goroutine checks whether the client has disconnected. The process stores no state outside its memory, but during a
-// handover it sends the IDs of its open requests to the broker's other process.
+// buffered requests and answers (serverMemory). Each client connection has two goroutines: client.read reads and
+// handles commands, and client.write writes answers. Both end with the connection. While client.read waits for
+// something other than input, a third goroutine checks whether the client has disconnected. The process stores no state
+// outside its memory, but during a handover it sends the IDs of its open requests to the broker's other process.
 //
 // Sizes are in bytes, times on the wire in milliseconds, and values of type broker.Micros in microseconds.
 package resp
--- a/internal/resp/helpers_test.go
+++ b/internal/resp/helpers_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"junctionwharf/broker"
 	"junctionwharf/internal/logging"
 	"junctionwharf/scheduler"
 )
@@ -161,6 +162,20 @@
 	}
 }
 
+// expectMetrics compares metrics of a loop with the wanted values.
+func expectMetrics(t *testing.T, loop *broker.Loop, want map[string]uint64) {
+	t.Helper()
+	got := map[string]uint64{}
+	for _, metric := range loop.Metrics.Read() {
+		got[metric.Name] = metric.Value
+	}
+	for name, value := range want {
+		if now, exists := got[name]; !exists || now != value {
+			t.Errorf("metric %s is %d (exists: %v), want %d", name, now, exists, value)
+		}
+	}
+}
+
 // exchangeText sends text on a new connection. It returns all bytes that arrive until the connection ends, and the time
 // that this took.
 func exchangeText(t *testing.T, address, text string) (string, time.Duration) {
--- a/internal/resp/inputguard.go
+++ b/internal/resp/inputguard.go
@@ -44,8 +44,8 @@
 var longAgo = time.Unix(1, 0)
 
 // inputGuard is a client connection whose reads have deadlines: it limits the time that a client may take to send a
-// command. redcon reads only takeOverCommand from it; commandReader reads the client's input. Only the reading goroutine
-// uses the fields other than Conn, phase and interrupted.
+// command. redcon reads only takeOverCommand from it; commandReader reads the client's input. Only the reading
+// goroutine uses the fields other than Conn, phase and interrupted.
 type inputGuard struct {
 	net.Conn
 
--- a/internal/resp/memory.go
+++ b/internal/resp/memory.go
@@ -55,9 +55,9 @@
 // before they are read:
 //   - A request whose answer is the next one of its connection never waits for memory, since its client's time runs. If
 //     there is no memory, its command is rejected, or its value is streamed.
-//   - A queued request, which is behind an unanswered one, waits until there is memory for its command and for an answer
-//     of the expected size, or until it is no longer queued. Its client's time does not run while an earlier answer is
-//     pending. If the answer is larger than expected and there is no memory, the value is discarded.
+//   - A queued request, which is behind an unanswered one, waits until there is memory for its command and for an
+//     answer of the expected size, or until it is no longer queued. Its client's time does not run while an earlier
+//     answer is pending. If the answer is larger than expected and there is no memory, the value is discarded.
 type requestMemory struct {
 	server      *serverMemory
 	reservation *clientconn.Reservation
@@ -101,8 +101,8 @@
 	return true
 }
 
-// tryQueued reserves memory for a queued request, and reports whether there was enough. Only the reading goroutine calls
-// it, before the request is submitted.
+// tryQueued reserves memory for a queued request, and reports whether there was enough. Only the reading goroutine
+// calls it, before the request is submitted.
 func (m *requestMemory) tryQueued(command, answer int) bool {
 	reserved := m.reservation.TryResizeQueued(queuedBytes(command, answer))
 	if reserved {
@@ -230,7 +230,8 @@
 	return len(c.pending) > 0 && c.pending[0] == reply
 }
 
-// isQueued reports whether a command that is being read is behind an unanswered one, on a connection that has not ended.
+// isQueued reports whether a command that is being read is behind an unanswered one, on a connection that has not
+// ended.
 func (c *client) isQueued() bool { return c.waitsForReply() && !c.hasEnded() }
 
 // hasEnded reports whether the client has disconnected or the writer has ended.
--- a/internal/resp/memory_test.go
+++ b/internal/resp/memory_test.go
@@ -19,8 +19,8 @@
 	return all.End
 }
 
-// Without memory, the value of the request that is answered next must be streamed, and the value of a queued one must be
-// discarded, since its client cannot receive it yet. Small values must always be buffered.
+// Without memory, the value of the request that is answered next must be streamed, and the value of a queued one must
+// be discarded, since its client cannot receive it yet. Small values must always be buffered.
 func TestValueWithoutMemory(t *testing.T) {
 	shared := newServerMemory(1)
 	budget := shared.budget
@@ -63,8 +63,8 @@
 	}
 }
 
-// Without memory for its command, a large request must be rejected at once, and later commands of the connection must be
-// read correctly. Small requests must be served whatever other connections buffer.
+// Without memory for its command, a large request must be rejected at once, and later commands of the connection must
+// be read correctly. Small requests must be served whatever other connections buffer.
 func TestCommandWithoutMemoryIsRejected(t *testing.T) {
 	f := newFixture(t)
 	f.serveClients()
--- a/internal/resp/overload_test.go
+++ b/internal/resp/overload_test.go
@@ -133,11 +133,7 @@
 	if c.rejectOverload([]byte(pingText)) {
 		t.Error("a greeting was rejected")
 	}
-	for _, metric := range loop.Metrics.Read() {
-		if (metric.Name == "door_refused" || metric.Name == "busy.w") && metric.Value != 1 {
-			t.Errorf("%s is %d, want 1", metric.Name, metric.Value)
-		}
-	}
+	expectMetrics(t, loop, map[string]uint64{"door_refused": 1, "busy.w": 1})
 }
 
 // An earlier write leaves its deadline on a connection. A rejection that the reader writes after this time must still
--- a/internal/resp/pipeline_test.go
+++ b/internal/resp/pipeline_test.go
@@ -104,8 +104,9 @@
 	}
 }
 
-// While nodes hung, clients with pipelines filled the byte budget with answers that waited behind an unanswered one, and
-// requests of other clients waited for the budget without any limit in time. Other clients must be served meanwhile.
+// While nodes hung, clients with pipelines filled the byte budget with answers that waited behind an unanswered one,
+// and requests of other clients waited for the budget without any limit in time. Other clients must be served
+// meanwhile.
 func TestPipelinesDoNotDelayOtherClients(t *testing.T) {
 	const queued = 30
 	const budgetBytes = 1 << 20
--- a/internal/resp/read.go
+++ b/internal/resp/read.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// handle handles one command that was received, of which err is nil or errNoMemory, and reports whether to read the next
-// one.
+// handle handles one command that was received, of which err is nil or errNoMemory, and reports whether to read the
+// next one.
 func (c *client) handle(cmd redcon.Command, err error) (readOn bool) {
 	defer c.input.commandDone()
 	defer c.releaseMemory()
--- a/internal/resp/stream_test.go
+++ b/internal/resp/stream_test.go
@@ -198,10 +198,5 @@
 		}
 	}
 	eventually(t, waitLimit, "no request is open", func() bool { return loop.OpenRequests() == 0 })
-	want := map[string]uint64{"success.read": 5, "failure.read": 2}
-	for _, metric := range loop.Metrics.Read() {
-		if value, checked := want[metric.Name]; checked && metric.Value != value {
-			t.Errorf("%s: %d, want %d", metric.Name, metric.Value, value)
-		}
-	}
+	expectMetrics(t, loop, map[string]uint64{"success.read": 5, "failure.read": 2})
 }
--- a/internal/resp/transport_test.go
+++ b/internal/resp/transport_test.go
@@ -88,7 +88,8 @@
 // may still write it after the request is answered.
 func TestForwardedCommandKeepsItsBuffer(t *testing.T) {
 	ln := listen(t)
-	transport := NewTransport(pool.New(pool.Options{ConnectTimeout: time.Second, MaxConnections: 1, Logger: testLogger(t)}))
+	options := pool.Options{ConnectTimeout: time.Second, MaxConnections: 1, Logger: testLogger(t)}
+	transport := NewTransport(pool.New(options))
 	cmd := readOne(t, bulk(commandRead, testKey, "id", testOptions))
 	request, err := parseCommand(cmd.Raw, cmd.Args)
 	if err != nil {
@@ -105,8 +106,8 @@
 	}
 }
 
-// Clients that repeat rejected commands at full speed made garbage faster than it was collected. The buffer of a command
-// that is rejected for lack of memory must be used again.
+// Clients that repeat rejected commands at full speed made garbage faster than it was collected. The buffer of a
+// command that is rejected for lack of memory must be used again.
 func TestRejectedCommandsReuseBuffers(t *testing.T) {
 	const commands = 200
 	conn := &cutConn{in: strings.NewReader(strings.Repeat(largeWrite("w"), commands)), rng: rand.New(rand.NewPCG(1, 1))}
--- a/internal/sftp/memory.go
+++ b/internal/sftp/memory.go
@@ -7,8 +7,8 @@
 	"junctionwharf/internal/pool"
 )
 
-// commandOverhead is the memory of a pending command in bytes, besides its data and its answer. The limit on connections
-// accounts for the packet that is being read.
+// commandOverhead is the memory of a pending command in bytes, besides its data and its answer. The limit on
+// connections accounts for the packet that is being read.
 const commandOverhead = 2 << 10
 
 // memoryBytes returns the memory of an operation and its longest answer in bytes. A listing may need more, which
@@ -70,8 +70,8 @@
 	}
 }
 
-// awaitSpace waits while maxPending commands and answers are pending, so that the answers to a client that does not read
-// stay bounded.
+// awaitSpace waits while maxPending commands and answers are pending, so that the answers to a client that does not
+// read stay bounded.
 func (s *session) awaitSpace() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/sftp/memory_test.go
+++ b/internal/sftp/memory_test.go
@@ -97,7 +97,9 @@
 	s.complete(s.pending[0], broker.Response{Verdict: broker.Served, Value: value})
 	s.mu.Unlock()
 	go func() { _, _ = io.Copy(io.Discard, client) }() // until the connection ends
-	eventually(t, "only the listing is reserved", func() bool { return s.server.budget.Reserved() == pool.MessageSize(names) })
+	eventually(t, "only the listing is reserved", func() bool {
+		return s.server.budget.Reserved() == pool.MessageSize(names)
+	})
 	for range 2 {
 		if err := s.serveReaddir(2, h); err != nil {
 			t.Fatal(err)
--- a/internal/sftp/session.go
+++ b/internal/sftp/session.go
@@ -11,8 +11,8 @@
 
 const (
 	// maxPending bounds the pending commands and unwritten answers of one connection. At the limit, the reader waits
-	// before it handles another command. With a larger value, one client could use more memory. With a smaller value, clients that pipeline
-	// commands would wait for round trips.
+	// before it handles another command. With a larger value, one client could use more memory. With a smaller value,
+	// clients that pipeline commands would wait for round trips.
 	maxPending = 16
 	// writeTimeout bounds the time in which a client accepts a batch of answers. With a larger value, a stalled client
 	// would occupy its slot for longer. With a smaller value, slow clients would be disconnected.
@@ -35,7 +35,7 @@
 	handlesOpened    uint64                    // number of handles opened so far, from which handles are named
 	insidePacket     bool                      // part of a packet has been received
 	writing          bool                      // an answer is being written
-	awaitingFirst    bool                      // the connection was accepted while the server drains and has sent no command
+	awaitingFirst    bool                      // accepted while the server drains, no command received yet
 	out              net.Buffers               // encoded answers that the writer has not taken yet
 	outMemory        []*clientconn.Reservation // memory of the answers in out
 	unwritten        int                       // answers in out and answers that are being written
--- a/internal/sftp/session_test.go
+++ b/internal/sftp/session_test.go
@@ -72,7 +72,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return newSession(NewServer(nil, nil, testMapping(t), 4, clientconn.NewByteBudget(1<<20), logging.Discard()), conn), client
+	budget := clientconn.NewByteBudget(1 << 20)
+	return newSession(NewServer(nil, nil, testMapping(t), 4, budget, logging.Discard()), conn), client
 }
 
 // An eviction or a drain must not close a connection while a command is pending, part of a command has been received,
