--- a/internal/sftp/handles.go
+++ b/internal/sftp/handles.go
@@ -18,6 +18,7 @@
 	listed bool                    // the directory has been read from a node
 	names  [][]byte                // bodies of NAME packets of a listed directory that the client has not read
 	memory *clientconn.Reservation // of names, nil if there are none
+	closed bool                    // the client has closed the handle
 }
 
 // addHandle adds a handle under a new name and encodes the answer with this name. If too many handles are open, it only
@@ -40,6 +41,7 @@
 	h := s.handles[string(name)]
 	if closeIt && h != nil {
 		h.releaseNames()
+		h.closed = true
 		delete(s.handles, string(name))
 	}
 	return h
--- a/internal/sftp/memory.go
+++ b/internal/sftp/memory.go
@@ -59,7 +59,7 @@
 func (s *session) isBusy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.closedToCommands && (len(s.pending) > 0 || s.unwritten > 0)
+	return !s.closedToCommands && !s.writerEnded && (len(s.pending) > 0 || s.unwritten > 0)
 }
 
 // signalIdle ends a wait of the reader for memory.
@@ -93,6 +93,9 @@
 	h.listed = true
 	h.names = names
 	h.releaseNames()
+	if h.closed {
+		return
+	}
 	h.memory = budget.NewReservation()
 	h.memory.ForceResize(pool.MessageSize(names))
 }
--- a/internal/sftp/memory_test.go
+++ b/internal/sftp/memory_test.go
@@ -125,3 +125,28 @@
 		t.Error("an operation without a session has no memory")
 	}
 }
+
+// A client closes a directory before its listing has come, or its connection can no longer be written. No memory may
+// stay reserved for the listing or for the answer, since nothing would release it.
+func TestLateAnswersHoldNoMemory(t *testing.T) {
+	served := broker.Response{Verdict: broker.Served, Value: answer{kind: typeName, names: [][]byte{make([]byte, 1000)}}}
+	for _, writerEnded := range []bool{false, true} {
+		s, _ := newTestSession(t)
+		h := &handle{path: "/d", isDir: true}
+		s.handles["h"] = h
+		if err := s.serveReaddir(1, h); err != nil {
+			t.Fatal(err)
+		}
+		if writerEnded {
+			s.handleOutputEnd()
+		}
+		s.findHandle([]byte("h"), true)
+		s.mu.Lock()
+		s.complete(s.pending[0], served)
+		s.mu.Unlock()
+		s.handleOutputEnd()
+		if got := s.server.budget.Reserved(); got != 0 {
+			t.Errorf("writer ended %v: %d bytes stay reserved, want 0", writerEnded, got)
+		}
+	}
+}
--- a/internal/sftp/ordering.go
+++ b/internal/sftp/ordering.go
@@ -116,7 +116,7 @@
 		return
 	}
 	s.pending = append(s.pending[:index:index], s.pending[index+1:]...)
-	if s.closedToCommands {
+	if s.closedToCommands || s.writerEnded {
 		command.endMemory()
 		return
 	}
