--- a/broker/attempts.go
+++ b/broker/attempts.go
@@ -85,12 +85,8 @@
 	if !r.mayHaveRun {
 		return 0, false
 	}
-	for _, class := range s.scheduler.Classes() {
-		if class.Name == r.request.Class {
-			return r.mayHaveRunAt + MicrosOf(class.DedupWindow), class.Idempotency == scheduler.IdempotentWithKey
-		}
-	}
-	return 0, false
+	class, known := s.classOf(r)
+	return r.mayHaveRunAt + MicrosOf(class.DedupWindow), known && class.Idempotency == scheduler.IdempotentWithKey
 }
 
 // stopAttempt stops the attempt in flight. The loop then reports with AttemptStopped how much was written.
@@ -179,12 +175,20 @@
 	if !result.ValueDiscarded {
 		return Response{Verdict: Served, Value: result.Value}
 	}
+	if class, known := s.classOf(r); known && class.Idempotency == scheduler.Idempotent {
+		return Response{Verdict: Rejected}
+	}
+	return Response{Verdict: Failed}
+}
+
+// classOf returns the class of a request in the present settings. known is false if they do not name it.
+func (s *State) classOf(r *requestState) (class scheduler.Class, known bool) {
 	for _, class := range s.scheduler.Classes() {
-		if class.Name == r.request.Class && class.Idempotency == scheduler.Idempotent {
-			return Response{Verdict: Rejected}
+		if class.Name == r.request.Class {
+			return class, true
 		}
 	}
-	return Response{Verdict: Failed}
+	return scheduler.Class{}, false
 }
 
 // telemetryOutcomes maps scheduler outcomes to telemetry's. NotSent is the outcome of an attempt that was canceled
--- a/internal/resp/memory.go
+++ b/internal/resp/memory.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"junctionwharf/broker"
 	"junctionwharf/internal/clientconn"
@@ -194,7 +193,6 @@
 // place among the pending replies. It returns false, and releases the command's memory, if there is not enough or the
 // connection has ended.
 func (c *client) reserve(command, answer int) bool {
-	defer c.extendDeadline(time.Now())
 	c.awaitSpace()
 	if c.memory == nil {
 		c.memory = c.server.memory.newRequest()
@@ -219,10 +217,6 @@
 	return reserved
 }
 
-// extendDeadline gives the client more time for the command that it is sending, since the server has not read since a
-// time.
-func (c *client) extendDeadline(since time.Time) { c.input.extendDeadline(time.Since(since)) }
-
 // isNext reports whether a reply is the first pending one.
 func (c *client) isNext(reply *pendingReply) bool {
 	c.mu.Lock()
@@ -232,7 +226,11 @@
 
 // isQueued reports whether a command that is being read is behind an unanswered one, on a connection that has not
 // ended.
-func (c *client) isQueued() bool { return c.waitsForReply() && !c.hasEnded() }
+func (c *client) isQueued() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.owesReply() && !c.gone && !c.released
+}
 
 // hasEnded reports whether the client has disconnected or the writer has ended.
 func (c *client) hasEnded() bool {
--- a/internal/resp/read.go
+++ b/internal/resp/read.go
@@ -213,8 +213,11 @@
 
 // whileWatchingPeer runs wait, which blocks the reader. If the client disconnects in the meantime, whileWatchingPeer
 // closes the connection and cancels its requests. The blocked reader cannot detect this itself: an end of file is read
-// only after all input before it. Without the check, requests would be forwarded although no client waits for them.
+// only after all input before it. Without the check, requests would be forwarded although no client waits for them. The
+// wait does not count against the time that the client has for the command that it is sending.
 func (c *client) whileWatchingPeer(wait func()) {
+	began := time.Now()
+	defer func() { c.input.extendDeadline(time.Since(began)) }()
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
