--- /dev/null
+++ b/review/standin-2/main.go
@@ -0,0 +1,47 @@
+// Command standin-2 plays one case of the second part of the review: clients, storage nodes and discovery as stand-ins,
+// and the project's own brokers as processes. It exits with 0 if the rule held, 1 if it was broken and 2 if the case
+// could not run.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// verdict is the result of a case.
+type verdict struct {
+	broken int // how often the rule was broken
+	text   string
+}
+
+var cases = map[string]func(root, dir string, trouble bool) (verdict, error){
+	"late-copy":    lateCopy,
+	"slow-value":   slowValue,
+	"lost-class":   lostClass,
+	"gone":         gone,
+	"optional-key": optionalKey,
+}
+
+func main() {
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE ROOT FOLDER")
+		os.Exit(exitNotRun)
+	}
+	result, err := cases[os.Args[1]](os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0")
+	switch {
+	case err != nil:
+		fmt.Println("could not run:", err)
+		os.Exit(exitNotRun)
+	case result.broken > 0:
+		fmt.Println("BROKEN:", result.text)
+		os.Exit(exitBroken)
+	}
+	fmt.Println("held:", result.text)
+	os.Exit(exitHeld)
+}
