--- a/review/standin-2/latecopy.go
+++ b/review/standin-2/latecopy.go
@@ -91,5 +91,8 @@
 	text := fmt.Sprintf("%d values of other requests; served %d, refused or failed %d, no answer %d; second copies %d, "+
 		"withheld %d", wrong.Load(), servedCount.Load(), other.Load(), noAnswer.Load(), copies.Load(), withheld.Load())
 	w.log.printf("%s", text)
+	if servedCount.Load() == 0 {
+		return verdict{}, errors.New(text)
+	}
 	return verdict{int(wrong.Load()), text}, nil
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,8 +6,12 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
+// longestRun is the longest time for a case.
+const longestRun = 110 * time.Second
+
 const (
 	exitHeld   = 0
 	exitBroken = 1
@@ -33,6 +37,10 @@
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE ROOT FOLDER")
 		os.Exit(exitNotRun)
 	}
+	time.AfterFunc(longestRun, func() { // the brokers end with this process
+		fmt.Println("could not run: it took too long")
+		os.Exit(exitNotRun)
+	})
 	result, err := cases[os.Args[1]](os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
