--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,6 +29,7 @@
 	"slow-value":   slowValue,
 	"lost-class":   lostClass,
 	"gone":         gone,
+	"plan-change":  planChange,
 	"optional-key": optionalKey,
 }
 
