--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -64,7 +64,6 @@
 
 	slots    chan struct{}
 	inflight atomic.Int64
-	started  atomic.Int64 // requests whose last byte has come
 
 	mu    sync.Mutex
 	conns map[*nodeConn]bool
@@ -76,19 +75,6 @@
 	node    *node
 	reader  *bufio.Reader
 	writing sync.Mutex
-	// received counts the reads that got bytes, so that a late writer sees whether anything is waiting.
-	received atomic.Int64
-}
-
-// countingReader counts the reads that got bytes.
-type countingReader struct{ c *nodeConn }
-
-func (r countingReader) Read(p []byte) (int, error) {
-	n, err := r.c.Conn.Read(p)
-	if n > 0 {
-		r.c.received.Add(1)
-	}
-	return n, err
 }
 
 const nodeSlots = 4 // 2 cores with 2 slots each
@@ -113,7 +99,7 @@
 			return
 		}
 		c := &nodeConn{Conn: conn, node: n}
-		c.reader = bufio.NewReader(countingReader{c})
+		c.reader = bufio.NewReader(conn)
 		n.mu.Lock()
 		n.conns[c] = true
 		n.mu.Unlock()
@@ -150,7 +136,6 @@
 			c.send("-SYNTAX\r\n")
 			continue
 		}
-		n.started.Add(1)
 		n.log.printf("node %s: got %s %s class=%s d=%d", n.name, r.verb, r.id, r.class, r.told)
 		if r.shard >= 0 && r.shard != n.shard {
 			c.send("-BUSY\r\n")
