Watch clients until their connections end, also when nothing more is handled

Cause: the reader stopped after 16 MiB of input that is not handled, and nothing watched the connection any more. The readers of file commands watched nobody while they waited for space or memory.

--- a/internal/clientconn/socket.go
+++ b/internal/clientconn/socket.go
@@ -3,11 +3,8 @@
 import (
 	"errors"
 	"net"
-	"os"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // discardBufferSize is the size in bytes of the buffer of one read that discards input.
@@ -21,33 +18,18 @@
 }
 
 // DiscardInput reads and discards input until the connection ends, at least maxBytes are discarded, or the deadline is
-// reached. A zero deadline means no deadline. Closing a connection with unread input would reset it, which might
-// destroy an answer that was already written. DiscardInput reports whether the connection ended because the peer closed
-// it or it failed, and not because of a local close.
-func DiscardInput(conn net.Conn, deadline time.Time, maxBytes int) (peerClosed bool) {
+// reached. Closing a connection with unread input would reset it, which might destroy an answer that was already
+// written.
+func DiscardInput(conn net.Conn, deadline time.Time, maxBytes int) {
 	_ = conn.SetReadDeadline(deadline) // fails only if the connection has ended, as does the read
 	buffer := make([]byte, discardBufferSize)
 	for discarded := 0; discarded < maxBytes; {
 		n, err := conn.Read(buffer)
 		if err != nil {
-			return !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
+			return
 		}
 		discarded += n
 	}
-	return false
-}
-
-// PeerClosed reports whether the peer has closed its sending side or the connection, even if unread bytes precede the
-// close.
-func PeerClosed(conn net.Conn) bool {
-	peerClosed := false
-	err := control(conn, func(fd int) error {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		ready, err := unix.Poll(fds, 0)
-		peerClosed = ready == 1 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-		return err
-	})
-	return err == nil && peerClosed
 }
 
 // control calls a function with the file descriptor of a connection or a listener and returns the function's error.
--- a/internal/resp/closing.go
+++ b/internal/resp/closing.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// maxDiscardedBytes bounds the input that is read and discarded after the last command that is handled. With a
-	// smaller limit, a reset could destroy the error answer while a large request still arrives. With a larger limit, a
-	// client could keep the broker reading for longer.
+	// maxDiscardedBytes bounds the input that is discarded after a command of an evicted connection was rejected. With a
+	// smaller limit, a reset could destroy that answer while a large request still arrives. With a larger limit, a client
+	// could keep the broker reading for longer.
 	maxDiscardedBytes = 16 << 20
 	// lingerChecks is the maximum number of times that linger checks a connection for unread input within inputGrace.
 	lingerChecks = 10
@@ -123,13 +123,13 @@
 	return idle && c.server.ShouldClose(awaitingFirst) && c.requestClose(closeIfIdle)
 }
 
-// discardInput reads and discards the input after the last command that is handled. Closing the connection with unread
-// input would reset it, and the reset could destroy the answers. discardInput returns when the connection ends or at
-// least maxDiscardedBytes have been read. If the client closes its sending side while requests are pending, the client
-// may have disconnected or may only wait for its answers. Both look the same, so discardInput notifies the broker's
-// loop, which answers these requests at once (see broker.Loop.ClientHalfClosed).
+// discardInput reads and discards the input after the last command that is handled, until the connection ends. Closing
+// the connection with unread input would reset it, and the reset could destroy the answers. If the client closes its
+// sending side while requests are pending, the client may have disconnected or may only wait for its answers. Both look
+// the same, so discardInput notifies the broker's loop, which answers these requests at once (see
+// broker.Loop.ClientHalfClosed).
 func (c *client) discardInput() {
-	if !clientconn.DiscardInput(c.socket, time.Time{}, maxDiscardedBytes) {
+	if !c.server.inputDrain.UntilPeerCloses(c.socket) {
 		return
 	}
 	c.mu.Lock()
--- a/internal/resp/closing_test.go
+++ b/internal/resp/closing_test.go
@@ -201,6 +201,38 @@
 	t.Logf("%d clients disconnected, %d of their requests were forwarded nevertheless", left, forwarded)
 }
 
+// Clients that had sent a request and over 16 MiB of input that is not handled closed their connections, and the broker
+// forwarded the request later: it no longer looked at the connection. The attempt must be cancelled, and no state of the
+// client may remain.
+func TestClientLeavesAfterMuchUnhandledInput(t *testing.T) {
+	for _, size := range []int{17500 << 10, 40 << 20} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d bytes, reset %v", size, reset), func(t *testing.T) {
+				f := newFixture(t)
+				f.serveClients()
+				conn := f.dial()
+				write(t, conn, request("first"))
+				first := f.attempt()
+				write(t, conn, "nonsense"+string(make([]byte, size)))
+				select {
+				case <-first.gone:
+					t.Fatal("the attempt was cancelled although the client is still connected")
+				default:
+				}
+				hangUp(t, conn, reset)
+				select {
+				case <-first.gone:
+				case <-time.After(waitLimit):
+					t.Fatal("the attempt was not cancelled after the client disconnected")
+				}
+				eventually(t, longWaitLimit, "nothing of the client remains", func() bool {
+					return f.loop.OpenRequests() == 0 && f.server.Count() == 0
+				})
+			})
+		}
+	}
+}
+
 // A client sends much input after a malformed command. The server must read and discard this input. Otherwise the close
 // would reset the connection, and the reset could overtake the error and earlier answers.
 func TestErrorComesBeforeMuchNoise(t *testing.T) {
--- a/internal/resp/read.go
+++ b/internal/resp/read.go
@@ -14,11 +14,6 @@
 	"junctionwharf/internal/pool"
 )
 
-// peerCheckInterval is the interval at which whileWatchingPeer checks for a disconnected client. With a larger value,
-// requests of disconnected clients would be forwarded for longer. With a smaller value, connections whose reader is
-// blocked would cost more processor time.
-const peerCheckInterval = 50 * time.Millisecond
-
 // read reads and handles commands until the connection ends. It runs in its own goroutine.
 func (c *client) read() {
 	defer c.handleInputEnd()
@@ -212,30 +207,12 @@
 }
 
 // whileWatchingPeer runs wait, which blocks the reader. If the client disconnects in the meantime, whileWatchingPeer
-// closes the connection and cancels its requests. The blocked reader cannot detect this itself: an end of file is read
-// only after all input before it. Without the check, requests would be forwarded although no client waits for them. The
-// wait does not count against the time that the client has for the command that it is sending.
+// closes the connection and cancels its requests: they would otherwise be forwarded although no client waits for them.
+// The wait does not count against the time that the client has for the command that it is sending.
 func (c *client) whileWatchingPeer(wait func()) {
 	began := time.Now()
 	defer func() { c.input.extendDeadline(time.Since(began)) }()
-	done := make(chan struct{})
-	defer close(done)
-	go func() {
-		ticker := time.NewTicker(peerCheckInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-			}
-			if clientconn.PeerClosed(c.socket) {
-				c.handlePeerClosed()
-				return
-			}
-		}
-	}()
-	wait()
+	clientconn.WhileWatchingPeer(c.socket, wait, c.handlePeerClosed)
 }
 
 // handlePeerClosed closes the connection of a client that has disconnected, cancels its requests and ends the wait of
--- a/internal/resp/server.go
+++ b/internal/resp/server.go
@@ -21,6 +21,8 @@
 	memory    *serverMemory // of buffered requests and answers
 	ids       *requestIDs
 	malformed *malformedLog
+
+	inputDrain *clientconn.InputDrain
 }
 
 // NewServer returns a server for at most maxConnections connections and at most maxBytes of buffered requests and
@@ -35,6 +37,8 @@
 		memory:    newServerMemory(maxBytes),
 		ids:       newRequestIDs(),
 		malformed: &malformedLog{logger: logger},
+
+		inputDrain: clientconn.NewInputDrain(),
 	}
 	s.SetLimits(limits)
 	return s
--- a/internal/sftp/helpers_test.go
+++ b/internal/sftp/helpers_test.go
@@ -93,3 +93,13 @@
 	near, far := net.Pipe()
 	return newSession(server, near), far
 }
+
+// newLoopbackSession is newTestSession with a loopback connection, whose end the server can notice without reading.
+func newLoopbackSession(t *testing.T) (s *session, client net.Conn) {
+	t.Helper()
+	unconnected, _ := newTestSession(t)
+	connected, client := newConnectedSession(t)
+	s = newSession(unconnected.server, connected.conn)
+	s.awaitingFirst = s.server.Add(s)
+	return s, client
+}
--- a/internal/sftp/memory.go
+++ b/internal/sftp/memory.go
@@ -44,12 +44,13 @@
 	}
 	timer := time.AfterFunc(time.Until(deadline), s.signalIdle)
 	defer timer.Stop()
-	for s.isBusy() && time.Now().Before(deadline) {
-		if memory.AwaitResize(size, s.idle) {
-			return memory
+	reserved := false
+	s.whileWatchingPeer(func() {
+		for !reserved && s.isBusy() && time.Now().Before(deadline) {
+			reserved = memory.AwaitResize(size, s.idle)
 		}
-	}
-	if memory.TryResize(size) {
+	})
+	if reserved || memory.TryResize(size) {
 		return memory
 	}
 	return nil
@@ -75,9 +76,24 @@
 func (s *session) awaitSpace() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for len(s.pending)+s.unwritten >= maxPending && !s.closedToCommands && !s.writerEnded {
-		s.hasSpace.Wait()
+	if len(s.pending)+s.unwritten < maxPending || s.closedToCommands || s.writerEnded {
+		return
 	}
+	s.whileWatchingPeer(func() {
+		for len(s.pending)+s.unwritten >= maxPending && !s.closedToCommands && !s.writerEnded {
+			s.hasSpace.Wait()
+		}
+	})
+}
+
+// whileWatchingPeer runs wait, which blocks the reader. If the client disconnects in the meantime, whileWatchingPeer
+// cancels its commands, closes the connection and ends the wait.
+func (s *session) whileWatchingPeer(wait func()) {
+	clientconn.WhileWatchingPeer(s.conn, wait, func() {
+		s.handleInputEnd()
+		s.hasSpace.Broadcast()
+		s.signalIdle()
+	})
 }
 
 // endMemory releases the memory of a command that gets no answer.
--- a/internal/sftp/session_test.go
+++ b/internal/sftp/session_test.go
@@ -76,6 +76,50 @@
 	return newSession(NewServer(nil, nil, testMapping(t), 4, budget, logging.Discard()), conn), client
 }
 
+// A client sends more commands than may be pending, and disconnects while the reader waits for space or for memory. Its
+// commands must be cancelled: nodes executed them although the client had gone, since the blocked reader did not notice.
+func TestClientLeavesWhileTheReaderWaits(t *testing.T) {
+	stat := func(id uint32) net.Buffers { return encodePacket(typeStat, id, encodeString("/d/f")) }
+	for _, test := range []struct {
+		name       string
+		fillBudget bool
+		pending    int
+	}{
+		{"for space", false, maxPending},
+		{"for memory", true, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, client := newLoopbackSession(t)
+			s.server.mapping.Load().Commands[Stat] = CommandSettings{Class: "read", WaitMS: 60_000}
+			go s.read()
+			go s.write()
+			input := join(encodePacket(typeInit, protocolVersion), stat(1))
+			if _, err := client.Write(input); err != nil {
+				t.Fatal(err)
+			}
+			countPending := func() int {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return len(s.pending)
+			}
+			eventually(t, "the first command is pending", func() bool { return countPending() == 1 })
+			if test.fillBudget {
+				s.server.budget.NewReservation().ForceResize(1 << 20)
+			}
+			for id := range uint32(3 * maxPending) {
+				if _, err := client.Write(join(stat(2 + id))); err != nil {
+					t.Fatal(err)
+				}
+			}
+			eventually(t, "the reader waits", func() bool { return countPending() == test.pending })
+			_ = client.Close()
+			eventually(t, "the commands are cancelled and the session has ended", func() bool {
+				return countPending() == 0 && s.server.Count() == 0
+			})
+		})
+	}
+}
+
 // An eviction or a drain must not close a connection while a command is pending, part of a command has been received,
 // or input is unread. After the connection was closed to commands, a command that was being read must not be accepted.
 func TestEndingConnectionAcceptsNoCommand(t *testing.T) {
