Reject configurations of any shape without a panic

Cause: nameTypeError took the first byte of the empty field name that encoding/json reports for a text that has the wrong type as a whole; nothing contained a panic while a file was loaded again. Numbers out of range were converted with a result that depends on the processor. Change: one decoder names what has the wrong type; durations, counts, figures, limits and the file's size have upper bounds; a panic while a file is loaded again rejects that file as a whole.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
 	"strconv"
 
 	"junctionwharf/internal/discovery"
@@ -66,7 +65,7 @@
 	if path == "" {
 		return nil, errNoConfig
 	}
-	text, err := os.ReadFile(path)
+	text, err := readBounded(path, maxConfigFileBytes)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", configVariable, err)
 	}
@@ -80,8 +79,8 @@
 // Parse decodes the JSON text of a configuration, checks it and sets defaults.
 func Parse(text []byte, getenv func(string) string) (*Config, error) {
 	var wire wireConfig
-	if err := json.Unmarshal(text, &wire); err != nil {
-		return nil, nameTypeError(err)
+	if err := decodeJSON(text, &wire); err != nil {
+		return nil, err
 	}
 	c := &Config{
 		Name:         firstSet(wire.Name, getenv(nameVariable)),
@@ -121,6 +120,9 @@
 	return value
 }
 
+// isMissing reports whether a key is missing or its value is null.
+func isMissing(text json.RawMessage) bool { return len(text) == 0 || string(text) == "null" }
+
 func (c *Config) parseSeed(text string) error {
 	seed, err := strconv.ParseUint(firstSet(text, "0"), 16, 64)
 	if err != nil {
@@ -131,7 +133,7 @@
 }
 
 func (c *Config) parseCachedEndpoints(text json.RawMessage) error {
-	if len(text) == 0 || string(text) == "null" {
+	if isMissing(text) {
 		return nil
 	}
 	list, err := discovery.ParseList(text)
@@ -143,15 +145,15 @@
 }
 
 func (c *Config) parseSettings(text json.RawMessage) error {
-	if len(text) == 0 {
+	if isMissing(text) {
 		return errors.New("settings: missing")
 	}
 	settings, err := ParseSettings(text)
-	if err != nil {
-		return fmt.Errorf("settings.%w", err)
+	if err == nil {
+		err = settings.complete()
 	}
-	if err := settings.complete(); err != nil {
-		return fmt.Errorf("settings.%w", err)
+	if err != nil {
+		return withinKey("settings", err)
 	}
 	c.Settings = settings
 	return nil
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -28,6 +28,13 @@
 	minSockets = 64
 )
 
+// Maximum limits, beyond those of any machine.
+const (
+	maxCores    = 1 << 12 // processors
+	maxMemoryMB = 1 << 26 // MiB
+	maxSockets  = 1 << 24 // file descriptors
+)
+
 // Limits are the resource limits of the process.
 type Limits struct {
 	Cores    float64 `json:"cores"`
@@ -48,10 +55,16 @@
 	switch {
 	case l.Cores < 0 || math.IsNaN(l.Cores):
 		return fmt.Errorf("limits.cores: %v is below 0", l.Cores)
+	case l.Cores > maxCores:
+		return fmt.Errorf("limits.cores: %v is above %d", l.Cores, maxCores)
 	case l.MemoryMB < minMemoryMB:
 		return fmt.Errorf("limits.memory_mb: %v is below %d", l.MemoryMB, minMemoryMB)
+	case l.MemoryMB > maxMemoryMB:
+		return fmt.Errorf("limits.memory_mb: %v is above %d", l.MemoryMB, maxMemoryMB)
 	case l.Sockets < minSockets:
 		return fmt.Errorf("limits.sockets: %d is below %d", l.Sockets, minSockets)
+	case l.Sockets > maxSockets:
+		return fmt.Errorf("limits.sockets: %d is above %d", l.Sockets, maxSockets)
 	}
 	return nil
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -1,10 +1,7 @@
 package config
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"junctionwharf/broker"
@@ -115,29 +112,19 @@
 // micros is a duration in the settings, in microseconds. It is a float because values in the file may have fractions.
 type micros float64
 
+// duration returns the duration. For a value beyond maxDuration it returns another one beyond maxDuration, which
+// complete rejects: the conversion of a number that does not fit depends on the processor.
 func (m micros) duration() time.Duration {
-	return time.Duration(float64(m) * float64(time.Microsecond))
-}
-
-// nameTypeError replaces a JSON type error with an error that starts with the key of the faulty value. It returns any
-// other error unchanged.
-func nameTypeError(err error) error {
-	var typeError *json.UnmarshalTypeError
-	if !errors.As(err, &typeError) {
-		return err
-	}
-	parts := strings.Split(typeError.Field, ".")
-	for i, part := range parts { // encoding/json reports a field of an embedded struct by its Go name
-		parts[i] = strings.ToLower(part[:1]) + part[1:]
-	}
-	return fmt.Errorf("%s: got %s, want %s", strings.Join(parts, "."), typeError.Value, typeError.Type.Kind())
+	const outOfRange = maxDuration + time.Second
+	nanoseconds := float64(m) * float64(time.Microsecond)
+	return time.Duration(max(-float64(outOfRange), min(nanoseconds, float64(outOfRange))))
 }
 
 // ParseSettings decodes the JSON text of the settings. It ignores unknown keys.
 func ParseSettings(text []byte) (*Settings, error) {
 	var wire wireSettings
-	if err := json.Unmarshal(text, &wire); err != nil {
-		return nil, nameTypeError(err)
+	if err := decodeJSON(text, &wire); err != nil {
+		return nil, err
 	}
 	settings := scheduler.Settings{
 		Brokers:        wire.NInstances,
--- a/internal/config/settings_check.go
+++ b/internal/config/settings_check.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"math"
+	"time"
 
 	"junctionwharf/broker"
 	"junctionwharf/scheduler"
@@ -18,6 +20,16 @@
 	defaultConnectTimeout = broker.Second / 4
 )
 
+// Bounds of the settings, within which sums and products of a few values cannot overflow.
+const (
+	// maxDuration bounds all durations.
+	maxDuration = 365 * 24 * time.Hour
+	// maxFigure bounds all figures, and covers maxDuration in nanoseconds.
+	maxFigure = float64(maxDuration)
+	// maxCount bounds counts of brokers, shards and attempts.
+	maxCount = 1 << 20
+)
+
 // complete sets the defaults of missing settings and checks all settings.
 func (s *Settings) complete() error {
 	if err := s.completeConnections(); err != nil {
@@ -29,14 +41,14 @@
 	if err := checkPlans(s.Scheduler.Plans); err != nil {
 		return err
 	}
-	if err := checkNotNegative(s.figures()); err != nil {
+	if err := checkFigures(s.figures()); err != nil {
 		return err
 	}
-	if s.Scheduler.Capabilities.MaxAttempts < 1 {
-		return fmt.Errorf("bounds.maxAttempts: %d is below 1", s.Scheduler.Capabilities.MaxAttempts)
+	if err := checkCount("bounds.maxAttempts", s.Scheduler.Capabilities.MaxAttempts); err != nil {
+		return err
 	}
-	if s.Scheduler.Brokers < 1 {
-		return fmt.Errorf("nInstances: %d is below 1", s.Scheduler.Brokers)
+	if err := checkCount("nInstances", s.Scheduler.Brokers); err != nil {
+		return err
 	}
 	if s.Scheduler.Ordinal < 0 || s.Scheduler.Ordinal >= s.Scheduler.Brokers {
 		return fmt.Errorf("ordinal: got %d, want at least 0 and less than nInstances (%d)",
@@ -55,6 +67,9 @@
 	if s.Shards < 0 {
 		return fmt.Errorf("specifics.nShards: %d is below 0", s.Shards)
 	}
+	if s.Shards > maxCount {
+		return fmt.Errorf("specifics.nShards: %d is above %d", s.Shards, maxCount)
+	}
 	if s.ConnIdle == 0 {
 		s.ConnIdle = defaultConnIdle
 	}
@@ -101,17 +116,31 @@
 	value float64
 }
 
-// checkNotNegative returns an error that names the key of the first negative figure.
-func checkNotNegative(figures []figure) error {
+// checkFigures returns an error that names the key of the first figure that is negative, too large or no number.
+func checkFigures(figures []figure) error {
 	for _, f := range figures {
-		if f.value < 0 {
+		switch {
+		case f.value < 0 || math.IsNaN(f.value):
 			return fmt.Errorf("%s: must not be below 0", f.key)
+		case f.value > maxFigure:
+			return fmt.Errorf("%s: too large", f.key)
 		}
 	}
 	return nil
 }
 
-// figures returns the values of the settings that must not be negative.
+// checkCount returns an error unless a count is within 1 to maxCount.
+func checkCount(key string, count int) error {
+	switch {
+	case count < 1:
+		return fmt.Errorf("%s: %d is below 1", key, count)
+	case count > maxCount:
+		return fmt.Errorf("%s: %d is above %d", key, count, maxCount)
+	}
+	return nil
+}
+
+// figures returns the values of the settings that must be within 0 to maxFigure.
 func (s *Settings) figures() []figure {
 	set := &s.Scheduler
 	figures := []figure{
@@ -126,6 +155,8 @@
 		{"invariants.extraFloor", set.Rules.RetryBudgetMin},
 		{"invariants.resendRatio", set.Rules.RetryBudgetRatio},
 		{"invariants.ratioSpan", float64(set.Rules.RetryBudgetWindow)},
+		{"bounds.connIdle", float64(s.ConnIdle.Duration())},
+		{"bounds.connectTimeout", float64(s.ConnectTimeout.Duration())},
 		{"bounds.maxRetryAfter", float64(set.Capabilities.MaxRetryAfter)},
 		{"specifics.usualUnits", set.MeanUnits},
 		{"specifics.maxUnits", set.MaxUnits},
@@ -145,6 +176,8 @@
 
 func classFigures(prefix string, class scheduler.Class) []figure {
 	return []figure{
+		{prefix + "aim", float64(class.LatencyObjective)},
+		{prefix + "deadline", float64(class.Deadline)},
 		{prefix + "window", float64(class.DedupWindow)},
 		{prefix + "importance", class.PriorityWeight},
 		{prefix + "lateWorth", class.LateWeight},
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"strings"
 
@@ -31,10 +32,7 @@
 // Other changed keys take effect after a restart, and the log names them. A faulty file is never applied in part: the
 // previous configuration then stays active as a whole.
 func (s *service) reload(old *config.Config, load func() (*config.Config, error)) *config.Config {
-	loaded, err := load()
-	if err == nil {
-		err = old.CheckReloadKeys(loaded)
-	}
+	loaded, err := loadReplacement(old, load)
 	s.loop.Metrics.CountReload(err == nil)
 	if err != nil {
 		s.log.Error("reload rejected; the previous configuration stays active", "reason", err)
@@ -58,6 +56,21 @@
 	return &current
 }
 
+// loadReplacement loads the configuration that replaces the old one. It turns a panic into an error, so that no file can
+// end a running broker.
+func loadReplacement(old *config.Config, load func() (*config.Config, error)) (loaded *config.Config, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fmt.Errorf("panic: %v", cause)
+		}
+	}()
+	loaded, err = load()
+	if err == nil {
+		err = old.CheckReloadKeys(loaded)
+	}
+	return loaded, err
+}
+
 // applySettings applies the settings of a configuration. The core, or the replicated configuration if it is enabled,
 // receives them first. Without the replicated configuration, the core therefore applies the new settings before any
 // request that a server accepts by the new limits.
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -128,6 +128,9 @@
 		{`"deadline":6000000`, `"deadline":0`, "settings.classes[0].deadline: 0s is not above 0"},
 		{`"deadline":6000000`, `"deadline":"6"`, "settings.classes.deadline: got string, want float64"},
 		{`"maxAttempts":3`, `"maxAttempts":0`, "settings.bounds.maxAttempts: 0 is below 1"},
+		{settingsText, `[]`, "settings: got array, want struct"},
+		{settingsText, `null`, "settings: missing"},
+		{text, `[]`, "got array, want struct"},
 		{text, ``, "unexpected end of JSON input"},
 		{text, text[:len(text)-1], "unexpected end of JSON input"},
 	}
@@ -140,6 +143,11 @@
 		}
 	}
 	lines = nil
+	panics := func() (*config.Config, error) { panic("a fault of the decoder") }
+	if current := s.reload(c, panics); current != c || len(lines) != 1 || !strings.Contains(lines[0], "reload rejected") {
+		t.Errorf("a panic while loading logged %q, want a rejection and an unchanged configuration", lines)
+	}
+	lines = nil
 	moved := loadChanged(`"127.0.0.1:1","discovery":"127.0.0.1:2"`, `"127.0.0.1:3","discovery":"127.0.0.1:4"`)
 	current := s.reload(c, moved)
 	if current.Discovery != "127.0.0.1:4" || current.Listen != c.Listen {
@@ -152,8 +160,8 @@
 	for _, metric := range s.loop.Metrics.Read() {
 		counts[metric.Name] = metric.Value
 	}
-	if counts["reconfig_ok"] != 1 || counts["reconfig_failed"] != uint64(len(faults)) {
-		t.Errorf("metrics: %v, want 1 successful reload and %d rejected ones", counts, len(faults))
+	if counts["reconfig_ok"] != 1 || counts["reconfig_failed"] != uint64(len(faults)+1) {
+		t.Errorf("metrics: %v, want 1 successful reload and %d rejected ones", counts, len(faults)+1)
 	}
 }
 
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 
 	"junctionwharf/broker"
 	"junctionwharf/scheduler"
@@ -54,7 +55,11 @@
 	"DELETED":  scheduler.Removed,
 }
 
-// ParseList decodes the JSON text of a list. It rejects the list if an entry has no name or an unknown health.
+// maxStartedAtMS bounds start times in Unix milliseconds. Calculations with times within it cannot overflow.
+const maxStartedAtMS = 1 << 50
+
+// ParseList decodes the JSON text of a list. It rejects the list if an entry has no name, an unknown health or a start
+// time beyond maxStartedAtMS.
 func ParseList(text []byte) (*EndpointList, error) {
 	var wire wireList
 	if err := json.Unmarshal(text, &wire); err != nil {
@@ -67,6 +72,10 @@
 			return nil, fmt.Errorf("hosts[%d]: host %q has health %q, want a name and SERVING, DRAINING or DELETED",
 				i, entry.Name, entry.Health)
 		}
+		if math.Abs(entry.StartedAtMS) > maxStartedAtMS {
+			return nil, fmt.Errorf("hosts[%d]: born_ms %g is not within -%d to %d", i, entry.StartedAtMS,
+				int64(maxStartedAtMS), int64(maxStartedAtMS))
+		}
 		list.Endpoints = append(list.Endpoints, Endpoint{
 			Name:        entry.Name,
 			Address:     entry.Address,
