Judge commands by the settings they came under, and refuse one without its neighbours

Cause: commands were judged by the limits of the moment in which they were read, and a well-formed command that cannot be served ended its connection like broken framing. In the core, a request whose class had vanished lost the end of its idempotency window. In file commands, a packet that cannot be accepted cancelled the other commands of its session.

--- a/broker/attempts.go
+++ b/broker/attempts.go
@@ -71,7 +71,7 @@
 // scheduler allows a retry only within the window, but the connection may be established later. Therefore a timer
 // cancels the attempt at the end of the window unless the request is fully written by then.
 func (s *State) limitIdempotency(r *requestState, id uint64) {
-	at, limited := s.idempotencyEnd(r)
+	at, limited := s.idempotencyEnd(id, r)
 	if !limited {
 		return
 	}
@@ -81,11 +81,11 @@
 
 // idempotencyEnd returns the time until which a request may be sent again. limited is false if there is no such limit:
 // if no attempt can have run yet, or if the request's class is not idempotent with a key.
-func (s *State) idempotencyEnd(r *requestState) (at Micros, limited bool) {
+func (s *State) idempotencyEnd(id uint64, r *requestState) (at Micros, limited bool) {
 	if !r.mayHaveRun {
 		return 0, false
 	}
-	class, known := s.classOf(r)
+	class, known := s.scheduler.ClassOf(id)
 	return r.mayHaveRunAt + MicrosOf(class.DedupWindow), known && class.Idempotency == scheduler.IdempotentWithKey
 }
 
@@ -151,7 +151,7 @@
 		AttemptMicros:  int64(s.now - r.sentAt),
 	})
 	if outcome == scheduler.Success && !r.answered {
-		s.respond(id, r, s.successResponse(r, result))
+		s.respond(id, r, s.successResponse(id, result))
 	} else {
 		s.discard(result.Value)
 	}
@@ -171,26 +171,16 @@
 
 // successResponse returns the final answer to a request that a node has served. Without the value, the client may send
 // the request again only if its class is idempotent.
-func (s *State) successResponse(r *requestState, result Result) Response {
+func (s *State) successResponse(id uint64, result Result) Response {
 	if !result.ValueDiscarded {
 		return Response{Verdict: Served, Value: result.Value}
 	}
-	if class, known := s.classOf(r); known && class.Idempotency == scheduler.Idempotent {
+	if class, known := s.scheduler.ClassOf(id); known && class.Idempotency == scheduler.Idempotent {
 		return Response{Verdict: Rejected}
 	}
 	return Response{Verdict: Failed}
 }
 
-// classOf returns the class of a request in the present settings. known is false if they do not name it.
-func (s *State) classOf(r *requestState) (class scheduler.Class, known bool) {
-	for _, class := range s.scheduler.Classes() {
-		if class.Name == r.request.Class {
-			return class, true
-		}
-	}
-	return scheduler.Class{}, false
-}
-
 // telemetryOutcomes maps scheduler outcomes to telemetry's. NotSent is the outcome of an attempt that was canceled
 // before it was sent.
 var telemetryOutcomes = [...]telemetry.AttemptOutcome{
--- a/broker/events.go
+++ b/broker/events.go
@@ -67,8 +67,12 @@
 	Data []byte
 }
 
-// SettingsChanged reports new, validated settings. Open requests keep their class.
-type SettingsChanged struct{ Settings scheduler.Settings }
+// SettingsChanged reports new, validated settings. Open requests keep their class, as do requests that came under an
+// earlier generation of the settings (see scheduler.SettingsChanged).
+type SettingsChanged struct {
+	Settings   scheduler.Settings
+	Generation uint64
+}
 
 // ProcessesChanged reports how many processes make up this broker, which are several during a handover, and how many
 // further processes may be running unseen.
--- a/broker/idempotency_test.go
+++ b/broker/idempotency_test.go
@@ -62,6 +62,10 @@
 	{name: "settings are repeated", brokenAt: 0.2, maxRetries: 1, between: func(h *harness, s scheduler.Settings) {
 		h.turn(SettingsChanged{Settings: s})
 	}},
+	{name: "class vanishes", brokenAt: 0.2, maxRetries: 1, between: func(h *harness, s scheduler.Settings) {
+		s.Classes = s.Classes[:len(s.Classes)-1]
+		h.turn(SettingsChanged{Settings: s, Generation: 2})
+	}},
 }
 
 // The connection of a request with an idempotency key breaks after the request may have run. The request may be
--- a/broker/request.go
+++ b/broker/request.go
@@ -16,6 +16,7 @@
 	ReceivedAt Micros    // when the request was received, on the loop's clock; 0 for the time of the submission
 	Message    any       // the message that the transport sends
 	Transport  Transport // nil for the loop's transport
+	Generation uint64    // of the settings that the request came under (see SettingsChanged); 0 for the present one
 }
 
 // Verdict is the kind of a final answer.
--- a/broker/requests.go
+++ b/broker/requests.go
@@ -70,6 +70,8 @@
 		Brokers:   request.Brokers,
 		Retry:     request.Retry,
 		Write:     request.Write,
+
+		Generation: request.Generation,
 	})
 }
 
--- a/broker/state.go
+++ b/broker/state.go
@@ -147,7 +147,7 @@
 	case PeerMessage:
 		s.notifyScheduler(scheduler.PeerMessage{From: e.From, Data: e.Data})
 	case SettingsChanged:
-		s.notifyScheduler(scheduler.SettingsChanged{Settings: e.Settings})
+		s.notifyScheduler(scheduler.SettingsChanged{Settings: e.Settings, Generation: e.Generation})
 	case ProcessesChanged:
 		s.notifyScheduler(scheduler.ProcessesChanged{Processes: e.Processes, Unseen: e.Unseen})
 	case LagMeasured:
--- a/internal/agreement/configuration.go
+++ b/internal/agreement/configuration.go
@@ -16,13 +16,14 @@
 	limitFloors map[string]float64
 	log         *slog.Logger
 
-	mu        sync.Mutex
-	holder    *clusterconfig.LeaseHolder // only the service goroutine changes its document
-	settings  scheduler.Settings         // of this broker
-	endpoints *endpointOverlay
-	applied   viewIdentity         // the view that the core applied last
-	appliedAt clusterconfig.Micros // when the core applied that view; 0 makes the next turn apply the view again
-	lastTurn  clusterconfig.Micros
+	mu         sync.Mutex
+	holder     *clusterconfig.LeaseHolder // only the service goroutine changes its document
+	settings   scheduler.Settings         // of this broker
+	generation uint64                     // of settings, 0 for those at the start
+	endpoints  *endpointOverlay
+	applied    viewIdentity         // the view that the core applied last
+	appliedAt  clusterconfig.Micros // when the core applied that view; 0 makes the next turn apply the view again
+	lastTurn   clusterconfig.Micros
 }
 
 // viewIdentity identifies a view. The core applies a view if its identity or the broker's own settings have changed.
@@ -63,7 +64,7 @@
 	c.log.Info(LogConfigurationApplied, "epoch", identity.epoch, "version", identity.version,
 		"preparing", identity.pendingVersion, "restricted", identity.restricted, "before_us", sinceLastTurn)
 	settings := effectiveSettings(c.settings, c.limitFloors, view)
-	events := []broker.Event{broker.SettingsChanged{Settings: settings}}
+	events := []broker.Event{broker.SettingsChanged{Settings: settings, Generation: c.generation}}
 	if nodes := c.drainChanges(view); len(nodes) > 0 {
 		events = append(events, broker.NodesListed{Kind: scheduler.DeltaUpdate, Nodes: nodes})
 	}
@@ -86,10 +87,11 @@
 }
 
 // setSettings replaces the broker's own settings. The next turn applies them.
-func (c *configuration) setSettings(settings scheduler.Settings) {
+func (c *configuration) setSettings(settings scheduler.Settings, generation uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.settings = settings
+	c.generation = generation
 	c.appliedAt = 0
 }
 
--- a/internal/agreement/service.go
+++ b/internal/agreement/service.go
@@ -109,10 +109,10 @@
 	return s.config.changes(clusterconfig.Micros(at))
 }
 
-// SettingsChanged applies the settings of a file that was read again. The service proposes its values for replicated
+// SettingsChanged applies the settings of a file that was read again, which are of a new generation. The service proposes its values for replicated
 // keys. All other settings apply from the next turn. Any goroutine may call it.
-func (s *Service) SettingsChanged(settings scheduler.Settings) {
-	s.config.setSettings(settings)
+func (s *Service) SettingsChanged(settings scheduler.Settings, generation uint64) {
+	s.config.setSettings(settings, generation)
 	s.wake()
 	s.do(func() { s.proposals.settingsChanged = true })
 }
--- a/internal/clientconn/table.go
+++ b/internal/clientconn/table.go
@@ -159,6 +159,15 @@
 	return len(t.entries)
 }
 
+// Each calls a function with each connection in the table. The function must neither block nor call the table.
+func (t *Table) Each(call func(Connection)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for conn := range t.entries {
+		call(conn)
+	}
+}
+
 // HasWaiters reports whether a new connection waits for an overflow slot. It returns false without RejectOverLimit.
 func (t *Table) HasWaiters() bool { return t.overflow != nil && t.overflow.HasWaiters() }
 
--- a/internal/conformance/clients_test.go
+++ b/internal/conformance/clients_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"os"
 	"time"
@@ -51,6 +52,37 @@
 	})
 }
 
+// Commands that are well framed but cannot be accepted stand between requests. Each must get an error, and the requests
+// before and behind them on the connection, which stays open, must be served: the server dropped these.
+func testRefusedCommands(b *testbed) {
+	b.client.prepare(b.T, "r1", "r2", "r3", "r4")
+	release := make(chan struct{})
+	b.recorder.play(func(string, string, int) behavior {
+		<-release
+		return serve
+	})
+	b.client.send("r1", read)
+	want := map[outcome]int{served: 3}
+	want[refused] += b.client.sendRefused("r1")
+	b.client.send("r2", read)
+	want[refused] += b.client.sendRefused("r1")
+	b.client.send("r3", read)
+	eventually(b.T, "all requests are admitted", func() bool { return b.loop.OpenRequests() == 3 })
+	close(release)
+	got := map[outcome]int{}
+	for range want[served] + want[refused] {
+		result, err := b.client.receive()
+		if err != nil {
+			b.Fatal(err)
+		}
+		got[result]++
+	}
+	if !maps.Equal(got, want) {
+		b.Errorf("outcomes %v, want %v", got, want)
+	}
+	b.want(b.run(read, "r4"), served)
+}
+
 // A class is renamed while a request of the class is in flight. The success of this request must be
 // counted under the old name, that of the next request under the new name.
 func testNewSettings(b *testbed) {
--- a/internal/conformance/recorder_test.go
+++ b/internal/conformance/recorder_test.go
@@ -217,6 +217,7 @@
 	served   outcome = "served"
 	rejected outcome = "rejected"
 	failed   outcome = "failed"
+	refused  outcome = "refused" // the command cannot be accepted
 )
 
 // result is the answer that a fake client got to one request.
--- a/internal/conformance/rules_test.go
+++ b/internal/conformance/rules_test.go
@@ -23,6 +23,7 @@
 	{"an overtaken attempt is ended before the next attempt", testOvertakenAttempt},
 	{"pipelined requests are all answered", testPipelinedRequests},
 	{"malformed clients are disconnected and others are served", testMalformedClients},
+	{"refused commands leave the others of their connection alone", testRefusedCommands},
 	{"new settings apply to new requests only", testNewSettings},
 	{"requests of a disconnected client are removed", testClientDisconnects},
 	{"requests admitted before a stop are answered", testGracefulStop},
--- a/internal/conformance/sftp_packet_test.go
+++ b/internal/conformance/sftp_packet_test.go
@@ -34,6 +34,7 @@
 	statusEOF         uint32 = 1
 	statusNoSuchFile  uint32 = 2
 	statusFailure     uint32 = 4
+	statusBadMessage  uint32 = 5
 	statusUnsupported uint32 = 8
 )
 
@@ -51,6 +52,9 @@
 	attributeSize uint32 = 1
 )
 
+// closeWithoutHandle is a CLOSE whose handle is missing.
+const closeWithoutHandle = "\x00\x00\x00\x05\x06\x00\x00\x00\x01"
+
 // impossibleLength is a packet length that no receiver may accept, followed by some bytes.
 const impossibleLength = "\xff\xff\xff\xf0noise"
 
--- a/internal/conformance/testbed_test.go
+++ b/internal/conformance/testbed_test.go
@@ -94,6 +94,9 @@
 	// prepare opens the files and directories that the requests need.
 	prepare(t *testing.T, ids ...string)
 	send(id string, k requestKind)
+	// sendRefused sends commands that are well framed and cannot be accepted, one of them with the ID of an open
+	// request. It returns their number.
+	sendRefused(openID string) (count int)
 	receive() (outcome, error)
 	// expectNoMoreAnswers returns an error if another answer arrives.
 	expectNoMoreAnswers() error
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -76,16 +76,17 @@
 // request that a server accepts by the new limits.
 func (s *service) applySettings(c *config.Config) {
 	set := c.Settings
+	s.generation++
 	set.Scheduler.Balancer = s.config.Site.Balancer.Options(s.config.Name) // fixed at the start
 	if s.agreement != nil {
-		s.agreement.SettingsChanged(set.Scheduler)
+		s.agreement.SettingsChanged(set.Scheduler, s.generation)
 	} else {
-		s.loop.Post(broker.SettingsChanged{Settings: set.Scheduler})
-	}
-	s.clients.SetLimits(resp.NewRequestLimits(set.Scheduler, set.Shards))
-	if s.files != nil && c.Site.SFTP.Listen != "" {
-		s.files.SetMapping(c.Site.SFTP.Plan())
+		s.loop.Post(broker.SettingsChanged{Settings: set.Scheduler, Generation: s.generation})
 	}
+	limits := resp.NewRequestLimits(set.Scheduler, set.Shards)
+	limits.Generation = s.generation
+	s.clients.SetLimits(limits)
+	s.applyMapping(c.Site.SFTP)
 	for _, nodes := range s.pools {
 		nodes.SetTimeouts(set.ConnectTimeout.Duration(), set.ConnIdle.Duration())
 	}
@@ -95,6 +96,20 @@
 	s.storeSettings(set.Scheduler)
 }
 
+// applyMapping applies the mapping of file commands. Without a new one, the present one stays, and its commands come under
+// the new settings.
+func (s *service) applyMapping(files config.SFTP) {
+	if s.files == nil {
+		return
+	}
+	mapping := s.files.Mapping()
+	if files.Listen != "" {
+		mapping = *files.Plan()
+	}
+	mapping.Generation = s.generation
+	s.files.SetMapping(&mapping)
+}
+
 // applySources applies the sources of the endpoint list. It does nothing if the list was not merged from sources at the
 // start, or if the new settings name no source.
 func (s *service) applySources(membership config.Membership) {
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -22,6 +22,9 @@
 // connection that the node is closing.
 const reuseDelay = 5 * time.Millisecond
 
+// firstGeneration is the generation of the settings at the start (see scheduler.SettingsChanged).
+const firstGeneration = 1
+
 // clientServer is a server that can hand its clients over to a successor.
 type clientServer interface {
 	Drain()
@@ -46,6 +49,7 @@
 	addressWasInUse bool                    // another process listened at the address when this one started
 	handedOver      *discovery.EndpointList // the predecessor's list; nil for none
 	accepting       atomic.Bool             // whether clients are accepted
+	generation      uint64                  // of the settings, which only reloads change
 	classes         atomic.Pointer[[]scheduler.Class]
 	plansHaveLimits atomic.Bool
 }
@@ -67,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &service{control: ctl, failed: make(chan error, 2)}
+	s := &service{control: ctl, failed: make(chan error, 2), generation: firstGeneration}
 	ctl.handlePeerMessage = s.handlePeerDatagram
 	ctl.initialEndpoints = s.newestEndpoints
 	ctl.exportedMetrics = func() []broker.Metric { return append(ctl.ownMetrics(), s.clientMetric()) }
@@ -83,6 +87,7 @@
 // addClients adds the server for clients.
 func (s *service) addClients(nodes *pool.Pool, size sizes) {
 	limits := resp.NewRequestLimits(s.config.Settings.Scheduler, s.config.Settings.Shards)
+	limits.Generation = s.generation
 	s.clients = resp.NewServer(s.loop, limits, size.clientSockets, size.idleClients, size.requestBytes, s.log)
 	s.clients.RejectOverLimit(size.overflow)
 	s.servers = append(s.servers, s.clients)
@@ -95,7 +100,9 @@
 	options.Handshake = sftp.Handshake
 	nodes := pool.New(options)
 	transport := sftp.NewTransport(nodes, settings.NodePort)
-	s.files = sftp.NewServer(s.loop, transport, settings.Plan(), settings.Connections, s.clients.Budget(),
+	mapping := *settings.Plan()
+	mapping.Generation = s.generation
+	s.files = sftp.NewServer(s.loop, transport, &mapping, settings.Connections, s.clients.Budget(),
 		s.log)
 	s.servers = append(s.servers, s.files)
 	s.pools = append(s.pools, nodes)
--- a/internal/resp/commandreader.go
+++ b/internal/resp/commandreader.go
@@ -24,6 +24,8 @@
 // commandSource reads commands. An error that wraps errNoMemory comes with the first bytes of the command.
 type commandSource interface {
 	ReadCommand() (redcon.Command, error)
+	// CommandEnd returns the end of the last command, in bytes from the start of the connection's input.
+	CommandEnd() int64
 }
 
 // commandReader reads a client's commands one by one. It holds at most one command and readBufferBytes of later input,
@@ -39,15 +41,16 @@
 	// whether it did. An answered command is not returned. It may be nil.
 	onCommand func(raw []byte) bool
 
-	scanner   commandScanner
-	buffer    []byte // input; the bytes from start to scanned belong to the current command
-	start     int
-	scanned   int
-	end       int
-	arrived   bool   // the buffer was empty before the last read
-	long      []byte // the current command before buffer[start:], if it does not fit in the buffer
-	discarded bool   // there is no memory for the current command; long holds its first bytes
-	err       error  // returned by all further calls
+	scanner    commandScanner
+	buffer     []byte // input; the bytes from start to scanned belong to the current command
+	start      int
+	scanned    int
+	end        int
+	arrived    bool   // the buffer was empty before the last read
+	long       []byte // the current command before buffer[start:], if it does not fit in the buffer
+	discarded  bool   // there is no memory for the current command; long holds its first bytes
+	commandEnd int64  // the end of the last command that was returned, in bytes of the connection's input
+	err        error  // returned by all further calls
 }
 
 func newCommandReader(input *inputGuard) *commandReader {
@@ -77,6 +80,9 @@
 	}
 }
 
+// CommandEnd implements commandSource.
+func (r *commandReader) CommandEnd() int64 { return r.commandEnd }
+
 // scan scans the buffered input up to the end of the current command, and reports whether it is well formed.
 func (r *commandReader) scan() bool {
 	n, valid := r.scanner.scan(r.buffer[r.scanned:r.end])
@@ -103,6 +109,7 @@
 // take removes the current command, which is complete, and returns it.
 func (r *commandReader) take() (redcon.Command, error) {
 	defer r.next()
+	r.commandEnd = r.input.received - int64(r.end-r.scanned)
 	buffered := r.buffer[r.start:r.scanned]
 	if r.long == nil {
 		return parseRaw(bytes.Clone(buffered))
--- a/internal/resp/doc.go
+++ b/internal/resp/doc.go
@@ -4,9 +4,10 @@
 //
 // # Rules
 //
-// A request that is read and well formed gets one answer, unless its connection fails first. The answers of a
-// connection are written in the order of its requests. After malformed input the server writes the pending answers and
-// an error, and then closes the connection. A commandReader reads the commands one by one and checks all input before
+// A command that is read and well formed gets one answer, unless its connection fails first: an error if it cannot be
+// served. The answers of a connection are written in the order of its commands. A command is judged by the settings that
+// it came under, also if it is read later. After input that is not a sequence of commands the server writes the pending
+// answers and an error, and then closes the connection. A commandReader reads the commands one by one and checks all input before
 // the parser of the redcon library sees it, so that no length in the input can make that parser allocate or index
 // without bound.
 //
@@ -17,7 +18,7 @@
 // The end of a connection must not destroy an answer. Closing a socket with unread input resets the connection, and the
 // reset may overtake an answer that was already written. Therefore only the reading goroutine closes an idle connection
 // that has sent a request, after it has found no unread input. The input after a malformed command is read and
-// discarded.
+// discarded. As long as a connection owes answers, its client is watched, whether or not its input is read.
 //
 // A node's value is called long if it has more than maxValueBytes. A long value, or one for which there is no memory,
 // is not buffered as a whole. A stream forwards it from the node to the client piece by piece.
--- a/internal/resp/inputguard.go
+++ b/internal/resp/inputguard.go
@@ -45,7 +45,7 @@
 
 // inputGuard is a client connection whose reads have deadlines: it limits the time that a client may take to send a
 // command. redcon reads only takeOverCommand from it; commandReader reads the client's input. Only the reading
-// goroutine uses the fields other than Conn, phase and interrupted.
+// goroutine uses the fields other than Conn, generations, phase and interrupted.
 type inputGuard struct {
 	net.Conn
 
@@ -57,6 +57,10 @@
 	commandDeadline time.Time // when the current command must be complete, zero for none
 	readDeadline    time.Time // when the current read times out
 
+	// generations records which input came under which limits.
+	generations clientconn.InputGenerations[*RequestLimits]
+	received    int64 // bytes of input that were read
+
 	phase       atomic.Int32 // a readPhase
 	interrupted atomic.Bool  // reads must fail at once, until clearInterrupt is called
 }
@@ -75,6 +79,7 @@
 	g.startWaiting(inside)
 	n, err := g.Conn.Read(p)
 	if n > 0 {
+		g.received = g.generations.Received(n)
 		g.phase.Store(takingCommand)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && inside && !g.wasInterrupted() {
--- a/internal/resp/limits.go
+++ b/internal/resp/limits.go
@@ -25,6 +25,7 @@
 	Brokers    int
 	MaxTimeout time.Duration
 	RetryAfter broker.Micros // when the client may retry a request that was not admitted, 0 for no advice
+	Generation uint64        // of the settings (see broker.SettingsChanged), 0 if these never change
 	busyLine   []byte        // the answer to a request that was not admitted, set by Server.SetLimits
 }
 
--- a/internal/resp/memory.go
+++ b/internal/resp/memory.go
@@ -247,8 +247,7 @@
 	}
 	class, isRequest := classOf(first)
 	if !isRequest {
-		c.failMalformed(errMalformed)
-		return false
+		return c.refuseWithoutMemory()
 	}
 	if !c.beginDirectReply() {
 		return false // the connection has ended
@@ -258,6 +257,16 @@
 	return c.writeDirectReply(c.server.limits.Load().busyLine, c.server.loop.SheddingLoad())
 }
 
+// refuseWithoutMemory answers a command that is no request, and for which there is no memory, with an error. It reports
+// whether to read on.
+func (c *client) refuseWithoutMemory() (readOn bool) {
+	c.server.malformed.record(errMalformed)
+	if !c.beginDirectReply() {
+		return false // the connection has ended
+	}
+	return c.writeDirectReply(errorLine(errMalformed), c.server.loop.SheddingLoad())
+}
+
 // takeMemory returns the memory of the command that was read. The caller must end it.
 func (c *client) takeMemory() *requestMemory {
 	memory := c.memory
--- a/internal/resp/read.go
+++ b/internal/resp/read.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"time"
 
@@ -64,15 +65,26 @@
 	return c.waitsForReply() || c.input.wasInterrupted() || !pool.IsQuiet(c.socket)
 }
 
-// failMalformed answers malformed input, or a command that cannot be served, with an error. The connection is closed
-// after this answer.
+// failMalformed answers input that is not a sequence of commands with an error. The connection is closed after this
+// answer, since the start of the next command is not known.
 func (c *client) failMalformed(err error) {
 	c.server.malformed.record(err)
 	c.mu.Lock()
 	c.inputEnded = true
 	c.mu.Unlock()
-	line := []byte(errorPrefix + err.Error() + lineEnd)
-	c.push(&pendingReply{ready: true, last: true, text: net.Buffers{line}})
+	c.push(&pendingReply{ready: true, last: true, text: net.Buffers{errorLine(err)}})
+}
+
+// refuse answers a well-formed command that cannot be served with an error, and reports whether to read on. The other
+// commands of the connection are not affected.
+func (c *client) refuse(command []byte, err error) (readOn bool) {
+	c.server.malformed.record(err)
+	if !c.reserve(cap(command), 0) {
+		return c.rejectWithoutMemory(command)
+	}
+	pushed := c.pushReady(net.Buffers{errorLine(err)}, false)
+	runtime.Gosched() // a client that repeats such commands at full speed must not delay the others
+	return pushed
 }
 
 // take handles one command and reports whether to read the next one.
@@ -81,13 +93,14 @@
 		return c.reserve(len(cmd.Raw), 0) && c.pushReady(net.Buffers{[]byte(pongLine)}, false)
 	}
 	request, err := parseCommand(cmd.Raw, cmd.Args)
+	limits := c.input.generations.At(c.reader.CommandEnd(), c.server.limits.Load())
 	if err == nil {
-		err = c.server.limits.Load().check(request)
+		err = limits.check(request)
 	}
 	if err != nil {
-		c.failMalformed(err)
-		return false
+		return c.refuse(cmd.Raw, err)
 	}
+	request.Generation = limits.Generation
 	if !c.reserve(cap(cmd.Raw), c.server.memory.sizes.expect(request.Class)) {
 		return c.rejectWithoutMemory(cmd.Raw)
 	}
@@ -106,8 +119,7 @@
 	request.Message.(*command).memory = reply.memory
 	if err := c.server.ids.add(reply.clientRequestID); err != nil {
 		reply.memory.end()
-		c.failMalformed(err)
-		return false
+		return c.refuse(cmd.Raw, err)
 	}
 	if !c.push(reply) {
 		c.server.ids.remove(reply.clientRequestID)
--- a/internal/resp/server.go
+++ b/internal/resp/server.go
@@ -50,9 +50,17 @@
 	s.Table.RejectOverLimit(maxRejections, s.reject, s.loop.SheddingLoad)
 }
 
-// SetLimits sets the limits for requests that arrive from now on.
+// SetLimits sets the limits for requests that arrive from now on. Requests that have arrived on an accepted connection,
+// read or not, keep the limits that they came under.
 func (s *Server) SetLimits(limits RequestLimits) {
 	limits.busyLine = busyLine(limits.RetryAfter)
+	if replaced := s.limits.Load(); replaced != nil {
+		s.Each(func(conn clientconn.Connection) {
+			if c, ok := conn.(*client); ok {
+				c.input.generations.Replace(c.socket, replaced)
+			}
+		})
+	}
 	s.limits.Store(&limits)
 }
 
--- a/internal/resp/wire.go
+++ b/internal/resp/wire.go
@@ -66,6 +66,9 @@
 	return net.Buffers{[]byte(failedLine)}
 }
 
+// errorLine returns the line that answers input or a command that cannot be served.
+func errorLine(err error) []byte { return []byte(errorPrefix + err.Error() + lineEnd) }
+
 // busyLine returns the line that rejects a request. Unless retryAfter is 0, the line contains the number of
 // milliseconds after which the client may retry.
 func busyLine(retryAfter broker.Micros) []byte {
--- a/internal/sftp/handles.go
+++ b/internal/sftp/handles.go
@@ -48,7 +48,7 @@
 }
 
 // dispatchOnHandle dispatches a packet whose first field is the name of a handle. If no handle with this name is open,
-// it sends a failure. If it returns an error, the connection ends.
+// it sends a failure. For errors see dispatch.
 func (s *session) dispatchOnHandle(p packet, f *fields) error {
 	name := f.string(maxHandleBytes)
 	if f.err != nil {
--- a/internal/sftp/mapping.go
+++ b/internal/sftp/mapping.go
@@ -59,6 +59,8 @@
 	MaxUnits  float64 // maximum units of a request, set by Check
 	Commands  map[Command]CommandSettings
 	Volumes   []Volume
+
+	Generation uint64 // of the settings (see broker.SettingsChanged), 0 if these never change
 }
 
 // Check validates the mapping and sets its defaults from the scheduler's settings. Errors name the faulty key.
@@ -172,6 +174,8 @@
 		Write:   op.command.mutates(),
 		Timeout: broker.MicrosOf(timeout),
 		Message: op,
+
+		Generation: m.Generation,
 	}
 }
 
--- a/internal/sftp/ordering.go
+++ b/internal/sftp/ordering.go
@@ -24,9 +24,9 @@
 
 // submit accepts a command and submits it to the loop, after the answers to earlier commands that conflict with it. The
 // command's deadline is counted from this call, even while the command waits for an earlier one. served encodes a
-// node's answer and is called with s.mu held. After an error the connection must end.
+// node's answer and is called with s.mu held. For errors see dispatch.
 func (s *session) submit(id uint32, op *operation, served func(answer) net.Buffers) error {
-	request := s.server.mapping.Load().request(op)
+	request := s.mapping.request(op)
 	if request == nil {
 		s.sendStatus(id, statusNoSuchFile, "no volume holds this path")
 		return nil
--- a/internal/sftp/read.go
+++ b/internal/sftp/read.go
@@ -16,7 +16,7 @@
 func (s *session) read() {
 	defer s.handleInputEnd()
 	defer s.recoverPanic()
-	reader := bufio.NewReader(s.conn)
+	reader := bufio.NewReader(sessionInput{s})
 	s.setReadDeadline(time.Now().Add(clientconn.FirstCommandTimeout))
 	hello, err := readPacket(reader)
 	if err != nil || hello.kind != typeInit {
@@ -25,12 +25,7 @@
 	s.send(encodePacket(typeVersion, protocolVersion))
 	for {
 		p, err := s.readNext(reader)
-		if err == nil {
-			s.server.RequestReceived(s, false)
-			s.awaitSpace()
-			err = s.dispatch(p)
-		}
-		if errors.Is(err, errPacket) {
+		if errors.Is(err, errPacket) { // where the next packet begins is not known
 			s.mu.Lock()
 			s.closeAfterOut = true
 			s.mu.Unlock()
@@ -39,7 +34,34 @@
 		if err != nil {
 			return
 		}
+		s.mapping = s.generations.At(s.received-int64(reader.Buffered()), s.server.mapping.Load())
+		if !s.serve(p) {
+			return
+		}
+	}
+}
+
+// sessionInput reads the input of a session and counts it.
+type sessionInput struct{ *session }
+
+// Read implements io.Reader.
+func (s sessionInput) Read(p []byte) (int, error) {
+	n, err := s.conn.Read(p)
+	s.received = s.generations.Received(n)
+	return n, err
+}
+
+// serve handles one packet and reports whether to read on. A packet that is whole but cannot be decoded or accepted is
+// answered with an error. The other commands of the connection are not affected.
+func (s *session) serve(p packet) (readOn bool) {
+	s.server.RequestReceived(s, false)
+	s.awaitSpace()
+	err := s.dispatch(p)
+	if errors.Is(err, errPacket) {
+		s.sendStatus(p.id, statusBadMessage, err.Error())
+		return true
 	}
+	return err == nil
 }
 
 // readNext reads a packet. A client may be idle between packets, but must complete a packet within
@@ -68,7 +90,8 @@
 	s.mu.Unlock()
 }
 
-// dispatch handles one packet. If it returns an error, the connection ends.
+// dispatch handles one packet. It returns an error that wraps errPacket for a packet that cannot be accepted. After any
+// other error the connection ends.
 func (s *session) dispatch(p packet) error {
 	f := &fields{rest: p.body}
 	switch p.kind {
@@ -112,7 +135,7 @@
 	if f.err != nil {
 		return f.err
 	}
-	if s.server.mapping.Load().volume(name) == nil {
+	if s.mapping.volume(name) == nil {
 		s.sendStatus(id, statusNoSuchFile, "no volume holds this path")
 		return nil
 	}
--- a/internal/sftp/server.go
+++ b/internal/sftp/server.go
@@ -35,8 +35,21 @@
 	return s
 }
 
-// SetMapping changes the mapping of later commands. The caller must have called mapping.Check.
-func (s *Server) SetMapping(mapping *Mapping) { s.mapping.Store(mapping) }
+// SetMapping changes the mapping of later commands. Commands that have arrived on an accepted connection, read or not,
+// keep the mapping that they came under. The caller must have called mapping.Check.
+func (s *Server) SetMapping(mapping *Mapping) {
+	if replaced := s.mapping.Load(); replaced != nil {
+		s.Each(func(conn clientconn.Connection) {
+			if c, ok := conn.(*session); ok {
+				c.generations.Replace(c.conn, replaced)
+			}
+		})
+	}
+	s.mapping.Store(mapping)
+}
+
+// Mapping returns the mapping of later commands.
+func (s *Server) Mapping() Mapping { return *s.mapping.Load() }
 
 // Serve serves the clients of a listener until Close or StopAccepting is called.
 func (s *Server) Serve(ln net.Listener) error {
--- a/internal/sftp/session.go
+++ b/internal/sftp/session.go
@@ -27,6 +27,11 @@
 	// idle receives a value when no command or answer is pending any longer, the session ends, or a wait for memory is
 	// over. It ends a wait for memory.
 	idle chan struct{}
+	// generations records which input came under which mapping.
+	generations clientconn.InputGenerations[*Mapping]
+	// The reading goroutine uses the fields received and mapping.
+	received int64    // bytes of input that were read
+	mapping  *Mapping // that the packet which is being handled came under
 
 	mu               sync.Mutex        // guards the fields below; the table's lock is never acquired while mu is held
 	pending          []*pendingCommand // in the order of arrival
@@ -51,6 +56,7 @@
 		wake:    make(chan struct{}, 1),
 		idle:    make(chan struct{}, 1),
 		handles: map[string]*handle{},
+		mapping: server.mapping.Load(),
 	}
 	s.hasSpace = sync.NewCond(&s.mu)
 	return s
--- a/internal/sftp/session_test.go
+++ b/internal/sftp/session_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -120,6 +121,50 @@
 	}
 }
 
+// The mapping changes while commands wait unread, behind as many as may be pending. They must keep the mapping that they
+// came under, and a later command must get the new one.
+func TestUnreadCommandsKeepTheirMapping(t *testing.T) {
+	const unread = 4
+	s, client := newLoopbackSession(t)
+	go s.read()
+	go s.write()
+	stat := func(id uint32) []byte { return join(encodePacket(typeStat, id, encodeString("/d/f"))) }
+	input := join(encodePacket(typeInit, protocolVersion))
+	for id := range uint32(maxPending + unread) {
+		input = append(input, stat(id)...)
+	}
+	if _, err := client.Write(input); err != nil {
+		t.Fatal(err)
+	}
+	generations := map[uint64]int{}
+	pending := func() []*pendingCommand {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return slices.Clone(s.pending)
+	}
+	eventually(t, "the reader waits for space", func() bool { return len(pending()) == maxPending })
+	later := s.server.Mapping()
+	later.Generation = 2
+	s.server.SetMapping(&later)
+	if _, err := client.Write(stat(maxPending + unread)); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _, _ = io.Copy(io.Discard, client) }() // until the connection ends
+	for served := 0; served < maxPending+unread+1; {
+		for _, command := range pending() {
+			generations[command.request.Generation]++
+			served++
+			s.mu.Lock()
+			s.complete(command, broker.Response{Verdict: broker.Rejected})
+			s.mu.Unlock()
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if generations[0] != maxPending+unread || generations[2] != 1 {
+		t.Errorf("commands by generation %v, want %d of generation 0 and 1 of generation 2", generations, maxPending+unread)
+	}
+}
+
 // An eviction or a drain must not close a connection while a command is pending, part of a command has been received,
 // or input is unread. After the connection was closed to commands, a command that was being read must not be accepted.
 func TestEndingConnectionAcceptsNoCommand(t *testing.T) {
--- a/scheduler/arrival.go
+++ b/scheduler/arrival.go
@@ -6,14 +6,15 @@
 )
 
 // handleArrival computes the first arrival, the deadlines and the value of a request, and queues the request.
-// A request of an unknown class or plan fails at once. All other requests are queued. A request whose ID is
-// already in use is ignored.
+// A request of a class or plan that its settings do not name fails at once. All other requests are queued.
+// A request whose ID is already in use is ignored.
 func (s *Scheduler) handleArrival(e Request) {
 	if s.requests[e.ID] != nil {
 		return
 	}
 	s.budget.recordRequest(s.now)
-	class, plan := s.classes[e.Class], s.plans[e.Plan]
+	table := s.tableOf(e.Generation)
+	class, plan := table.classes[e.Class], table.plans[e.Plan]
 	if class == nil || plan == nil {
 		s.log(messageUnknownClass, slog.String("class", e.Class), slog.String("plan", e.Plan))
 		s.emit(Fail{ID: e.ID})
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -19,6 +19,8 @@
 	Brokers   int  // number of brokers that receive the volume's requests
 	Retry     bool // the client marked the request as a retry
 	Write     bool // no rule reads it
+	// Generation is the generation of the settings that the request came under, 0 for the present one.
+	Generation uint64
 }
 
 // TimerFired reports that a timer set by SetTimer has expired.
@@ -72,8 +74,13 @@
 }
 
 // SettingsChanged replaces the settings. The new settings must have passed Validate. Their Brokers and
-// Ordinal are ignored: a Scheduler keeps those with which it started.
-type SettingsChanged struct{ Settings Settings }
+// Ordinal are ignored: a Scheduler keeps those with which it started. Generation counts the configurations
+// of the process; the one at the start has generation 1. Requests of an earlier generation keep its classes
+// and plans. With Generation 0, or the present one, the settings replace those of the present generation.
+type SettingsChanged struct {
+	Settings   Settings
+	Generation uint64
+}
 
 // ProcessesChanged reports the number of known running processes of this broker, which is 2 while one process
 // replaces another, and the number of further processes that may run undetected.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -17,13 +17,13 @@
 
 // Scheduler schedules the requests of one broker. It is not safe for concurrent use.
 type Scheduler struct {
-	settings     Settings
-	classes      map[string]*Class
-	plans        map[string]*Plan
-	minObjective time.Duration // smallest latency objective of all classes
-	tickPeriod   time.Duration
-	processes    processCount
-	rng          *rand.Rand
+	settings      Settings
+	table         settingsTable   // of settings
+	earlierTables []settingsTable // of earlier generations, the oldest first
+	minObjective  time.Duration   // smallest latency objective of all classes
+	tickPeriod    time.Duration
+	processes     processCount
+	rng           *rand.Rand
 
 	started    bool
 	now        Time
@@ -100,26 +100,20 @@
 		shards:    shardTable{byID: map[int]*shard{}},
 		demand:    demandAggregator{reports: map[uint32][]demandReport{}},
 	}
-	s.applySettings(settings)
+	s.applySettings(settings, 1)
 	return s, nil
 }
 
-// applySettings applies settings at the start or later. Requests that have already arrived keep their class.
-func (s *Scheduler) applySettings(settings Settings) {
+// applySettings applies settings at the start or later. Requests that have already arrived keep their class,
+// and those that came under an earlier generation of the settings get theirs.
+func (s *Scheduler) applySettings(settings Settings, generation uint64) {
 	s.settings = settings
-	s.classes = map[string]*Class{}
-	s.plans = map[string]*Plan{}
+	s.replaceTable(newSettingsTable(settings, generation))
 	s.nodes.recount = true
 	s.scans.generation++
-	for _, class := range settings.Classes {
-		s.classes[class.Name] = &class
-	}
-	for _, plan := range settings.Plans {
-		s.plans[plan.Name] = &plan
-	}
 	for _, v := range s.volumes.list {
 		v.catchUp(s.ticks, s.lastTickAt)
-		if plan := s.plans[v.plan.Name]; plan != nil {
+		if plan := s.table.plans[v.plan.Name]; plan != nil {
 			v.applyPlan(plan, settings.MaxUnits)
 		}
 	}
@@ -193,7 +187,7 @@
 		// peers know this broker by its ordinal
 		e.Settings.Brokers = s.settings.Brokers
 		e.Settings.Ordinal = s.settings.Ordinal
-		s.applySettings(e.Settings)
+		s.applySettings(e.Settings, e.Generation)
 	case ProcessesChanged:
 		s.scans.generation++
 		s.processes.known = float64(max(1, e.Processes))
