Let only its connection limit the time of an answer under way, also at shutdown

Cause: the shutdown ended the process 0.1 s before the earliest SIGKILL, whatever was under way. Other clocks that contradicted the connection's own: a minute for a value behind others, 5 s for a batch of answers to file commands. Change: from that time on the shutdown waits as long as an answer is under way; the minute is gone; both servers write with clientconn.WriteAll, which fails only if the client accepts no byte for 10 s (RESP) or 5 s (files). TestShutdownFinishesLongValues failed before in both subtests. TestRequestIDMayBeOpenOnlyOnce waited for an end of the connection that no longer comes; it now reads the answers.

--- a/internal/clientconn/socket.go
+++ b/internal/clientconn/socket.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 )
@@ -32,6 +33,20 @@
 	}
 }
 
+// WriteAll writes buffers to a connection, however long the peer takes to read them. It fails if the peer accepts no byte
+// for stallTimeout.
+func WriteAll(conn net.Conn, out net.Buffers, stallTimeout time.Duration) error {
+	for {
+		if err := conn.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
+			return err
+		}
+		n, err := out.WriteTo(conn)
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+	}
+}
+
 // control calls a function with the file descriptor of a connection or a listener and returns the function's error.
 func control(socket any, call func(fd int) error) error {
 	sys, ok := socket.(syscall.Conn)
--- a/internal/clientconn/table.go
+++ b/internal/clientconn/table.go
@@ -159,6 +159,18 @@
 	return len(t.entries)
 }
 
+// HasBusy reports whether a connection owes an answer.
+func (t *Table) HasBusy() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for conn := range t.entries {
+		if state, _ := conn.State(); state == Busy {
+			return true
+		}
+	}
+	return false
+}
+
 // Each calls a function with each connection in the table. The function must neither block nor call the table.
 func (t *Table) Each(call func(Connection)) {
 	t.mu.Lock()
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -20,9 +20,9 @@
 	maxWait   = 3 * time.Second
 	killDelay = 700 * time.Millisecond
 	// closeBeforeKill, answerBeforeKill and exitBeforeKill are times before SIGKILL: when connections are drained,
-	// when all requests that are still open are answered, and when the process ends at the latest. With larger
-	// values, requests fail that could be served. With smaller values, a process on a busy machine is killed before
-	// the answers are sent.
+	// when all requests that are still open are answered, and when the process ends unless an answer is under way.
+	// With larger values, requests fail that could be served. With smaller values, a process on a busy machine is
+	// killed before the answers are sent.
 	closeBeforeKill  = 400 * time.Millisecond
 	answerBeforeKill = 250 * time.Millisecond
 	exitBeforeKill   = 100 * time.Millisecond
@@ -40,7 +40,7 @@
 	drain  time.Duration // connections without open requests are closed from here on
 	close  time.Duration // all servers close
 	answer time.Duration // requests that are still open are answered
-	exit   time.Duration // latest end of the process
+	exit   time.Duration // the process ends, unless clients are still reading their answers
 }
 
 // computeShutdownTimes returns the times of the shutdown steps. Clients are served as long as an answer can still be
@@ -60,8 +60,8 @@
 	}
 }
 
-// shutDown closes the servers after SIGTERM and waits until all accepted requests are answered, at most until the exit
-// time of computeShutdownTimes. If there is a successor, shutDown redirects new connections to the successor at once,
+// shutDown closes the servers after SIGTERM and waits until all accepted requests are answered. An answer that a client
+// is reading is not cut off, however long that takes: only its connection limits its time, or SIGKILL. If there is a successor, shutDown redirects new connections to the successor at once,
 // and closes each old connection as soon as the connection has no open requests. Otherwise it keeps accepting clients
 // until the drain time.
 func (s *service) shutDown() {
@@ -89,11 +89,11 @@
 	s.exporter.Shutdown(began.Add(lastFlush)) // all clients have their answers
 }
 
-// awaitAnswers waits until no request is open and no client is connected, at most until times.exit. At times.answer it
-// makes the core answer all requests that are still open.
+// awaitAnswers waits until no request is open and no client is connected. At times.answer it makes the core answer all
+// requests that are still open. From times.exit on it waits only as long as a client is reading an answer.
 func (s *service) awaitAnswers(began time.Time, times shutdownTimes) {
 	notified := false
-	for s.owesAnswers() && time.Since(began) < times.exit {
+	for s.owesAnswers() && (time.Since(began) < times.exit || s.answersUnderWay()) {
 		if !notified && time.Since(began) >= times.answer {
 			notified = true
 			s.loop.Post(broker.ShuttingDown{})
@@ -102,6 +102,16 @@
 	}
 }
 
+// answersUnderWay reports whether an answer is being written to a client or waits behind one.
+func (s *service) answersUnderWay() bool {
+	for _, server := range s.servers {
+		if server.HasBusy() {
+			return true
+		}
+	}
+	return s.loop.OpenRequests() > 0
+}
+
 // owesAnswers reports whether a request is open or a client is connected.
 func (s *service) owesAnswers() bool {
 	return s.loop.OpenRequests() > 0 || s.clientCount() > 0
--- a/internal/daemon/shutdown_test.go
+++ b/internal/daemon/shutdown_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"junctionwharf/internal/config"
+	"junctionwharf/internal/logging"
 	"junctionwharf/scheduler"
 )
 
@@ -133,6 +135,74 @@
 	}
 }
 
+// A broker that was stopped while clients read long values ended shortly before the time of SIGKILL and cut the values
+// off, although nothing kept it from going on, with and without a successor. It must go on until the clients have read
+// them, and then end.
+func TestShutdownFinishesLongValues(t *testing.T) {
+	const values = 3 // more than the sockets between the node and the client hold
+	value := strings.Repeat("v", 4<<20)
+	for _, successor := range []bool{false, true} {
+		t.Run(fmt.Sprint("successor ", successor), func(t *testing.T) {
+			t.Setenv("TMPDIR", t.TempDir())
+			node := startNode(t, func(string) string { return value })
+			discovery := startDiscovery(t, readyHost("a", node))
+			address := unusedAddress(t)
+			c := newConfig(t, address, discovery.Address(), quickSettings)
+			c.HandoverDisabled = !successor
+			broker := startSimpleBroker(c)
+			defer broker.stop()
+			conn := dial(t, address).(*net.TCPConn)
+			if err := conn.SetReadBuffer(32 << 10); err != nil {
+				t.Fatal(err)
+			}
+			client := newTestClient(conn)
+			for i := range values {
+				client.write(t, testRequest{id: fmt.Sprint("id", i), wait: int(quickDeadline.Milliseconds())}.encode())
+			}
+			if _, err := client.reader.Peek(1); err != nil {
+				t.Fatal(err)
+			}
+			if successor {
+				startSuccessor(t, c)
+			}
+			broker.stop()
+			select {
+			case err := <-broker.ended:
+				t.Fatalf("the broker ended, error %v, while a client was reading", err)
+			case <-time.After(quickDeadline + killDelay + 200*time.Millisecond):
+			}
+			for i := range values {
+				if line, got, err := client.answer(); err != nil || got != value {
+					t.Fatalf("value %d: read %q and %d of %d bytes, error %v", i, line, len(got), len(value), err)
+				}
+			}
+			broker.waitEnd(t)
+		})
+	}
+}
+
+// startSuccessor starts a second process of a broker, and waits until it is connected to the first one.
+func startSuccessor(t *testing.T, c *config.Config) {
+	t.Helper()
+	connected := make(chan struct{}, 1)
+	log := logging.ToFunc(func(line string) {
+		if strings.Contains(line, "connected to the predecessor") {
+			connected <- struct{}{}
+		}
+	})
+	copied := *c
+	successor := startBroker(&copied, log, nil, nil)
+	t.Cleanup(func() {
+		successor.stop()
+		successor.waitEnd(t)
+	})
+	select {
+	case <-connected:
+	case <-time.After(testTimeout):
+		t.Fatal("the successor is not connected")
+	}
+}
+
 // The broker is stopped while its node answers only some requests, and clients keep sending on old and new connections
 // until the broker closes them. Each request that reached the node gets an answer before the broker closes the client's
 // connection. The broker ends before the time at which the platform would send SIGKILL.
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -31,6 +31,7 @@
 	StopAccepting()
 	Close()
 	Count() int
+	HasBusy() bool
 }
 
 // service is a whole broker: a control, and the servers and connection pools that carry requests.
--- a/internal/resp/helpers_test.go
+++ b/internal/resp/helpers_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+	"golang.org/x/sys/unix"
 
 	"junctionwharf/broker"
 	"junctionwharf/internal/logging"
@@ -152,6 +153,19 @@
 	}
 }
 
+// unreadBytes returns the number of bytes that have arrived on a connection and were not read.
+func unreadBytes(t *testing.T, conn net.Conn) (unread int) {
+	t.Helper()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }); err != nil {
+		t.Fatal(err)
+	}
+	return unread
+}
+
 // eventually waits until a condition is true, and fails the test after limit.
 func eventually(t *testing.T, limit time.Duration, what string, holds func() bool) {
 	t.Helper()
--- a/internal/resp/server_test.go
+++ b/internal/resp/server_test.go
@@ -91,12 +91,22 @@
 	f := newFixture(t)
 	f.serveClients()
 	conn := f.dial()
+	input := ""
 	for i := range maxPipeline + 20 {
-		write(t, conn, request(fmt.Sprint("r", i)))
+		input += request(fmt.Sprint("r", i))
 	}
+	write(t, conn, input)
 	eventually(t, waitLimit, "the maximum number of requests is open", func() bool {
 		return f.loop.OpenRequests() == maxPipeline
 	})
+	eventually(t, waitLimit, "all input has arrived", func() bool {
+		arrived := 0
+		f.server.Each(func(conn clientconn.Connection) {
+			c := conn.(*client)
+			arrived = int(c.input.generations.Received(0)) + unreadBytes(t, c.socket)
+		})
+		return arrived == len(input)
+	})
 	limits := *f.server.limits.Load()
 	limits.Classes = map[string]bool{"other": true}
 	limits.Generation = 2
@@ -143,9 +153,11 @@
 	first := dial(t, address, longWaitLimit)
 	write(t, first, readText)
 	eventually(t, waitLimit, "the request is open", func() bool { return server.loop.OpenRequests() > 0 })
-	if got, _ := exchangeText(t, address, readText); !strings.HasPrefix(got, errorPrefix) {
-		t.Errorf("read %q, want an error", got)
-	}
+	second := dial(t, address, longWaitLimit)
+	write(t, second, readText+pingText)
+	reader := bufio.NewReader(second)
+	expectLine(t, reader, "-ERR malformed command: a request with this id is open\r\n")
+	expectLine(t, reader, pongLine)
 	if open := server.loop.OpenRequests(); open != 1 {
 		t.Errorf("%d requests are open, want 1", open)
 	}
--- a/internal/resp/stream.go
+++ b/internal/resp/stream.go
@@ -6,9 +6,10 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"time"
+
+	"junctionwharf/internal/clientconn"
 )
 
 const (
@@ -21,9 +22,6 @@
 	// pieceTimeout is how long a node may send nothing, or a client accept nothing. With a shorter timeout slow clients
 	// would be disconnected. With a longer timeout a stalled client would occupy its node's connection for longer.
 	pieceTimeout = 10 * time.Second
-	// claimTimeout is how long a stream waits until the client's writer has written the earlier answers of the
-	// connection. It equals defaultMaxTimeout: no client waits longer unless a class has a longer deadline.
-	claimTimeout = time.Minute
 )
 
 var (
@@ -32,15 +30,16 @@
 )
 
 // stream is a long value of a node that is forwarded piece by piece, as fast as its client accepts it. The goroutine of
-// the node's exchange blocks in wait while the client's writer runs passTo. stream implements broker.Streaming.
+// the node's exchange blocks in wait while the client's writer writes the earlier answers of the connection and then runs
+// passTo. Only the writer limits the time of the value: it fails if the client accepts nothing or the node sends nothing
+// for pieceTimeout, and then abandons all values of its connection. stream implements broker.Streaming.
 type stream struct {
 	size           int
 	reader         *bufio.Reader
 	setReadTimeout func(time.Duration) // sets the timeout for the node's next bytes
-	claimed        chan struct{}       // closed when the client's writer begins to forward the value
 	result         chan error          // the error of forwarding, nil if the value was forwarded completely
 	end            sync.Once           // guards the send on result
-	onEnd          func(complete bool) // set before claimed is closed, may be nil
+	onEnd          func(complete bool) // set before the client's writer gets the stream, may be nil
 }
 
 func newStream(size int, reader *bufio.Reader, setReadTimeout func(time.Duration)) *stream {
@@ -48,7 +47,6 @@
 		size:           size,
 		reader:         reader,
 		setReadTimeout: setReadTimeout,
-		claimed:        make(chan struct{}),
 		result:         make(chan error, 1),
 	}
 }
@@ -75,20 +73,8 @@
 	})
 }
 
-// wait returns when the stream has ended or stopped is closed. It returns nil if the value was forwarded completely. It
-// abandons the stream if the client's writer does not begin to forward the value within claimTimeout.
+// wait returns when the stream has ended or stopped is closed. It returns nil if the value was forwarded completely.
 func (s *stream) wait(stopped <-chan struct{}) error {
-	timer := time.NewTimer(claimTimeout)
-	defer timer.Stop()
-	select {
-	case err := <-s.result:
-		return err
-	case <-stopped:
-		return errStreamAbandoned
-	case <-timer.C:
-		s.abandon()
-	case <-s.claimed:
-	}
 	select {
 	case err := <-s.result:
 		return err
@@ -104,7 +90,6 @@
 func (s *stream) passTo(conn net.Conn) error {
 	err := errStreamCut
 	defer func() { s.finish(err) }() // also after a panic, since the node's exchange waits for it
-	close(s.claimed)
 	if cause := s.copyTo(conn); cause != nil {
 		err = fmt.Errorf("%w: %w", errStreamCut, cause)
 		return err
@@ -141,13 +126,5 @@
 
 // writeAll writes to a client. It fails if the client accepts no byte for pieceTimeout.
 func writeAll(conn net.Conn, out net.Buffers) error {
-	for {
-		if err := conn.SetWriteDeadline(time.Now().Add(pieceTimeout)); err != nil {
-			return err
-		}
-		n, err := out.WriteTo(conn)
-		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return err
-		}
-	}
+	return clientconn.WriteAll(conn, out, pieceTimeout)
 }
--- a/internal/sftp/session.go
+++ b/internal/sftp/session.go
@@ -14,8 +14,8 @@
 	// before it handles another command. With a larger value, one client could use more memory. With a smaller value,
 	// clients that pipeline commands would wait for round trips.
 	maxPending = 16
-	// writeTimeout bounds the time in which a client accepts a batch of answers. With a larger value, a stalled client
-	// would occupy its slot for longer. With a smaller value, slow clients would be disconnected.
+	// writeTimeout is how long a client may accept nothing of its answers. With a larger value, a stalled client would
+	// occupy its slot for longer. With a smaller value, slow clients would be disconnected.
 	writeTimeout = 5 * time.Second
 )
 
@@ -76,7 +76,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case len(s.pending) > 0 || s.writing:
+	case len(s.pending) > 0 || s.writing || len(s.out) > 0:
 		return clientconn.Busy, 0
 	case s.insidePacket:
 		return clientconn.PartialCommand, 0
@@ -173,8 +173,7 @@
 	if len(out) == 0 {
 		return true
 	}
-	_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection, as does the write
-	if _, err := out.WriteTo(s.conn); err != nil {
+	if clientconn.WriteAll(s.conn, out, writeTimeout) != nil {
 		return false
 	}
 	s.mu.Lock()
