Refuse the id of a request that may have run after its client has left

Callers: an id ran twice when it came again after its client had left, or at the other process of an upgrade. Cause: an id was available again once its request was cancelled or answered, though its attempt may have been written or its answer never reached the client; the other process forgot all ids when a process ended. The end of a connection's writer cancels its requests.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -8,6 +8,7 @@
 	"junctionwharf/broker"
 	"junctionwharf/internal/discovery"
 	"junctionwharf/internal/handover"
+	"junctionwharf/internal/resp"
 )
 
 const (
@@ -42,12 +43,8 @@
 		return nil
 	}
 	s.coordinator = coordinator
-	s.clients.OnRequestChange(func(id string, opened bool) {
-		if opened {
-			coordinator.Send(handover.StateMessage{OpenedRequests: []string{id}})
-		} else {
-			coordinator.Send(handover.StateMessage{EndedRequests: []string{id}})
-		}
+	s.clients.OnRequestChange(func(id string, change resp.IDChange) {
+		coordinator.Send(requestMessage(id, change))
 	})
 	if found {
 		s.log.Info("handover: connected to the predecessor")
@@ -55,6 +52,19 @@
 	return nil
 }
 
+// requestMessage returns the message about a change of a request's id.
+func requestMessage(id string, change resp.IDChange) handover.StateMessage {
+	ids := []string{id}
+	switch change {
+	case resp.IDOpened:
+		return handover.StateMessage{OpenedRequests: ids}
+	case resp.IDEnded:
+		return handover.StateMessage{EndedRequests: ids}
+	case resp.IDAbandoned:
+	}
+	return handover.StateMessage{AbandonedRequests: ids}
+}
+
 func (s *service) closeHandover() {
 	if s.coordinator != nil {
 		s.coordinator.Close()
@@ -66,9 +76,11 @@
 func (s *service) otherConnected() handover.StateMessage {
 	s.resize(2)
 	s.loop.Post(broker.ProcessesChanged{Processes: 2})
+	open, abandoned := s.clients.RequestIDs()
 	return handover.StateMessage{
-		Endpoints:      s.watcher.Current(),
-		OpenedRequests: s.clients.OpenRequestIDs(),
+		Endpoints:         s.watcher.Current(),
+		OpenedRequests:    open,
+		AbandonedRequests: abandoned,
 	}
 }
 
@@ -77,7 +89,7 @@
 	if message.Endpoints != nil {
 		s.handedOver = message.Endpoints
 	}
-	s.clients.UpdateRemoteRequests(message.OpenedRequests, message.EndedRequests)
+	s.clients.UpdateRemoteRequests(message.OpenedRequests, message.EndedRequests, message.AbandonedRequests)
 	if message.PeerMessage != nil {
 		s.loop.Post(broker.PeerMessage{From: message.PeerOrdinal, Data: message.PeerMessage})
 	}
@@ -85,7 +97,7 @@
 
 // otherDisconnected restores the full limits of this process after the other process has disconnected.
 func (s *service) otherDisconnected() {
-	s.clients.ForgetRemoteRequests()
+	s.clients.AbandonRemoteRequests()
 	s.resize(1)
 	s.loop.Post(broker.ProcessesChanged{Processes: 1})
 	s.log.Info("handover: the other process disconnected")
--- a/internal/handover/golden_test.go
+++ b/internal/handover/golden_test.go
@@ -41,6 +41,14 @@
 	}
 }
 
+// The ids of abandoned requests, which earlier versions do not know, come behind the other fields.
+func TestAbandonedRequestsBytes(t *testing.T) {
+	text, err := json.Marshal(StateMessage{AbandonedRequests: []string{"id-3"}})
+	if err != nil || string(text) != `{"Abandoned":["id-3"]}` {
+		t.Errorf("message about an abandoned request: %s, %v", text, err)
+	}
+}
+
 // Fields without a value must not appear in a message.
 func TestEmptyMessageBytes(t *testing.T) {
 	text, err := json.Marshal(StateMessage{})
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -9,4 +9,6 @@
 	EndedRequests  []string                `json:"Ended,omitempty"`  // ids of requests that have their final answer
 	PeerOrdinal    int                     `json:"From,omitempty"`   // the peer broker that sent PeerMessage
 	PeerMessage    []byte                  `json:"Heard,omitempty"`  // a peer's datagram, received only by the sender
+	// AbandonedRequests are the ids of requests that may have run and whose clients have left without the answers.
+	AbandonedRequests []string `json:"Abandoned,omitempty"`
 }
--- a/internal/resp/client.go
+++ b/internal/resp/client.go
@@ -43,14 +43,17 @@
 
 // pendingReply is an answer that is not written yet. client.pending contains the answers in the order of the commands.
 type pendingReply struct {
-	loopID          uint64 // the loop's ID of the request, 0 if none
-	clientRequestID string // the client's ID of the request, empty if none
+	loopID          uint64   // the loop's ID of the request, 0 if none
+	clientRequestID string   // the client's ID of the request, empty if none
+	command         *command // that was submitted, nil if none or once answered
 	ready           bool
 	rejection       bool           // admission control rejected the request
 	last            bool           // the connection is closed after this answer is written
 	memory          *requestMemory // nil for an answer to malformed input
 	text            net.Buffers
 	value           *stream // a long value that is written after text, nil if none
+	// holdsID says that the request may have run, so that its ID is open until the answer is written.
+	holdsID bool
 }
 
 func newClient(server *Server, input *inputGuard) *client {
--- a/internal/resp/closing.go
+++ b/internal/resp/closing.go
@@ -171,7 +171,8 @@
 	c.Wake()
 }
 
-// cancelPending cancels the connection's requests that have no answer yet, and removes their IDs from requestIDs.
+// cancelPending cancels the connection's requests that have no answer yet. Their IDs are refused from now on, except
+// those of requests that the loop has not sent to a node by the time at which it has handled the cancellation.
 func (c *client) cancelPending() {
 	c.mu.Lock()
 	var cancelled []*pendingReply
@@ -183,6 +184,19 @@
 	c.mu.Unlock()
 	for _, reply := range cancelled {
 		c.server.loop.Cancel(reply.loopID)
-		c.server.ids.remove(reply.clientRequestID)
+		c.server.ids.abandon(reply.clientRequestID)
+	}
+	if len(cancelled) > 0 {
+		c.server.loop.Do(func() { c.server.endUnsent(cancelled) })
+	}
+}
+
+// endUnsent makes the IDs of cancelled requests that were not sent to any node available again. The loop's goroutine
+// calls it. A request that was answered before its cancellation has no command any more.
+func (s *Server) endUnsent(cancelled []*pendingReply) {
+	for _, reply := range cancelled {
+		if sent := reply.command; sent != nil && !sent.forwarded {
+			s.ids.end(reply.clientRequestID)
+		}
 	}
 }
--- a/internal/resp/closing_test.go
+++ b/internal/resp/closing_test.go
@@ -193,7 +193,7 @@
 					t.Error("the attempt was not cancelled after the client disconnected")
 				}
 				eventually(t, longWaitLimit, "nothing of the client remains", func() bool {
-					return f.loop.OpenRequests() == 0 && len(f.server.OpenRequestIDs()) == 0 && f.server.Count() == 0
+					return f.loop.OpenRequests() == 0 && openIDs(f.server) == 0 && f.server.Count() == 0
 				})
 			})
 		}
--- a/internal/resp/helpers_test.go
+++ b/internal/resp/helpers_test.go
@@ -153,6 +153,12 @@
 	}
 }
 
+// openIDs returns the number of IDs of open requests.
+func openIDs(server *Server) int {
+	open, _ := server.RequestIDs()
+	return len(open)
+}
+
 // unreadBytes returns the number of bytes that have arrived on a connection and were not read.
 func unreadBytes(t *testing.T, conn net.Conn) (unread int) {
 	t.Helper()
--- a/internal/resp/overload_test.go
+++ b/internal/resp/overload_test.go
@@ -56,7 +56,7 @@
 	for _, want := range []string{pongLine, "-BUSY 150\r\n", pongLine, "-BUSY 150\r\n", pongLine} {
 		expectLine(t, reader, want)
 	}
-	if open := server.OpenRequestIDs(); len(open) > 1 {
+	if open, _ := server.RequestIDs(); len(open) > 1 {
 		t.Errorf("open IDs are %v, want only the ID of the first request", open)
 	}
 }
--- a/internal/resp/read.go
+++ b/internal/resp/read.go
@@ -122,7 +122,7 @@
 		return c.refuse(cmd.Raw, err)
 	}
 	if !c.push(reply) {
-		c.server.ids.remove(reply.clientRequestID)
+		c.server.ids.end(reply.clientRequestID)
 		return false
 	}
 	c.submit(request, reply)
@@ -131,31 +131,41 @@
 
 // submit submits an admitted request to the loop. The loop's response completes the reply.
 func (c *client) submit(request *broker.Request, reply *pendingReply) {
+	sent := request.Message.(*command)
 	id := c.server.loop.SubmitAdmitted(request, func(response broker.Response) {
-		c.server.ids.remove(reply.clientRequestID)
-		if sent := request.Message.(*command); !sent.forwarded {
+		mayHaveRun := sent.forwarded && response.Verdict != broker.Rejected
+		if !mayHaveRun {
+			c.server.ids.end(reply.clientRequestID)
+		}
+		if !sent.forwarded {
 			recycleCommandBuffer(sent.raw)
 		}
-		c.complete(reply, response)
+		c.complete(reply, response, mayHaveRun)
 		c.Wake()
 	})
 	c.mu.Lock()
 	reply.loopID = id
+	reply.command = sent
 	c.mu.Unlock()
 }
 
 // complete fills in a reply with the response to its request. If the writer has ended, it discards the response.
-func (c *client) complete(reply *pendingReply, response broker.Response) {
+func (c *client) complete(reply *pendingReply, response broker.Response, mayHaveRun bool) {
 	text := encodeResponse(response)
 	long, _ := response.Value.(*stream)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	reply.command = nil // its buffer must not stay until the answer is written
 	if c.released {
 		if long != nil {
 			long.abandon()
 		}
+		if mayHaveRun {
+			c.server.ids.abandon(reply.clientRequestID)
+		}
 		return
 	}
+	reply.holdsID = mayHaveRun
 	reply.memory.answered(answerBytes(response))
 	reply.text = text
 	reply.value = long
--- a/internal/resp/server.go
+++ b/internal/resp/server.go
@@ -62,6 +62,7 @@
 		})
 	}
 	s.limits.Store(&limits)
+	s.ids.setRetention(limits.MaxTimeout)
 }
 
 // ResizeBudget sets the maximum number of bytes of buffered requests and answers.
@@ -73,18 +74,23 @@
 // MemoryMetrics returns the metrics of the memory of buffered requests and answers.
 func (s *Server) MemoryMetrics() []broker.Metric { return s.memory.metrics() }
 
-// OnRequestChange sets a function that is called when a request opens or ends. During a handover the function notifies
-// the broker's other process. It must not block. OnRequestChange must be called before Serve.
-func (s *Server) OnRequestChange(notify func(id string, opened bool)) { s.ids.onChange = notify }
+// OnRequestChange sets a function that is called when a request opens, ends or is abandoned. During a handover the
+// function notifies the broker's other process. It must not block. OnRequestChange must be called before Serve.
+func (s *Server) OnRequestChange(notify func(id string, change IDChange)) { s.ids.onChange = notify }
 
-// OpenRequestIDs returns the IDs of the requests that wait for their answers.
-func (s *Server) OpenRequestIDs() []string { return s.ids.all() }
+// RequestIDs returns the IDs of the requests whose answers are not written yet, and the IDs that are refused because
+// their requests may have run and their clients have left without the answers.
+func (s *Server) RequestIDs() (open, abandoned []string) { return s.ids.all() }
 
-// UpdateRemoteRequests records which requests were opened and which have ended at the broker's other process.
-func (s *Server) UpdateRemoteRequests(opened, ended []string) { s.ids.updateRemote(opened, ended) }
+// UpdateRemoteRequests records the IDs of requests that were opened, have ended or were abandoned at the broker's other
+// process.
+func (s *Server) UpdateRemoteRequests(opened, ended, abandoned []string) {
+	s.ids.updateRemote(opened, ended, abandoned)
+}
 
-// ForgetRemoteRequests removes the IDs of the requests of the broker's other process, which has ended.
-func (s *Server) ForgetRemoteRequests() { s.ids.clearRemote() }
+// AbandonRemoteRequests records that the broker's other process has ended. The IDs of its open requests stay refused
+// for a while.
+func (s *Server) AbandonRemoteRequests() { s.ids.abandonRemote() }
 
 // Serve serves the clients of a listener until Close or StopAccepting is called.
 func (s *Server) Serve(ln net.Listener) error {
--- a/internal/resp/server_test.go
+++ b/internal/resp/server_test.go
@@ -162,7 +162,7 @@
 		t.Errorf("%d requests are open, want 1", open)
 	}
 	_ = first.Close()
-	eventually(t, waitLimit, "the ID is removed", func() bool { return len(server.OpenRequestIDs()) == 0 })
+	eventually(t, waitLimit, "the ID is removed", func() bool { return openIDs(server) == 0 })
 }
 
 // A full server must evict a connection without requests for each further client. It must not deadlock with connections
--- a/internal/resp/soak_test.go
+++ b/internal/resp/soak_test.go
@@ -155,7 +155,7 @@
 			}
 			eventually(t, longWaitLimit, "nothing remains", func() bool {
 				return server.Budget().Reserved() == 0 && server.Count() == 0 && loop.OpenRequests() == 0 &&
-					len(server.OpenRequestIDs()) == 0
+					openIDs(server) == 0
 			})
 			t.Logf("at most %d of %d bytes were reserved; %+v", most, budgetBytes, server.MemoryMetrics())
 		})
--- a/internal/resp/stub_test.go
+++ b/internal/resp/stub_test.go
@@ -18,6 +18,8 @@
 // heldTransport is a transport whose attempts the test answers.
 type heldTransport struct {
 	attempts chan *heldAttempt
+	// marksForwarded makes Start record, as Transport does, that the command was sent to a node.
+	marksForwarded bool
 }
 
 // heldAttempt is an attempt that waits until the test answers it.
@@ -29,6 +31,9 @@
 }
 
 func (h *heldTransport) Start(a broker.Attempt, onResult func(broker.Result)) broker.Handle {
+	if h.marksForwarded {
+		a.Request.Message.(*command).forwarded = true
+	}
 	attempt := &heldAttempt{Attempt: a, onResult: onResult, gone: make(chan struct{})}
 	h.attempts <- attempt
 	return attempt
--- a/internal/resp/write.go
+++ b/internal/resp/write.go
@@ -39,6 +39,7 @@
 // releases the connection's slot when it ends.
 func (c *client) write() {
 	defer c.server.Remove(c)
+	defer c.cancelPending() // no answer can be written any more
 	defer c.release()
 	defer c.close()
 	defer c.recoverPanic()
@@ -87,6 +88,7 @@
 // writeBatch writes the answers of a batch and reports whether more can be written.
 func (c *client) writeBatch(next batch) bool {
 	defer next.release()
+	c.server.endIDs(next.replies[:len(next.replies)-next.streams()])
 	err := writeAll(c.socket, next.text)
 	if next.value != nil {
 		if err != nil {
@@ -95,6 +97,11 @@
 			err = next.value.passTo(c.socket)
 		}
 	}
+	if err != nil {
+		c.server.abandonIDs(next.replies)
+	} else {
+		c.server.endIDs(next.replies[len(next.replies)-next.streams():])
+	}
 	c.mu.Lock()
 	c.writing = false
 	c.lastReplyAt = time.Now()
@@ -105,6 +112,33 @@
 	return err == nil
 }
 
+// streams returns the number of answers with a stream, which is 0 or 1. An answer with a stream is the last of a batch.
+func (b *batch) streams() int {
+	if b.value != nil {
+		return 1
+	}
+	return 0
+}
+
+// endIDs makes the IDs of requests available again whose answers are written. For buffered answers it is called just
+// before the write, since a client may send the ID again as soon as it has the answer.
+func (s *Server) endIDs(replies []*pendingReply) {
+	for _, reply := range replies {
+		if reply.holdsID {
+			s.ids.end(reply.clientRequestID)
+		}
+	}
+}
+
+// abandonIDs refuses the IDs of requests that may have run and whose answers could not be written.
+func (s *Server) abandonIDs(replies []*pendingReply) {
+	for _, reply := range replies {
+		if reply.holdsID {
+			s.ids.abandon(reply.clientRequestID)
+		}
+	}
+}
+
 // release releases the memory of the answers.
 func (b *batch) release() {
 	for _, reply := range b.replies {
@@ -117,6 +151,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.released = true
+	c.server.abandonIDs(c.pending)
 	for _, reply := range c.pending {
 		reply.endMemory()
 		if reply.value != nil {
