Leave the program its memory on the smallest machines, and bound what new names cost

Callers: (a) hundreds of unready clients took a process of 32 MB over its limit; (b) under ever new names memory grew for as long as a flood lasted. Cause: the heap had 0.6 of the limit, and the program itself needs more than the rest of 32 MB. The core remembered every volume for 2,400 ticks and every unserved request until its client gives up. Change: computeSizes leaves 17 MiB to the program before the heap gets its part; requests, clients and volumes fit into the heap. At most 64 pairs a command.

--- a/broker/events.go
+++ b/broker/events.go
@@ -74,6 +74,9 @@
 	Generation uint64
 }
 
+// VolumeLimitChanged bounds the number of volumes whose state is remembered.
+type VolumeLimitChanged struct{ MaxVolumes int }
+
 // ProcessesChanged reports how many processes make up this broker, which are several during a handover, and how many
 // further processes may be running unseen.
 type ProcessesChanged struct{ Processes, Unseen int }
@@ -89,16 +92,17 @@
 // answered as soon as possible.
 type ShuttingDown struct{}
 
-func (RequestArrived) event()   {}
-func (RequestCancelled) event() {}
-func (ClientHalfClosed) event() {}
-func (AttemptEnded) event()     {}
-func (AttemptStopped) event()   {}
-func (StreamEnded) event()      {}
-func (HealthCheckEnded) event() {}
-func (NodesListed) event()      {}
-func (PeerMessage) event()      {}
-func (SettingsChanged) event()  {}
-func (ProcessesChanged) event() {}
-func (LagMeasured) event()      {}
-func (ShuttingDown) event()     {}
+func (RequestArrived) event()     {}
+func (RequestCancelled) event()   {}
+func (ClientHalfClosed) event()   {}
+func (AttemptEnded) event()       {}
+func (AttemptStopped) event()     {}
+func (StreamEnded) event()        {}
+func (HealthCheckEnded) event()   {}
+func (NodesListed) event()        {}
+func (PeerMessage) event()        {}
+func (SettingsChanged) event()    {}
+func (VolumeLimitChanged) event() {}
+func (ProcessesChanged) event()   {}
+func (LagMeasured) event()        {}
+func (ShuttingDown) event()       {}
--- a/broker/state.go
+++ b/broker/state.go
@@ -148,6 +148,8 @@
 		s.notifyScheduler(scheduler.PeerMessage{From: e.From, Data: e.Data})
 	case SettingsChanged:
 		s.notifyScheduler(scheduler.SettingsChanged{Settings: e.Settings, Generation: e.Generation})
+	case VolumeLimitChanged:
+		s.notifyScheduler(scheduler.VolumeLimitChanged{MaxVolumes: e.MaxVolumes})
 	case ProcessesChanged:
 		s.notifyScheduler(scheduler.ProcessesChanged{Processes: e.Processes, Unseen: e.Unseen})
 	case LagMeasured:
--- a/internal/daemon/sizing.go
+++ b/internal/daemon/sizing.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"runtime/debug"
 
+	"junctionwharf/broker"
 	"junctionwharf/internal/config"
 	"junctionwharf/internal/sftp"
 )
@@ -21,9 +22,19 @@
 	largeMemoryMB = 128
 	// largeHeapFraction replaces heapFraction from largeMemoryMB on.
 	largeHeapFraction = 0.8
+	// programBytes is the memory in bytes of the program itself, besides Go's heap and stacks: its code and data, and the
+	// C library. On the smallest machines it leaves less than heapFraction to the heap. With a smaller value, the
+	// process is killed there under overload. With a larger value, fewer clients fit.
+	programBytes = 17 << 20
 	// requestFraction is the fraction of the memory limit for buffered requests and answers. With a larger fraction,
 	// less memory is left for connections. With a smaller fraction, large requests are rejected.
 	requestFraction = 0.2
+	// requestHeapFraction is the fraction of the heap that buffered requests and answers may fill, where that is less
+	// than requestFraction allows.
+	requestHeapFraction = requestFraction / heapFraction
+	// minHeapBytes is the memory in bytes that the heap may use in any case: half of the smallest machine's, as for each of
+	// two processes during a handover.
+	minHeapBytes = 6 << 20
 	// minRequestBytes is the memory in bytes that is left for requests if the file server's packets would use all of it.
 	minRequestBytes = 1 << 20
 	// gcPercent and largeGCPercent set how far the heap grows between collections. With larger values, the heap of a
@@ -38,6 +49,11 @@
 	// clientHeapFraction is the fraction of the heap that clients may fill. With a larger value, live memory approaches
 	// the limit, and collections use up the processor. With a smaller value, clients are rejected that could be served.
 	clientHeapFraction = 0.5
+	// volumeBytes is the memory of the state of one volume in the core, and of one unserved request, in bytes.
+	volumeBytes = 1 << 10
+	// volumeHeapFraction is the fraction of the heap that volumes and unserved requests may fill. With a larger value,
+	// requests under ever new names fill the heap. With a smaller value, the core forgets volumes that are in use.
+	volumeHeapFraction = 0.125
 )
 
 // Sockets and requests.
@@ -71,6 +87,7 @@
 	maxOpen       int // open requests while the processor is the bottleneck
 	heapBytes     int
 	requestBytes  int
+	volumes       int // volumes that the core remembers
 }
 
 // computeSizes returns the limits of one process, given the number of processes of this broker, which is 2 during a
@@ -88,6 +105,8 @@
 	if c.Limits.MemoryMB >= largeMemoryMB {
 		s.heapBytes = int(largeHeapFraction * memory)
 	}
+	s.heapBytes = max(minHeapBytes, min(s.heapBytes, int(memory)-programBytes))
+	s.requestBytes = min(s.requestBytes, int(requestHeapFraction*float64(s.heapBytes)))
 	bySockets := sockets - reservedSockets/processes - s.nodeSockets
 	byMemory := max(1, int(clientHeapFraction*float64(s.heapBytes)/clientBytes))
 	s.overflow = min(sockets/overflowDivisor, minOverflow/processes+max(0, bySockets-byMemory))
@@ -98,6 +117,7 @@
 		s.requestBytes = max(minRequestBytes, s.requestBytes-connections*sftp.MaxPacketBytes)
 	}
 	s.clientSockets = max(1, s.clientSockets)
+	s.volumes = int(volumeHeapFraction * float64(s.heapBytes) / volumeBytes)
 	return s
 }
 
@@ -120,6 +140,7 @@
 func (s *service) resize(processes int) {
 	size := computeSizes(s.config, processes)
 	debug.SetMemoryLimit(int64(size.heapBytes))
+	s.loop.Post(broker.VolumeLimitChanged{MaxVolumes: size.volumes})
 	for _, nodes := range s.pools {
 		nodes.Resize(size.nodeSockets)
 	}
--- a/internal/daemon/sizing_test.go
+++ b/internal/daemon/sizing_test.go
@@ -39,6 +39,24 @@
 	}
 }
 
+// Hundreds of clients that were not ready took a process of 32 MB over its limit: the heap had the same fraction of it as
+// on larger machines, on which the program itself counts for less. The program, and all that is accounted for in the
+// heap, must fit into the limit.
+func TestSmallestMachineHoldsTheProgram(t *testing.T) {
+	for _, memoryMB := range []float64{32, 40, 48, 64, 128, 192} {
+		var conf config.Config
+		conf.Limits = config.Limits{Cores: 1, MemoryMB: memoryMB, Sockets: 1024}
+		s := computeSizes(&conf, 1)
+		if whole := s.heapBytes + programBytes; whole > int(memoryMB*(1<<20)) {
+			t.Errorf("%v MB: the heap and the program take %d bytes", memoryMB, whole)
+		}
+		counted := s.clientSockets*clientBytes + s.requestBytes + s.volumes*volumeBytes
+		if counted > s.heapBytes {
+			t.Errorf("%v MB: sizes %+v count %d bytes, more than the heap", memoryMB, s, counted)
+		}
+	}
+}
+
 // Each connection of the file server holds a packet, which takes memory from the requests of all clients.
 func TestFilePacketsTakeMemoryFromRequests(t *testing.T) {
 	var conf config.Config
--- a/internal/resp/command.go
+++ b/internal/resp/command.go
@@ -48,7 +48,11 @@
 	}
 	cmd := &command{raw: raw, options: args[argOptions]}
 	request := &broker.Request{Key: string(args[argKey]), Write: write, Shard: -1, Brokers: 1, Message: cmd}
+	count := 0
 	for rest := cmd.options; len(rest) > 0; {
+		if count++; count > maxOptions {
+			return nil, fmt.Errorf("%w: more than %d names", errMalformed, maxOptions)
+		}
 		var option []byte
 		option, rest, _ = bytes.Cut(rest, []byte{','})
 		if err := cmd.parseOption(request, option); err != nil {
--- a/internal/resp/command_test.go
+++ b/internal/resp/command_test.go
@@ -129,6 +129,7 @@
 		{commandRead, testKey, "id", "c=read,d=soon"},
 		{commandRead, testKey, "id", "c=read,units=1"},
 		{commandRead, testKey, "id", "c=read,d=5,shard"},
+		{commandRead, testKey, "id", testOptions + strings.Repeat(",a=b", maxOptions)},
 	} {
 		cmd := readOne(t, bulk(words...))
 		if _, err := parseCommand(cmd.Raw, cmd.Args); !errors.Is(err, errMalformed) {
--- a/internal/resp/wire.go
+++ b/internal/resp/wire.go
@@ -31,6 +31,9 @@
 	maxValueBytes = 64 << 10
 	// maxArgs bounds the number of arguments of a command. The longest command has five.
 	maxArgs = 8
+	// maxOptions bounds the name=value pairs of a command. With a larger value, a command of very many short pairs would
+	// take processor time from other clients. A client sends about ten.
+	maxOptions = 64
 	// maxIDBytes bounds a request's ID. With a larger value the IDs of open requests could take more memory.
 	maxIDBytes = 128
 	// keyDigits is the number of hex digits of a key or a volume. The protocol defines it.
--- a/scheduler/arrival.go
+++ b/scheduler/arrival.go
@@ -7,7 +7,8 @@
 
 // handleArrival computes the first arrival, the deadlines and the value of a request, and queues the request.
 // A request of a class or plan that its settings do not name fails at once. All other requests are queued.
-// A request whose ID is already in use is ignored.
+// A request whose ID is already in use is ignored. A request of a new volume is rejected if there is no room
+// for the volume.
 func (s *Scheduler) handleArrival(e Request) {
 	if s.requests[e.ID] != nil {
 		return
@@ -20,12 +21,17 @@
 		s.emit(Fail{ID: e.ID})
 		return
 	}
+	if !s.volumes.hasRoomFor(e.Volume) {
+		s.emit(Reject{ID: e.ID, After: s.retryAfter()})
+		return
+	}
 	r := &request{Request: e, class: class, deadline: s.now + e.Remaining}
 	s.requests[e.ID] = r
 	earlier, known := s.unserved[retryKey{e.Class, e.Volume, e.Key, e.Units}]
 	r.firstArrival = firstArrival(s.now, &r.Request, class.Deadline, earlier, known)
 	r.softDeadline = min(r.firstArrival+class.LatencyObjective, r.deadline)
 	r.volume = s.volumeFor(&r.Request, plan)
+	r.volume.openRequests++
 	r.volume.arrivedUnits += e.Units
 	r.valueShare = s.valueShare(r.volume, e.Units)
 	r.value = class.PriorityWeight * plan.Price * r.valueShare
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -82,20 +82,24 @@
 	Generation uint64
 }
 
+// VolumeLimitChanged bounds the number of volumes that are remembered, which is defaultMaxVolumes at first.
+type VolumeLimitChanged struct{ MaxVolumes int }
+
 // ProcessesChanged reports the number of known running processes of this broker, which is 2 while one process
 // replaces another, and the number of further processes that may run undetected.
 type ProcessesChanged struct{ Processes, Unseen int }
 
-func (Request) event()           {}
-func (TimerFired) event()        {}
-func (ClientGone) event()        {}
-func (HealthCheckResult) event() {}
-func (PeerMessage) event()       {}
-func (AttemptEnded) event()      {}
-func (ResponseStarted) event()   {}
-func (EndpointUpdate) event()    {}
-func (SettingsChanged) event()   {}
-func (ProcessesChanged) event()  {}
+func (Request) event()            {}
+func (TimerFired) event()         {}
+func (ClientGone) event()         {}
+func (HealthCheckResult) event()  {}
+func (PeerMessage) event()        {}
+func (AttemptEnded) event()       {}
+func (ResponseStarted) event()    {}
+func (EndpointUpdate) event()     {}
+func (SettingsChanged) event()    {}
+func (VolumeLimitChanged) event() {}
+func (ProcessesChanged) event()   {}
 
 // UpdateKind is the kind of an EndpointUpdate.
 type UpdateKind int
--- a/scheduler/giveup.go
+++ b/scheduler/giveup.go
@@ -46,15 +46,24 @@
 // client's retry is recognized.
 func (s *Scheduler) endUnserved(r *request) {
 	if !r.answered {
-		key := retryKey{r.Class, r.Volume, r.Key, r.Units}
-		s.unserved[key] = unservedRecord{
-			firstArrival: r.firstArrival,
-			expires:      r.firstArrival + r.class.Deadline,
-		}
+		s.rememberUnserved(r)
 	}
 	s.finish(r)
 }
 
+// rememberUnserved records an unserved request. Beyond the bound on volumes it records none: the client's
+// retry then counts as a new request.
+func (s *Scheduler) rememberUnserved(r *request) {
+	if len(s.unserved) >= s.volumes.max {
+		return
+	}
+	key := retryKey{r.Class, r.Volume, r.Key, r.Units}
+	s.unserved[key] = unservedRecord{
+		firstArrival: r.firstArrival,
+		expires:      r.firstArrival + r.class.Deadline,
+	}
+}
+
 // finish marks a request as answered and dequeues it. It deletes the request unless an attempt is in flight;
 // then onAttemptEnded deletes it.
 func (s *Scheduler) finish(r *request) {
@@ -64,7 +73,10 @@
 	}
 	if r.inFlightAt == nil {
 		r.volume.quota.Settle(r.ID)
-		delete(s.requests, r.ID)
+		if s.requests[r.ID] == r {
+			r.volume.openRequests--
+			delete(s.requests, r.ID)
+		}
 		r.leaveKeyQueue()
 	}
 }
--- a/scheduler/memory.go
+++ b/scheduler/memory.go
@@ -109,10 +109,7 @@
 			kept++
 			continue
 		}
-		delete(t.byName, v.name)
-		if t.byHash[v.hash] == v {
-			delete(t.byHash, v.hash)
-		}
+		t.forget(v)
 	}
 	t.closeGap(kept, end)
 	t.sweepPosition = kept
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -188,6 +188,8 @@
 		e.Settings.Brokers = s.settings.Brokers
 		e.Settings.Ordinal = s.settings.Ordinal
 		s.applySettings(e.Settings, e.Generation)
+	case VolumeLimitChanged:
+		s.limitVolumes(e.MaxVolumes)
 	case ProcessesChanged:
 		s.scans.generation++
 		s.processes.known = float64(max(1, e.Processes))
--- a/scheduler/volumes.go
+++ b/scheduler/volumes.go
@@ -31,7 +31,9 @@
 	caughtUpAt   Time    // time of that tick
 	lastUsedTick int     // tick of the last request
 	sequence     int     // position in the order in which volumes were first seen
+	openRequests int     // requests that are not deleted yet
 	active       bool
+	forgotten    bool // removed from the table
 }
 
 // reservedBucket is a token bucket for this broker's part of a volume's reserved rate, in units.
@@ -47,16 +49,19 @@
 	list          []*volume // unordered
 	active        []*volume // the volumes that a tick processes
 	seen          int       // volumes ever added; the next volume's sequence
+	max           int       // volumes that are remembered at most
 	sweepPosition int       // index in list at which forgetVolumes continues
+	evictPosition int       // index in list of the last volume that evict checked
 }
 
 func newVolumeTable() volumeTable {
-	return volumeTable{byName: map[string]*volume{}, byHash: map[uint32]*volume{}}
+	return volumeTable{byName: map[string]*volume{}, byHash: map[uint32]*volume{}, max: defaultMaxVolumes}
 }
 
-// sortActive sorts the active volumes by the order in which they were first seen. Sums over them depend on
-// the order through rounding, and must not depend on which volumes were idle before.
+// sortActive drops forgotten volumes, and sorts the active ones by the order in which they were first seen.
+// Sums over them depend on the order through rounding, and must not depend on which volumes were idle before.
 func (t *volumeTable) sortActive() {
+	t.active = slices.DeleteFunc(t.active, func(v *volume) bool { return v.forgotten })
 	slices.SortFunc(t.active, func(a, b *volume) int { return cmp.Compare(a.sequence, b.sequence) })
 }
 
