Keep the id of a half-closed client refused, and let a stuck gauge not hold the shutdown

A client that closed after malformed input got its pending requests answered at once, and the write of such an answer succeeds although nobody reads it: the id could run again. Its id is now refused like that of any client that left.

--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -102,14 +102,14 @@
 	}
 }
 
-// answersUnderWay reports whether an answer is being written to a client or waits behind one.
+// answersUnderWay reports whether a connection owes an answer.
 func (s *service) answersUnderWay() bool {
 	for _, server := range s.servers {
 		if server.HasBusy() {
 			return true
 		}
 	}
-	return s.loop.OpenRequests() > 0
+	return false
 }
 
 // owesAnswers reports whether a request is open or a client is connected.
--- a/internal/resp/client.go
+++ b/internal/resp/client.go
@@ -37,6 +37,7 @@
 	directReply   bool       // the reader, not the writer, is writing an answer
 	closeState    closeState // set by requestClose; the reader resets it or sets closeDone
 	inputEnded    bool       // no further command is handled; pending answers are written unless gone is set
+	halfClosed    bool       // the client has closed its sending side, and may have disconnected
 	gone          bool       // the client has disconnected
 	released      bool       // the writer has ended and released all pending replies
 }
--- a/internal/resp/closing.go
+++ b/internal/resp/closing.go
@@ -133,6 +133,7 @@
 		return
 	}
 	c.mu.Lock()
+	c.halfClosed = true
 	var waiting []uint64
 	for _, reply := range c.pending {
 		if !reply.ready && reply.loopID > 0 {
--- a/internal/resp/write.go
+++ b/internal/resp/write.go
@@ -88,7 +88,7 @@
 // writeBatch writes the answers of a batch and reports whether more can be written.
 func (c *client) writeBatch(next batch) bool {
 	defer next.release()
-	c.server.endIDs(next.replies[:len(next.replies)-next.streams()])
+	c.endIDs(next.replies[:len(next.replies)-next.streams()])
 	err := writeAll(c.socket, next.text)
 	if next.value != nil {
 		if err != nil {
@@ -100,7 +100,7 @@
 	if err != nil {
 		c.server.abandonIDs(next.replies)
 	} else {
-		c.server.endIDs(next.replies[len(next.replies)-next.streams():])
+		c.endIDs(next.replies[len(next.replies)-next.streams():])
 	}
 	c.mu.Lock()
 	c.writing = false
@@ -120,12 +120,20 @@
 	return 0
 }
 
-// endIDs makes the IDs of requests available again whose answers are written. For buffered answers it is called just
-// before the write, since a client may send the ID again as soon as it has the answer.
-func (s *Server) endIDs(replies []*pendingReply) {
+// endIDs makes the IDs of requests available again whose answers are written, unless the client may have disconnected.
+// For buffered answers it is called just before the write, since a client may send the ID again as soon as it has the
+// answer.
+func (c *client) endIDs(replies []*pendingReply) {
+	c.mu.Lock()
+	halfClosed := c.halfClosed
+	c.mu.Unlock()
+	if halfClosed {
+		c.server.abandonIDs(replies)
+		return
+	}
 	for _, reply := range replies {
 		if reply.holdsID {
-			s.ids.end(reply.clientRequestID)
+			c.server.ids.end(reply.clientRequestID)
 		}
 	}
 }
