--- a/internal/resp/closing.go
+++ b/internal/resp/closing.go
@@ -123,29 +123,6 @@
 	return idle && c.server.ShouldClose(awaitingFirst) && c.requestClose(closeIfIdle)
 }
 
-// discardInput reads and discards the input after the last command that is handled, until the connection ends. Closing
-// the connection with unread input would reset it, and the reset could destroy the answers. If the client closes its
-// sending side while requests are pending, the client may have disconnected or may only wait for its answers. Both look
-// the same, so discardInput notifies the broker's loop, which answers these requests at once (see
-// broker.Loop.ClientHalfClosed).
-func (c *client) discardInput() {
-	if !c.server.inputDrain.UntilPeerCloses(c.socket) {
-		return
-	}
-	c.mu.Lock()
-	c.halfClosed = true
-	var waiting []uint64
-	for _, reply := range c.pending {
-		if !reply.ready && reply.loopID > 0 {
-			waiting = append(waiting, reply.loopID)
-		}
-	}
-	c.mu.Unlock()
-	for _, id := range waiting {
-		c.server.loop.ClientHalfClosed(id)
-	}
-}
-
 // linger waits until the socket has no unread input, at most for inputGrace, so that the close after a malformed
 // command does not reset the connection. Meanwhile the reader discards input. linger does not wait longer than
 // necessary: a whole request that arrived on the open connection would be discarded without an answer.
@@ -154,50 +131,3 @@
 		time.Sleep(inputGrace / lingerChecks)
 	}
 }
-
-// handleInputEnd is called after the last read. It closes the connection and cancels the pending requests, unless
-// inputEnded is set. In that case the client may still be connected, and the writer writes the pending answers.
-func (c *client) handleInputEnd() {
-	c.releaseMemory()
-	c.mu.Lock()
-	gone := !c.inputEnded
-	if gone {
-		c.gone = true
-	}
-	c.mu.Unlock()
-	if gone {
-		c.close()
-		c.cancelPending()
-	}
-	c.Wake()
-}
-
-// cancelPending cancels the connection's requests that have no answer yet. Their IDs are refused from now on, except
-// those of requests that the loop has not sent to a node by the time at which it has handled the cancellation.
-func (c *client) cancelPending() {
-	c.mu.Lock()
-	var cancelled []*pendingReply
-	for _, reply := range c.pending {
-		if !reply.ready && reply.loopID > 0 {
-			cancelled = append(cancelled, reply)
-		}
-	}
-	c.mu.Unlock()
-	for _, reply := range cancelled {
-		c.server.loop.Cancel(reply.loopID)
-		c.server.ids.abandon(reply.clientRequestID)
-	}
-	if len(cancelled) > 0 {
-		c.server.loop.Do(func() { c.server.endUnsent(cancelled) })
-	}
-}
-
-// endUnsent makes the IDs of cancelled requests that were not sent to any node available again. The loop's goroutine
-// calls it. A request that was answered before its cancellation has no command any more.
-func (s *Server) endUnsent(cancelled []*pendingReply) {
-	for _, reply := range cancelled {
-		if sent := reply.command; sent != nil && !sent.forwarded {
-			s.ids.end(reply.clientRequestID)
-		}
-	}
-}
