Use the buffers of refused commands again

A client that repeats large commands which are refused made garbage of 64 KiB each. Buffers of refused commands go back to their pool like those of rejected ones.

--- a/internal/resp/requestids_test.go
+++ b/internal/resp/requestids_test.go
@@ -11,6 +11,7 @@
 // process or at the other one of an upgrade. The ID must be refused at both, whether the node has answered or not. An ID
 // whose request was not sent to a node must be accepted again.
 func TestIDOfAbandonedRequestIsRefused(t *testing.T) {
+	const mayHaveRun = "-ERR malformed command: a request with this id may have run\r\n"
 	for _, test := range []struct {
 		name            string
 		forwarded       bool
@@ -21,17 +22,12 @@
 		thisProcessEnds bool
 		want            string
 	}{
-		{name: "in flight", forwarded: true, want: "-ERR malformed command: a request with this id may have run\r\n"},
-		{name: "answered", forwarded: true, answered: true,
-			want: "-ERR malformed command: a request with this id may have run\r\n"},
-		{name: "answered after malformed input", forwarded: true, noise: true,
-			want: "-ERR malformed command: a request with this id may have run\r\n"},
-		{name: "other process", forwarded: true, other: true,
-			want: "-ERR malformed command: a request with this id may have run\r\n"},
-		{name: "other process, later", forwarded: true, other: true, connectedLater: true,
-			want: "-ERR malformed command: a request with this id may have run\r\n"},
-		{name: "other process, this one has ended", forwarded: true, other: true, thisProcessEnds: true,
-			want: "-ERR malformed command: a request with this id may have run\r\n"},
+		{name: "in flight", forwarded: true, want: mayHaveRun},
+		{name: "answered", forwarded: true, answered: true, want: mayHaveRun},
+		{name: "answered after malformed input", forwarded: true, noise: true, want: mayHaveRun},
+		{name: "other process", forwarded: true, other: true, want: mayHaveRun},
+		{name: "other process, later", forwarded: true, other: true, connectedLater: true, want: mayHaveRun},
+		{name: "other process, this one has ended", forwarded: true, other: true, thisProcessEnds: true, want: mayHaveRun},
 		{name: "not sent", want: "$1\r\n"},
 		{name: "not sent, other process", other: true, want: "$1\r\n"},
 	} {
@@ -66,7 +62,8 @@
 				eventually(t, waitLimit, "the ID is available", func() bool { return !refuses(first.server, "id") })
 			}
 			if test.connectedLater {
-				other.server.UpdateRemoteRequests(bothIDs(first.server))
+				open, abandoned := first.server.RequestIDs()
+				other.server.UpdateRemoteRequests(open, nil, abandoned)
 			}
 			if test.thisProcessEnds {
 				other.server.AbandonRemoteRequests()
@@ -97,11 +94,6 @@
 	}
 }
 
-func bothIDs(server *Server) (open, ended, abandoned []string) {
-	open, abandoned = server.RequestIDs()
-	return open, nil, abandoned
-}
-
 // refuses reports whether an ID is open or abandoned.
 func refuses(server *Server, id string) bool {
 	if server.ids.add(id) != nil {
--- a/internal/resp/take.go
+++ b/internal/resp/take.go
@@ -60,6 +60,7 @@
 		return c.rejectWithoutMemory(command)
 	}
 	pushed := c.pushReady(net.Buffers{errorLine(err)}, false)
+	recycleCommandBuffer(command)
 	runtime.Gosched() // a client that repeats such commands at full speed must not delay the others
 	return pushed
 }
