Count the open handles of file commands in the byte budget

256 handles with paths of 2 KiB counted nowhere, half a megabyte for each connection that opens them and does nothing. They are reserved, and released with the handle or the session; without memory an OPEN or OPENDIR gets a failure.

--- a/internal/sftp/handles.go
+++ b/internal/sftp/handles.go
@@ -7,8 +7,12 @@
 	"junctionwharf/internal/clientconn"
 )
 
-// maxHandles bounds the open handles of one connection. With a larger value, one client could use more memory.
-const maxHandles = 256
+const (
+	// maxHandles bounds the open handles of one connection. With a larger value, one client could use more memory.
+	maxHandles = 256
+	// handleOverhead is the memory of an open handle in bytes, besides its path and its names.
+	handleOverhead = 256
+)
 
 // handle is a file or directory that a client has opened. It exists only in the server. session.mu guards it.
 type handle struct {
@@ -19,14 +23,19 @@
 	names  [][]byte                // bodies of NAME packets of a listed directory that the client has not read
 	memory *clientconn.Reservation // of names, nil if there are none
 	closed bool                    // the client has closed the handle
+	own    *clientconn.Reservation // of the handle itself and its path, nil before addHandle
 }
 
-// addHandle adds a handle under a new name and encodes the answer with this name. If too many handles are open, it only
-// encodes a failure. The caller holds s.mu.
+// addHandle adds a handle under a new name and encodes the answer with this name. If too many handles are open, there is
+// no memory for another one, or the session has ended, it only encodes a failure. The caller holds s.mu.
 func (s *session) addHandle(id uint32, h *handle) net.Buffers {
-	if len(s.handles) >= maxHandles {
+	if len(s.handles) >= maxHandles || s.closedToCommands {
 		return encodeStatus(id, statusFailure, "too many open handles")
 	}
+	h.own = s.server.budget.NewReservation()
+	if !h.own.TryResize(handleOverhead + len(h.path)) {
+		return encodeStatus(id, statusFailure, "no memory for another handle")
+	}
 	s.handlesOpened++
 	name := binary.BigEndian.AppendUint64(nil, s.handlesOpened)
 	s.handles[string(name)] = h
@@ -40,7 +49,7 @@
 	defer s.mu.Unlock()
 	h := s.handles[string(name)]
 	if closeIt && h != nil {
-		h.releaseNames()
+		h.release()
 		h.closed = true
 		delete(s.handles, string(name))
 	}
--- a/internal/sftp/memory.go
+++ b/internal/sftp/memory.go
@@ -123,3 +123,11 @@
 		h.memory = nil
 	}
 }
+
+// release releases the memory of the handle and of its names. The caller holds session.mu.
+func (h *handle) release() {
+	h.releaseNames()
+	if h.own != nil {
+		h.own.End()
+	}
+}
--- a/internal/sftp/memory_test.go
+++ b/internal/sftp/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,6 +20,38 @@
 	}
 }
 
+// A client could fill 512 KiB with the paths of its handles, which counted nowhere. They must be reserved, and released
+// when the handles are closed or the client leaves. Without memory, no handle may be opened.
+func TestHandlesReserveTheirPaths(t *testing.T) {
+	s, _ := newTestSession(t)
+	longPath := "/d/" + strings.Repeat("p", maxPathBytes-len("/d/"))
+	opendir := func() error {
+		return s.serveOpendir(1, &fields{rest: encodeString(longPath)})
+	}
+	for range maxHandles {
+		if err := opendir(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, want := s.server.budget.Reserved(), maxHandles*(handleOverhead+maxPathBytes); got != want {
+		t.Errorf("%d bytes are reserved for %d handles, want %d", got, maxHandles, want)
+	}
+	s.findHandle([]byte(firstHandle), true)
+	if got, want := s.server.budget.Reserved(), (maxHandles-1)*(handleOverhead+maxPathBytes); got != want {
+		t.Errorf("%d bytes are reserved after a CLOSE, want %d", got, want)
+	}
+	full := s.server.budget.NewReservation()
+	full.ForceResize(1 << 20)
+	if err := opendir(); err != nil || len(s.handles) != maxHandles-1 {
+		t.Errorf("%d handles are open without memory, error %v, want %d", len(s.handles), err, maxHandles-1)
+	}
+	full.End()
+	s.handleInputEnd()
+	if got := s.server.budget.Reserved(); got != 0 {
+		t.Errorf("%d bytes are reserved after the end of the session, want 0", got)
+	}
+}
+
 // A client that sends commands and reads no answers made the server buffer answers without a bound. The reader must
 // stop at maxPending unwritten answers.
 func TestUnreadAnswersAreBounded(t *testing.T) {
--- a/internal/sftp/session.go
+++ b/internal/sftp/session.go
@@ -119,7 +119,7 @@
 	pending := s.pending
 	s.pending = nil
 	for _, h := range s.handles {
-		h.releaseNames()
+		h.release()
 	}
 	flush := s.closeAfterOut
 	s.mu.Unlock()
