--- a/internal/agreement/service.go
+++ b/internal/agreement/service.go
@@ -109,8 +109,8 @@
 	return s.config.changes(clusterconfig.Micros(at))
 }
 
-// SettingsChanged applies the settings of a file that was read again, which are of a new generation. The service proposes its values for replicated
-// keys. All other settings apply from the next turn. Any goroutine may call it.
+// SettingsChanged applies the settings of a file that was read again, which are of a new generation. The service
+// proposes its values for replicated keys. All other settings apply from the next turn. Any goroutine may call it.
 func (s *Service) SettingsChanged(settings scheduler.Settings, generation uint64) {
 	s.config.setSettings(settings, generation)
 	s.wake()
--- a/internal/clientconn/generations.go
+++ b/internal/clientconn/generations.go
@@ -12,9 +12,9 @@
 // input that is not read during several changes would be judged by later settings than its own.
 const maxUnreadGenerations = 8
 
-// InputGenerations records which of a connection's input came under which settings, so that a command which was not read
-// yet when the settings changed is judged by the settings that it came under. S is the type of the settings. Only the
-// goroutine that reads from the connection calls Received and At. Any goroutine may call Replace.
+// InputGenerations records which of a connection's input came under which settings, so that a command which was not
+// read yet when the settings changed is judged by the settings that it came under. S is the type of the settings. Only
+// the goroutine that reads from the connection calls Received and At. Any goroutine may call Replace.
 type InputGenerations[S any] struct {
 	received atomic.Int64 // bytes that were read from the connection
 
--- a/internal/clientconn/generations_test.go
+++ b/internal/clientconn/generations_test.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// Settings are replaced while input of a connection is partly read, partly unread. Input up to that moment must keep the
-// settings that it came under, and later input must get the next ones.
+// Settings are replaced while input of a connection is partly read, partly unread. Input up to that moment must keep
+// the settings that it came under, and later input must get the next ones.
 func TestInputKeepsItsGeneration(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/clientconn/socket.go
+++ b/internal/clientconn/socket.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// WriteAll writes buffers to a connection, however long the peer takes to read them. It fails if the peer accepts no byte
-// for stallTimeout.
+// WriteAll writes buffers to a connection, however long the peer takes to read them. It fails if the peer accepts no
+// byte for stallTimeout.
 func WriteAll(conn net.Conn, out net.Buffers, stallTimeout time.Duration) error {
 	for {
 		if err := conn.SetWriteDeadline(time.Now().Add(stallTimeout)); err != nil {
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -10,8 +10,8 @@
 )
 
 // maxConfigFileBytes limits the size of a configuration file. With a larger value, a wrong path, such as that of a log
-// file, could exhaust the memory of the process. With a smaller value, the cached endpoint list of a large deployment is
-// rejected.
+// file, could exhaust the memory of the process. With a smaller value, the cached endpoint list of a large deployment
+// is rejected.
 const maxConfigFileBytes = 16 << 20
 
 // typeError reports a JSON value of the wrong type.
--- a/internal/config/shapes_test.go
+++ b/internal/config/shapes_test.go
@@ -78,8 +78,8 @@
 }
 
 // A file with "settings":[] ended a running broker by a panic, as did a file that is no object. No value of any shape
-// anywhere in a configuration may cause a panic, and one of the wrong shape must be rejected. The empty settings must be
-// rejected with their key.
+// anywhere in a configuration may cause a panic, and one of the wrong shape must be rejected. The empty settings must
+// be rejected with their key.
 func TestEveryShapeIsDecodedOrRejected(t *testing.T) {
 	var whole any
 	if err := json.Unmarshal([]byte(configText), &whole); err != nil {
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -56,8 +56,8 @@
 	return &current
 }
 
-// loadReplacement loads the configuration that replaces the old one. It turns a panic into an error, so that no file can
-// end a running broker.
+// loadReplacement loads the configuration that replaces the old one. It turns a panic into an error, so that no file
+// can end a running broker.
 func loadReplacement(old *config.Config, load func() (*config.Config, error)) (loaded *config.Config, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
@@ -96,8 +96,8 @@
 	s.storeSettings(set.Scheduler)
 }
 
-// applyMapping applies the mapping of file commands. Without a new one, the present one stays, and its commands come under
-// the new settings.
+// applyMapping applies the mapping of file commands. Without a new one, the present one stays, and its commands come
+// under the new settings.
 func (s *service) applyMapping(files config.SFTP) {
 	if s.files == nil {
 		return
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -61,9 +61,9 @@
 }
 
 // shutDown closes the servers after SIGTERM and waits until all accepted requests are answered. An answer that a client
-// is reading is not cut off, however long that takes: only its connection limits its time, or SIGKILL. If there is a successor, shutDown redirects new connections to the successor at once,
-// and closes each old connection as soon as the connection has no open requests. Otherwise it keeps accepting clients
-// until the drain time.
+// is reading is not cut off, however long that takes: only its connection limits its time, or SIGKILL. If there is a
+// successor, shutDown redirects new connections to the successor at once, and closes each old connection as soon as the
+// connection has no open requests. Otherwise it keeps accepting clients until the drain time.
 func (s *service) shutDown() {
 	times := computeShutdownTimes(*s.classes.Load())
 	began := time.Now()
--- a/internal/daemon/sizing.go
+++ b/internal/daemon/sizing.go
@@ -32,8 +32,8 @@
 	// requestHeapFraction is the fraction of the heap that buffered requests and answers may fill, where that is less
 	// than requestFraction allows.
 	requestHeapFraction = requestFraction / heapFraction
-	// minHeapBytes is the memory in bytes that the heap may use in any case: half of the smallest machine's, as for each of
-	// two processes during a handover.
+	// minHeapBytes is the memory in bytes that the heap may use in any case: half of the smallest machine's, as for
+	// each of two processes during a handover.
 	minHeapBytes = 6 << 20
 	// minRequestBytes is the memory in bytes that is left for requests if the file server's packets would use all of it.
 	minRequestBytes = 1 << 20
--- a/internal/daemon/sizing_test.go
+++ b/internal/daemon/sizing_test.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// Hundreds of clients that were not ready took a process of 32 MB over its limit: the heap had the same fraction of it as
-// on larger machines, on which the program itself counts for less. The program, and all that is accounted for in the
+// Hundreds of clients that were not ready took a process of 32 MB over its limit: the heap had the same fraction of it
+// as on larger machines, on which the program itself counts for less. The program, and all that is accounted for in the
 // heap, must fit into the limit.
 func TestSmallestMachineHoldsTheProgram(t *testing.T) {
 	for _, memoryMB := range []float64{32, 40, 48, 64, 128, 192} {
--- a/internal/resp/closing_test.go
+++ b/internal/resp/closing_test.go
@@ -207,8 +207,8 @@
 }
 
 // Clients that had sent a request and over 16 MiB of input that is not handled closed their connections, and the broker
-// forwarded the request later: it no longer looked at the connection. The attempt must be cancelled, and no state of the
-// client may remain.
+// forwarded the request later: it no longer looked at the connection. The attempt must be cancelled, and no state of
+// the client may remain.
 func TestClientLeavesAfterMuchUnhandledInput(t *testing.T) {
 	for _, size := range []int{17500 << 10, 40 << 20} {
 		for _, reset := range []bool{false, true} {
--- a/internal/resp/doc.go
+++ b/internal/resp/doc.go
@@ -5,11 +5,11 @@
 // # Rules
 //
 // A command that is read and well formed gets one answer, unless its connection fails first: an error if it cannot be
-// served. The answers of a connection are written in the order of its commands. A command is judged by the settings that
-// it came under, also if it is read later. After input that is not a sequence of commands the server writes the pending
-// answers and an error, and then closes the connection. A commandReader reads the commands one by one and checks all input before
-// the parser of the redcon library sees it, so that no length in the input can make that parser allocate or index
-// without bound.
+// served. The answers of a connection are written in the order of its commands. A command is judged by the settings
+// that it came under, also if it is read later. After input that is not a sequence of commands the server writes the
+// pending answers and an error, and then closes the connection. A commandReader reads the commands one by one and
+// checks all input before the parser of the redcon library sees it, so that no length in the input can make that parser
+// allocate or index without bound.
 //
 // Commands and answers share a byte budget (requestMemory). A request waits for memory only while an earlier answer of
 // its connection is pending, because its client's time does not run then. Otherwise it is rejected, or its value is
--- a/internal/resp/requestids.go
+++ b/internal/resp/requestids.go
@@ -24,8 +24,8 @@
 
 // requestIDs is the set of the IDs that no request may have. These are the IDs of open requests, whose answers are not
 // written yet at this process or, during a handover, at the broker's other process, and for a while those of abandoned
-// ones. Otherwise a client could get two answers for one ID, and nodes could execute one write twice, also when a client
-// that has left comes again.
+// ones. Otherwise a client could get two answers for one ID, and nodes could execute one write twice, also when a
+// client that has left comes again.
 type requestIDs struct {
 	mu        sync.Mutex // guards the fields below
 	open      map[string]struct{}
--- a/internal/resp/requestids_test.go
+++ b/internal/resp/requestids_test.go
@@ -8,8 +8,8 @@
 )
 
 // A client left while a node executed its request, and the request ran a second time when its ID came again, at this
-// process or at the other one of an upgrade. The ID must be refused at both, whether the node has answered or not. An ID
-// whose request was not sent to a node must be accepted again.
+// process or at the other one of an upgrade. The ID must be refused at both, whether the node has answered or not. An
+// ID whose request was not sent to a node must be accepted again.
 func TestIDOfAbandonedRequestIsRefused(t *testing.T) {
 	const mayHaveRun = "-ERR malformed command: a request with this id may have run\r\n"
 	for _, test := range []struct {
--- a/internal/resp/server_test.go
+++ b/internal/resp/server_test.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// A client sends commands that are well formed and cannot be served. Each must get an error, and the commands before and
-// behind it must be answered: the server dropped those behind it and closed the connection.
+// A client sends commands that are well formed and cannot be served. Each must get an error, and the commands before
+// and behind it must be answered: the server dropped those behind it and closed the connection.
 func TestRefusedCommandSwallowsNoOther(t *testing.T) {
 	const repeats = 40
 	f := newFixture(t)
@@ -85,8 +85,8 @@
 	eventually(t, waitLimit, "no bytes are reserved", func() bool { return f.server.Budget().Reserved() == 0 })
 }
 
-// New limits come into force while requests of a class that vanishes wait unread, behind as many as may be pending. They
-// must be served by the limits that they came under. A request of that class that arrives later must be refused.
+// New limits come into force while requests of a class that vanishes wait unread, behind as many as may be pending.
+// They must be served by the limits that they came under. A request of that class that arrives later must be refused.
 func TestUnreadRequestsKeepTheirLimits(t *testing.T) {
 	f := newFixture(t)
 	f.serveClients()
--- a/internal/resp/stream.go
+++ b/internal/resp/stream.go
@@ -30,9 +30,9 @@
 )
 
 // stream is a long value of a node that is forwarded piece by piece, as fast as its client accepts it. The goroutine of
-// the node's exchange blocks in wait while the client's writer writes the earlier answers of the connection and then runs
-// passTo. Only the writer limits the time of the value: it fails if the client accepts nothing or the node sends nothing
-// for pieceTimeout, and then abandons all values of its connection. stream implements broker.Streaming.
+// the node's exchange blocks in wait while the client's writer writes the earlier answers of the connection and then
+// runs passTo. Only the writer limits the time of the value: it fails if the client accepts nothing or the node sends
+// nothing for pieceTimeout, and then abandons all values of its connection. stream implements broker.Streaming.
 type stream struct {
 	size           int
 	reader         *bufio.Reader
--- a/internal/sftp/handles.go
+++ b/internal/sftp/handles.go
@@ -26,8 +26,8 @@
 	own    *clientconn.Reservation // of the handle itself and its path, nil before addHandle
 }
 
-// addHandle adds a handle under a new name and encodes the answer with this name. If too many handles are open, there is
-// no memory for another one, or the session has ended, it only encodes a failure. The caller holds s.mu.
+// addHandle adds a handle under a new name and encodes the answer with this name. If too many handles are open, there
+// is no memory for another one, or the session has ended, it only encodes a failure. The caller holds s.mu.
 func (s *session) addHandle(id uint32, h *handle) net.Buffers {
 	if len(s.handles) >= maxHandles || s.closedToCommands {
 		return encodeStatus(id, statusFailure, "too many open handles")
--- a/internal/sftp/session_test.go
+++ b/internal/sftp/session_test.go
@@ -78,7 +78,8 @@
 }
 
 // A client sends more commands than may be pending, and disconnects while the reader waits for space or for memory. Its
-// commands must be cancelled: nodes executed them although the client had gone, since the blocked reader did not notice.
+// commands must be cancelled: nodes executed them although the client had gone, since the blocked reader did not
+// notice.
 func TestClientLeavesWhileTheReaderWaits(t *testing.T) {
 	stat := func(id uint32) net.Buffers { return encodePacket(typeStat, id, encodeString("/d/f")) }
 	for _, test := range []struct {
@@ -121,8 +122,8 @@
 	}
 }
 
-// The mapping changes while commands wait unread, behind as many as may be pending. They must keep the mapping that they
-// came under, and a later command must get the new one.
+// The mapping changes while commands wait unread, behind as many as may be pending. They must keep the mapping that
+// they came under, and a later command must get the new one.
 func TestUnreadCommandsKeepTheirMapping(t *testing.T) {
 	const unread = 4
 	s, client := newLoopbackSession(t)
