Simplify: one pass over a batch's ids, one name for the first generation

Found by reading the change once more. writeBatch sliced its answers and locked the connection twice for each batch, the second time for nothing unless the batch has a stream: endIDs now takes the kind of answer. InputGenerations.Replace computed the end in two places. The first generation was a number in scheduler and a constant in daemon. Behavior is meant to stay.

--- a/internal/clientconn/generations.go
+++ b/internal/clientconn/generations.go
@@ -35,10 +35,9 @@
 func (g *InputGenerations[S]) Replace(conn net.Conn, settings S) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	received := g.received.Load()
-	end := received + int64(unreadBytes(conn))
-	for now := g.received.Load(); now != received; now = g.received.Load() { // the reader has read meanwhile
-		received = now
+	var end int64
+	for received := int64(-1); received != g.received.Load(); { // again if the reader has read meanwhile
+		received = g.received.Load()
 		end = received + int64(unreadBytes(conn))
 	}
 	if len(g.earlier) == maxUnreadGenerations {
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -22,9 +22,6 @@
 // connection that the node is closing.
 const reuseDelay = 5 * time.Millisecond
 
-// firstGeneration is the generation of the settings at the start (see scheduler.SettingsChanged).
-const firstGeneration = 1
-
 // clientServer is a server that can hand its clients over to a successor.
 type clientServer interface {
 	Drain()
@@ -72,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &service{control: ctl, failed: make(chan error, 2), generation: firstGeneration}
+	s := &service{control: ctl, failed: make(chan error, 2), generation: scheduler.FirstGeneration}
 	ctl.handlePeerMessage = s.handlePeerDatagram
 	ctl.initialEndpoints = s.newestEndpoints
 	ctl.exportedMetrics = func() []broker.Metric { return append(ctl.ownMetrics(), s.clientMetric()) }
--- a/internal/resp/write.go
+++ b/internal/resp/write.go
@@ -88,7 +88,7 @@
 // writeBatch writes the answers of a batch and reports whether more can be written.
 func (c *client) writeBatch(next batch) bool {
 	defer next.release()
-	c.endIDs(next.replies[:len(next.replies)-next.streams()])
+	c.endIDs(next.replies, false)
 	err := writeAll(c.socket, next.text)
 	if next.value != nil {
 		if err != nil {
@@ -97,10 +97,11 @@
 			err = next.value.passTo(c.socket)
 		}
 	}
-	if err != nil {
+	switch {
+	case err != nil:
 		c.server.abandonIDs(next.replies)
-	} else {
-		c.endIDs(next.replies[len(next.replies)-next.streams():])
+	case next.value != nil:
+		c.endIDs(next.replies, true)
 	}
 	c.mu.Lock()
 	c.writing = false
@@ -112,27 +113,19 @@
 	return err == nil
 }
 
-// streams returns the number of answers with a stream, which is 0 or 1. An answer with a stream is the last of a batch.
-func (b *batch) streams() int {
-	if b.value != nil {
-		return 1
-	}
-	return 0
-}
-
 // endIDs makes the IDs of requests available again whose answers are written, unless the client may have disconnected.
-// For buffered answers it is called just before the write, since a client may send the ID again as soon as it has the
-// answer.
-func (c *client) endIDs(replies []*pendingReply) {
+// It considers either the answers with a stream or the buffered ones. For the latter it is called just before the
+// write, since a client may send the ID again as soon as it has the answer.
+func (c *client) endIDs(replies []*pendingReply, streams bool) {
 	c.mu.Lock()
 	halfClosed := c.halfClosed
 	c.mu.Unlock()
-	if halfClosed {
-		c.server.abandonIDs(replies)
-		return
-	}
 	for _, reply := range replies {
-		if reply.holdsID {
+		switch {
+		case !reply.holdsID || (reply.value != nil) != streams:
+		case halfClosed:
+			c.server.ids.abandon(reply.clientRequestID)
+		default:
 			c.server.ids.end(reply.clientRequestID)
 		}
 	}
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -75,8 +75,8 @@
 
 // SettingsChanged replaces the settings. The new settings must have passed Validate. Their Brokers and
 // Ordinal are ignored: a Scheduler keeps those with which it started. Generation counts the configurations
-// of the process; the one at the start has generation 1. Requests of an earlier generation keep its classes
-// and plans. With Generation 0, or the present one, the settings replace those of the present generation.
+// of the process, from FirstGeneration. Requests of an earlier generation keep its classes and plans. With
+// Generation 0, or the present one, the settings replace those of the present generation.
 type SettingsChanged struct {
 	Settings   Settings
 	Generation uint64
--- a/scheduler/generations.go
+++ b/scheduler/generations.go
@@ -5,6 +5,9 @@
 // settings than its own.
 const maxEarlierGenerations = 8
 
+// FirstGeneration is the generation of the settings at the start.
+const FirstGeneration = 1
+
 // settingsTable holds the classes and plans of one generation of the settings by name. Generations count the
 // configurations of a process. The replicated configuration may change the settings within a generation.
 type settingsTable struct {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -100,7 +100,7 @@
 		shards:    shardTable{byID: map[int]*shard{}},
 		demand:    demandAggregator{reports: map[uint32][]demandReport{}},
 	}
-	s.applySettings(settings, 1)
+	s.applySettings(settings, FirstGeneration)
 	return s, nil
 }
 
