Fakes: write configuration files as the platform does, with all its keys

Tests, the demonstration and the fleet harness wrote files with a few of the keys that the platform always writes, so no test could tell a key that must be there from one that need not.

fakes.CompleteConfig adds the missing keys, each with a value that means the same as no key.

--- a/cmd/brokerbench/demo.go
+++ b/cmd/brokerbench/demo.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	text, err := json.Marshal(brokerConfig{
+	text, err := encodeConfig(brokerConfig{
 		Name:      "demo",
 		Listen:    address,
 		Discovery: d.discovery.Address(),
--- a/cmd/brokerbench/testbed.go
+++ b/cmd/brokerbench/testbed.go
@@ -62,6 +62,15 @@
 	Settings  json.RawMessage `json:"settings"`
 }
 
+// encodeConfig returns the configuration file of a broker, with all keys that the platform writes.
+func encodeConfig(config brokerConfig) ([]byte, error) {
+	text, err := json.Marshal(config)
+	if err != nil {
+		return nil, err
+	}
+	return fakes.CompleteConfig(text)
+}
+
 type brokerLimits struct {
 	Cores    int     `json:"cores"`
 	MemoryMB float64 `json:"memory_mb"`
@@ -167,7 +176,7 @@
 	if err != nil {
 		return nil, err
 	}
-	text, err := json.Marshal(brokerConfig{
+	text, err := encodeConfig(brokerConfig{
 		Name:      "n1",
 		Listen:    address,
 		Console:   consoleAddress,
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -53,8 +54,9 @@
 	address, files := unusedAddress(t), unusedAddress(t)
 	site := writeFile(t, dir, "site", fileServerSite(files))
 	configure := func(discovery string) string {
-		return writeFile(t, dir, "config", fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"settings":%s}`,
-			address, discovery, withWriteClass(settingsText)))
+		text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"settings":%s}`, address, discovery,
+			withWriteClass(settingsText))
+		return writeFile(t, dir, "config", completeConfig(t, text))
 	}
 	t.Setenv("BALANCER_CONFIG", configure(services[0]))
 	load := func() (*config.Config, error) {
@@ -84,6 +86,16 @@
 	broker.waitEnd(t)
 }
 
+// settingsOf returns the settings of a configuration as they stand in its text.
+func settingsOf(t *testing.T, text string) string {
+	t.Helper()
+	var config struct{ Settings json.RawMessage }
+	if err := json.Unmarshal([]byte(text), &config); err != nil {
+		t.Fatal(err)
+	}
+	return string(config.Settings)
+}
+
 // reloadFault is a replacement that makes a configuration faulty, and the reason that the reload then logs.
 type reloadFault struct{ old, new, reason string }
 
@@ -111,7 +123,9 @@
 // key. Then a valid file is reloaded. It also changes a key that needs a restart: the reload applies the other keys,
 // and the log names that key.
 func TestReloadOfFaultyConfig(t *testing.T) {
-	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":%s}`, settingsText)
+	text := completeConfig(t, fmt.Sprintf(
+		`{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":%s}`, settingsText))
+	settings := settingsOf(t, text)
 	c := parseConfig(t, text)
 	var lines []string
 	s := newReloadService(t, c, func(line string) { lines = append(lines, line) })
@@ -128,8 +142,8 @@
 		{`"deadline":6000000`, `"deadline":0`, "settings.classes[0].deadline: 0s is not above 0"},
 		{`"deadline":6000000`, `"deadline":"6"`, "settings.classes.deadline: got string, want float64"},
 		{`"maxAttempts":3`, `"maxAttempts":0`, "settings.bounds.maxAttempts: 0 is below 1"},
-		{settingsText, `[]`, "settings: got array, want struct"},
-		{settingsText, `null`, "settings: missing"},
+		{settings, `[]`, "settings: got array, want struct"},
+		{settings, `null`, "settings: missing"},
 		{text, `[]`, "got array, want struct"},
 		{text, ``, "unexpected end of JSON input"},
 		{text, text[:len(text)-1], "unexpected end of JSON input"},
@@ -148,7 +162,8 @@
 		t.Errorf("a panic while loading logged %q, want a rejection and an unchanged configuration", lines)
 	}
 	lines = nil
-	moved := loadChanged(`"127.0.0.1:1","discovery":"127.0.0.1:2"`, `"127.0.0.1:3","discovery":"127.0.0.1:4"`)
+	addresses := strings.NewReplacer("127.0.0.1:1", "127.0.0.1:3", "127.0.0.1:2", "127.0.0.1:4")
+	moved := loadChanged(text, addresses.Replace(text))
 	current := s.reload(c, moved)
 	if current.Discovery != "127.0.0.1:4" || current.Listen != c.Listen {
 		t.Errorf("configuration after the reload: %+v, want the new discovery and old listen address", current)
--- a/internal/daemon/testkit_test.go
+++ b/internal/daemon/testkit_test.go
@@ -39,10 +39,20 @@
 
 func emptyEnvironment(string) string { return "" }
 
-// parseConfig parses a configuration in JSON.
+// completeConfig adds the keys that a configuration in JSON lacks and that the platform always writes.
+func completeConfig(t *testing.T, text string) string {
+	t.Helper()
+	complete, err := fakes.CompleteConfig([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(complete)
+}
+
+// parseConfig parses a configuration in JSON, to which it adds the keys that the platform always writes.
 func parseConfig(t *testing.T, text string) *config.Config {
 	t.Helper()
-	c, err := config.Parse([]byte(text), emptyEnvironment)
+	c, err := config.Parse([]byte(completeConfig(t, text)), emptyEnvironment)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fakes/doc.go
+++ b/internal/fakes/doc.go
@@ -1,5 +1,5 @@
-// Package fakes provides fakes of the systems around a broker: discovery, storage nodes, a DNS server, and receivers of
-// metrics (Carbon and collectd). They are shared by tests, the demonstration and the experiments of cmd/brokerbench.
+// Package fakes provides fakes of the systems around a broker: the platform's configuration files, discovery, storage
+// nodes, a DNS server, and receivers of metrics (Carbon and collectd). They are shared by tests, the demonstration and the experiments of cmd/brokerbench.
 //
 // Rule. A fake is written from the public description of its protocol. It shares no code with the code under test, so
 // that an encoder and its decoder cannot have the same error. The receivers of metrics record input that they cannot
--- a/internal/fleetharness/brokerconfig.go
+++ b/internal/fleetharness/brokerconfig.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"junctionwharf/internal/fakes"
 )
 
 // Classes, plan and deadlines of requests, for brokers and clients alike.
@@ -202,6 +204,10 @@
 	if err != nil {
 		return nil, "", err
 	}
+	text, err = fakes.CompleteConfig(text)
+	if err != nil {
+		return nil, "", err
+	}
 	home := filepath.Join(f.dir, strconv.Itoa(b.number))
 	sitePath = filepath.Join(home, "site.toml")
 	b.configPath = filepath.Join(home, "config.json")
