Decide by each key's declaration, not by the running file, what a reload must have

Cause: CheckReloadKeys took the keys that the running file had in all elements of a list for the required ones. An optional key that had been there could not go; a required one that the running file or one of its elements lacked could.

Change: each field of the wire structs declares a required key unless it is tagged presence:"optional"; keys that the broker does not use are declared too. A reload needs all of them, in each element of a list, and names all that are missing in its one log line. A start needs the keys of the settings that the broker uses, warns about others, and check prints them. Settings without a plan are turned down, at a start too.

Two texts of TestReloadOfFaultyConfig and one of TestEveryShapeIsDecodedOrRejected now name the element or all keys; they are compared as exactly.

--- a/cmd/junctionwharf/main.go
+++ b/cmd/junctionwharf/main.go
@@ -187,6 +187,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.CheckComplete(); err != nil {
+		fmt.Printf("incomplete, a reload of this file would be rejected: %v\n", err)
+	}
 	set := c.Settings.Scheduler
 	fmt.Printf("%s listens on %s: broker %d of %d, %d classes, %d plans\n",
 		c.Name, c.Listen, set.Ordinal, set.Brokers, len(set.Classes), len(set.Plans))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"reflect"
+	"slices"
 	"strconv"
 
 	"junctionwharf/internal/discovery"
@@ -22,6 +24,12 @@
 // errNoConfig reports that the environment variable with the path of the configuration file is not set.
 var errNoConfig = errors.New(configVariable + " is not set")
 
+// settingsKey is the key of Config.Settings.
+const settingsKey = "settings"
+
+// errNoSettings reports that a file has no settings.
+var errNoSettings = errors.New(settingsKey + ": missing")
+
 // Config is the complete configuration of a broker.
 type Config struct {
 	Name             string
@@ -39,22 +47,22 @@
 	Site             Site // optional features; without a site file all are off
 	HandoverDisabled bool // disables the handover between processes, for platforms without Unix sockets
 
-	keys keySet // keys that are present in the file
+	missing []string // paths of the required keys that the file lacks
 }
 
-// wireConfig is the format of the platform's file.
+// wireConfig is the format of the platform's file. The fields' tags say which keys a file may lack (see presenceTag).
 type wireConfig struct {
 	Name            string          `json:"name"`
 	Listen          string          `json:"listen"`
 	Discovery       string          `json:"discovery"`
-	Console         string          `json:"console"`
-	LocalAddress    string          `json:"local_address"`
+	Console         string          `json:"console" presence:"optional"`
+	LocalAddress    string          `json:"local_address" presence:"optional"`
 	Seed            string          `json:"seed"` // hexadecimal
 	Limits          Limits          `json:"limits"`
 	PeerListen      string          `json:"peer_listen"`
 	Peers           []string        `json:"peers"`
 	PeersAll        string          `json:"peers_all"`
-	CachedEndpoints json.RawMessage `json:"known"`
+	CachedEndpoints json.RawMessage `json:"known" presence:"optional"` // used only at the start
 	Settings        json.RawMessage `json:"settings"`
 }
 
@@ -105,7 +113,12 @@
 	if err := c.parseCachedEndpoints(wire.CachedEndpoints); err != nil {
 		return nil, err
 	}
-	c.keys = parseKeys(text)
+	if isMissing(wire.Settings) {
+		return nil, errNoSettings
+	}
+	if err := c.findMissingKeys(text, wire.Settings); err != nil {
+		return nil, err
+	}
 	if err := c.parseSettings(wire.Settings); err != nil {
 		return nil, err
 	}
@@ -144,16 +157,27 @@
 	return nil
 }
 
-func (c *Config) parseSettings(text json.RawMessage) error {
-	if isMissing(text) {
-		return errors.New("settings: missing")
+// findMissingKeys records the required keys that the file lacks. It returns an error if the broker needs one of them: it
+// cannot do without the settings, nor without a key of the settings whose value it uses.
+func (c *Config) findMissingKeys(file, settings json.RawMessage) error {
+	outside := missingKeys("", reflect.TypeFor[wireConfig](), file)
+	within := missingKeys(settingsKey+".", reflect.TypeFor[wireSettings](), settings)
+	for _, key := range slices.Concat(outside, within) {
+		c.missing = append(c.missing, key.path)
+	}
+	if slices.ContainsFunc(within, func(key missingKey) bool { return key.used }) {
+		return c.CheckComplete()
 	}
+	return nil
+}
+
+func (c *Config) parseSettings(text json.RawMessage) error {
 	settings, err := ParseSettings(text)
 	if err == nil {
 		err = settings.complete()
 	}
 	if err != nil {
-		return withinKey("settings", err)
+		return withinKey(settingsKey, err)
 	}
 	c.Settings = settings
 	return nil
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -1,25 +1,18 @@
 package config
 
 import (
-	"fmt"
-	"maps"
 	"reflect"
 )
 
-// knownKey is the key of Config.CachedEndpoints. This endpoint list is used only at the start, so the file may omit it
-// at a reload.
-const knownKey = "known"
-
-// CheckReloadKeys returns an error if the file of other lacks a key that the file of c has. The error names one such
-// key. Without this check, a key that was lost from the file would silently be reset to its default. A configuration
-// that is loaded while the broker runs must therefore contain all keys of the active one, except knownKey.
-func (c *Config) CheckReloadKeys(other *Config) error {
-	required := maps.Clone(c.keys)
-	delete(required, knownKey)
-	if missing := required.firstMissing(other.keys); missing != "" {
-		return fmt.Errorf("%s: missing", missing)
+// CheckComplete returns an error that names the required keys that the file lacks, if there are any. A configuration
+// that is loaded while the broker runs must be complete, whatever the active one contains: otherwise a key that was lost
+// from the file would silently be reset to its default. A start accepts a file that lacks keys outside the settings,
+// which have defaults or come from the environment, or keys of the settings that the broker does not use.
+func (c *Config) CheckComplete() error {
+	if len(c.missing) == 0 {
+		return nil
 	}
-	return nil
+	return &missingKeysError{c.missing}
 }
 
 // RestartOnlyChanges returns the keys whose values differ in other and take effect only after a restart. The seed and
@@ -55,7 +48,7 @@
 func (c *Config) ApplyReload(other *Config) {
 	c.Discovery = other.Discovery
 	c.Settings = other.Settings
-	c.keys = other.keys
+	c.missing = other.missing
 	c.Site.SFTP.plan = other.Site.SFTP.plan
 	if len(c.Site.Membership.Sources) > 0 && len(other.Site.Membership.Sources) > 0 {
 		c.Site.Membership.Sources = other.Site.Membership.Sources
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -18,16 +18,28 @@
 }
 
 // wireSettings is the format of the object in the platform's file. encoding/json matches its keys regardless of case.
+// The fields' tags say which keys a file may lack (see presenceTag).
 type wireSettings struct {
 	Bounds        wireBounds     `json:"bounds"`
 	Classes       []wireClass    `json:"classes"`
+	Clients       wireClients    `json:"clients"`
 	Discovery     string         `json:"discovery"`
+	Family        unused         `json:"family"`
 	Invariants    wireInvariants `json:"invariants"`
+	Kinds         unused         `json:"kinds"`
 	NInstances    int            `json:"nInstances"`
 	Ordinal       int            `json:"ordinal"`
+	Prices        wirePrices     `json:"prices"`
+	ScoreParts    wireScoreParts `json:"scoreParts"`
 	ServiceLevels []wirePlan     `json:"serviceLevels"`
 	Specifics     wireSpecifics  `json:"specifics"`
+	Stage         unused         `json:"stage"`
+	Telemetry     wireTelemetry  `json:"telemetry"`
+	Tick          unused         `json:"tick"`
+	Tiers         unused         `json:"tiers"`
+	Weights       unused         `json:"weights"`
 	Zone          string         `json:"zone"`
+	Zones         unused         `json:"zones"`
 }
 
 type wireBounds struct {
@@ -40,6 +52,41 @@
 	MaxRetryAfter  micros `json:"maxRetryAfter"`
 	ConnIdle       micros `json:"connIdle"`
 	ConnectTimeout micros `json:"connectTimeout"`
+
+	CPUPerRequest  unused `json:"cpuUsPerRequest"`
+	CPUPerSecond   unused `json:"cpuUsPerS"`
+	MaxOpen        unused `json:"maxOpen"`
+	StreamsPerConn unused `json:"streamsPerConn"`
+}
+
+type wireClients struct {
+	MarksRetry unused `json:"marksRetry"`
+}
+
+type wirePrices struct {
+	Connection unused `json:"connection"`
+	CrossZone  unused `json:"crossZone"`
+	Discovery  unused `json:"discovery"`
+	Fleet      unused `json:"fleet" presence:"optional"`
+	Handshake  unused `json:"handshake"`
+	LateFail   unused `json:"lateFail"`
+	Moves      unused `json:"moves"`
+	Origin     unused `json:"origin"`
+	Peer       unused `json:"peer"`
+	Probe      unused `json:"probe"`
+	Waste      unused `json:"waste"`
+}
+
+type wireScoreParts struct {
+	Whole       unused `json:"whole"`
+	WorstClass  unused `json:"worstClass"`
+	WorstTenant unused `json:"worstTenant"`
+	WorstWindow unused `json:"worstWindow"`
+}
+
+type wireTelemetry struct {
+	Fields unused `json:"fields"`
+	Via    unused `json:"via"`
 }
 
 type wireClass struct {
@@ -49,10 +96,10 @@
 	Aim        micros  `json:"aim"`
 	Deadline   micros  `json:"deadline"`
 	Window     micros  `json:"window"`
-	AimStretch float64 `json:"aimStretch"`
+	AimStretch float64 `json:"aimStretch" presence:"optional"`
 	Importance float64 `json:"importance"`
 	LateWorth  float64 `json:"lateWorth"`
-	ByArrival  bool    `json:"byArrival"`
+	ByArrival  bool    `json:"byArrival" presence:"optional"`
 	Stream     bool    `json:"stream"`
 }
 
@@ -62,12 +109,12 @@
 	DrainGrace   micros  `json:"drainGrace"`
 	Fall         micros  `json:"fall"`
 	MustAskIn    micros  `json:"mustAskIn"`
-	KeyQuiet     micros  `json:"keyQuiet"`
-	RatioSpan    micros  `json:"ratioSpan"`
+	KeyQuiet     micros  `json:"keyQuiet" presence:"optional"`
+	RatioSpan    micros  `json:"ratioSpan" presence:"optional"`
 	ColdShare    float64 `json:"coldShare"`
 	FallMultiple float64 `json:"fallMultiple"`
-	ExtraFloor   float64 `json:"extraFloor"`
-	ResendRatio  float64 `json:"resendRatio"`
+	ExtraFloor   float64 `json:"extraFloor" presence:"optional"`
+	ResendRatio  float64 `json:"resendRatio" presence:"optional"`
 }
 
 type wirePlan struct {
@@ -89,6 +136,9 @@
 	YoungLimit  float64 `json:"youngLimit"`
 	UsePeriod   micros  `json:"usePeriod"`
 	NShards     int     `json:"nShards"`
+
+	TellsElsewhere unused `json:"tellsElsewhere"`
+	Writes         unused `json:"writes"`
 }
 
 // subscribeMode is the value of the key "discovery" if all brokers poll one shared service.
--- a/internal/config/settings_check.go
+++ b/internal/config/settings_check.go
@@ -100,6 +100,9 @@
 }
 
 func checkPlans(plans []scheduler.Plan) error {
+	if len(plans) == 0 {
+		return errors.New("serviceLevels: at least one plan is required")
+	}
 	names := map[string]bool{}
 	for i, plan := range plans {
 		if plan.Name == "" || names[plan.Name] {
--- a/internal/config/shapes_test.go
+++ b/internal/config/shapes_test.go
@@ -123,7 +123,9 @@
 		`"none"`: "settings: got string, want struct",
 		`0`:      "settings: got number, want struct",
 		`null`:   "settings: missing",
-		`{}`:     "settings.classes: at least one class is required",
+		`{}`: "settings.bounds, settings.classes, settings.clients, settings.discovery, settings.family, " +
+			"settings.invariants, settings.kinds, settings.nInstances, settings.ordinal, settings.prices, " +
+			"settings.scoreParts, settings.serviceLevels and 8 more keys: missing",
 	} {
 		text := bytes.Replace([]byte(configText), []byte(settingsText), []byte(settings), 1)
 		if _, err := Parse(text, emptyEnvironment); err == nil || err.Error() != want {
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -35,6 +35,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.CheckComplete(); err != nil {
+		log.Warn("configuration is incomplete; a reload of it would be rejected", "reason", err)
+	}
 	if err := s.start(ctx, reload, load); err != nil {
 		s.parts.stop()
 		return err
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -32,7 +32,7 @@
 // Other changed keys take effect after a restart, and the log names them. A faulty file is never applied in part: the
 // previous configuration then stays active as a whole.
 func (s *service) reload(old *config.Config, load func() (*config.Config, error)) *config.Config {
-	loaded, err := loadReplacement(old, load)
+	loaded, err := loadReplacement(load)
 	s.loop.Metrics.CountReload(err == nil)
 	if err != nil {
 		s.log.Error("reload rejected; the previous configuration stays active", "reason", err)
@@ -56,9 +56,9 @@
 	return &current
 }
 
-// loadReplacement loads the configuration that replaces the old one. It turns a panic into an error, so that no file
-// can end a running broker.
-func loadReplacement(old *config.Config, load func() (*config.Config, error)) (loaded *config.Config, err error) {
+// loadReplacement loads a configuration that replaces the active one, and must therefore be complete. It turns a panic
+// into an error, so that no file can end a running broker.
+func loadReplacement(load func() (*config.Config, error)) (loaded *config.Config, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			err = fmt.Errorf("panic: %v", cause)
@@ -66,7 +66,7 @@
 	}()
 	loaded, err = load()
 	if err == nil {
-		err = old.CheckReloadKeys(loaded)
+		err = loaded.CheckComplete()
 	}
 	return loaded, err
 }
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -137,8 +137,8 @@
 	faults := []reloadFault{
 		{`"discovery":"127.0.0.1:2"`, `"discovery":"there"`, `discovery: "there" is not of the form address:port`},
 		{`"name":"n1",`, ``, "name: missing"},
-		{`"floorRate":100,`, ``, "settings.servicelevels.floorrate: missing"},
-		{`"importance":1`, `"importance":null`, "settings.classes.importance: missing"},
+		{`"floorRate":100,`, ``, "settings.serviceLevels[0].floorRate: missing"},
+		{`"importance":1`, `"importance":null`, "settings.classes[0].importance: missing"},
 		{`"deadline":6000000`, `"deadline":0`, "settings.classes[0].deadline: 0s is not above 0"},
 		{`"deadline":6000000`, `"deadline":"6"`, "settings.classes.deadline: got string, want float64"},
 		{`"maxAttempts":3`, `"maxAttempts":0`, "settings.bounds.maxAttempts: 0 is below 1"},
