Log each reload, also in quick succession

What operators saw: of reloads that were turned down within ten seconds only five were named in the log, the rest only counted: the sampler passes five lines of one message and level per window.

Change: logging.Unsampled, used for the lines that answer a SIGHUP. Signals are merged while a reload runs, so these lines cannot fill the disk faster than files are read.

Test: TestEachRejectedReloadIsLogged, 12 rejections; before the change 7 of the 12 had no line. go test -race of internal/logging and the reload tests of internal/daemon passes (arm64).

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -9,6 +9,7 @@
 	"junctionwharf/broker"
 	"junctionwharf/internal/collectd"
 	"junctionwharf/internal/config"
+	"junctionwharf/internal/logging"
 	"junctionwharf/internal/resp"
 )
 
@@ -34,8 +35,9 @@
 func (s *service) reload(old *config.Config, load func() (*config.Config, error)) *config.Config {
 	loaded, err := loadReplacement(load)
 	s.loop.Metrics.CountReload(err == nil)
+	log := logging.Unsampled(s.log)
 	if err != nil {
-		s.log.Error("reload rejected; the previous configuration stays active", "reason", err)
+		log.Error("reload rejected; the previous configuration stays active", "reason", err)
 		s.exporter.Notify(collectd.Notification{
 			Severity: collectd.Failure,
 			Instance: "reload",
@@ -44,13 +46,13 @@
 		return old
 	}
 	if keys := old.RestartOnlyChanges(loaded); len(keys) > 0 {
-		s.log.Warn("reload: some keys need a restart", "keys", strings.Join(keys, ", "))
+		log.Warn("reload: some keys need a restart", "keys", strings.Join(keys, ", "))
 	}
 	if loaded.Discovery != old.Discovery {
 		s.watcher.SetAddress(loaded.Discovery)
 	}
 	s.applySettings(loaded)
-	s.log.Info("reloaded", "discovery", loaded.Discovery)
+	log.Info("reloaded", "discovery", loaded.Discovery)
 	current := *old
 	current.ApplyReload(loaded)
 	return &current
--- a/internal/daemon/reload_keys_test.go
+++ b/internal/daemon/reload_keys_test.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"bytes"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -164,3 +166,32 @@
 		t.Errorf("reload of the same file: reason %q", reason)
 	}
 }
+
+// Of rejected reloads in quick succession only five in ten seconds were logged, so that the reasons of the others were
+// nowhere. Each reload has its line, whatever the log leaves out elsewhere.
+func TestEachRejectedReloadIsLogged(t *testing.T) {
+	const reloads = 12
+	text := keysText(t)
+	c, err := config.Parse([]byte(text), emptyEnvironment)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var output bytes.Buffer
+	s := newReloadService(t, c, func(string) {})
+	if s.log, err = logging.New(&output, logging.Options{Name: "n1"}); err != nil {
+		t.Fatal(err)
+	}
+	for i := range reloads {
+		name := fmt.Sprintf(`"discovery":"host%d"`, i)
+		faulty := strings.Replace(text, `"discovery":"127.0.0.1:2"`, name, 1)
+		s.reload(c, func() (*config.Config, error) { return config.Parse([]byte(faulty), emptyEnvironment) })
+	}
+	for i := range reloads {
+		if count := strings.Count(output.String(), fmt.Sprintf(`host%d\"`, i)); count != 1 {
+			t.Errorf("reload %d is named in %d lines, want 1:\n%s", i, count, output.String())
+		}
+	}
+	if count := s.metric(t, "reconfig_failed"); count != reloads {
+		t.Errorf("%d reloads are counted as rejected, want %d", count, reloads)
+	}
+}
--- a/internal/logging/sampler.go
+++ b/internal/logging/sampler.go
@@ -56,6 +56,15 @@
 	return &samplingHandler{Handler: h.Handler.WithGroup(name), sampler: h.sampler}
 }
 
+// Unsampled returns a logger that writes each line to where log writes its lines. It is meant for lines that only a
+// command of an operator causes: each command must be answered in the log.
+func Unsampled(log *slog.Logger) *slog.Logger {
+	if handler, is := log.Handler().(*samplingHandler); is {
+		return slog.New(handler.Handler)
+	}
+	return log
+}
+
 // messageKind identifies the lines that are sampled together.
 type messageKind struct {
 	level   slog.Level
