Check the site's sections in force, and empty keys, against each new file

Change: Config.CheckReload judges the sections in force by the new settings and gives the mapping in force their defaults (Check no longer writes them into the section); an empty key that only the environment fills counts as missing at a reload.

Tests, each failing before: TestReloadChecksSectionsInForce (3 of 4 rows), TestMappingInForceFollowsSettings, a row of TestReloadWithoutRequiredKeys. go test -race of internal/config, internal/daemon, internal/sftp and cmd passes, the linter is clean (arm64).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -116,7 +116,7 @@
 	if isMissing(wire.Settings) {
 		return nil, errNoSettings
 	}
-	if err := c.findMissingKeys(text, wire.Settings); err != nil {
+	if err := c.findMissingKeys(text, &wire); err != nil {
 		return nil, err
 	}
 	if err := c.parseSettings(wire.Settings); err != nil {
@@ -159,18 +159,33 @@
 
 // findMissingKeys records the required keys that the file lacks. It returns an error if the broker needs one of them: it
 // cannot do without the settings, nor without a key of the settings whose value it uses.
-func (c *Config) findMissingKeys(file, settings json.RawMessage) error {
+func (c *Config) findMissingKeys(file []byte, wire *wireConfig) error {
 	outside := missingKeys("", reflect.TypeFor[wireConfig](), file)
-	within := missingKeys(settingsKey+".", reflect.TypeFor[wireSettings](), settings)
+	within := missingKeys(settingsKey+".", reflect.TypeFor[wireSettings](), wire.Settings)
 	for _, key := range slices.Concat(outside, within) {
 		c.missing = append(c.missing, key.path)
 	}
+	c.addEmptyKeys(wire)
 	if slices.ContainsFunc(within, func(key missingKey) bool { return key.used }) {
 		return c.CheckComplete()
 	}
 	return nil
 }
 
+// addEmptyKeys records the keys that are empty in the file, so that the environment supplies their values. Those are the
+// values of the start, which a reload must not bring back.
+func (c *Config) addEmptyKeys(wire *wireConfig) {
+	for _, supplied := range []struct{ key, value string }{
+		{"name", wire.Name},
+		{"listen", wire.Listen},
+		{"discovery", wire.Discovery},
+	} {
+		if supplied.value == "" && !slices.Contains(c.missing, supplied.key) {
+			c.missing = append(c.missing, supplied.key)
+		}
+	}
+}
+
 func (c *Config) parseSettings(text json.RawMessage) error {
 	settings, err := ParseSettings(text)
 	if err == nil {
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"reflect"
 )
 
@@ -15,6 +16,28 @@
 	return &missingKeysError{c.missing}
 }
 
+// CheckReload returns an error that names the faulty key if other must not replace the active configuration c: if its
+// file is incomplete, or if its settings do not fit the sections of the site file that stay in force until a restart.
+// If other does not map file commands, it gets the mapping of c with the defaults of its own settings.
+func (c *Config) CheckReload(other *Config) error {
+	if err := other.CheckComplete(); err != nil {
+		return err
+	}
+	set := other.Settings.Scheduler
+	if err := c.Site.Agreement.checkLimits(set); err != nil {
+		return fmt.Errorf("agreement.%w (the section in force until a restart)", err)
+	}
+	if c.Site.SFTP.Listen == "" || other.Site.SFTP.Listen != "" {
+		return nil
+	}
+	inForce := c.Site.SFTP
+	if err := inForce.complete(set); err != nil {
+		return fmt.Errorf("sftp.%w (the section in force until a restart)", err)
+	}
+	other.Site.SFTP.plan = inForce.plan
+	return nil
+}
+
 // RestartOnlyChanges returns the keys whose values differ in other and take effect only after a restart. The seed and
 // CachedEndpoints are not compared, because a reload never changes them.
 func (c *Config) RestartOnlyChanges(other *Config) []string {
@@ -49,7 +72,7 @@
 	c.Discovery = other.Discovery
 	c.Settings = other.Settings
 	c.missing = other.missing
-	c.Site.SFTP.plan = other.Site.SFTP.plan
+	c.Site.SFTP.applyReload(other.Site.SFTP)
 	if len(c.Site.Membership.Sources) > 0 && len(other.Site.Membership.Sources) > 0 {
 		c.Site.Membership.Sources = other.Site.Membership.Sources
 		c.Site.Membership.SuspectS = other.Site.Membership.SuspectS
--- a/internal/config/sftp.go
+++ b/internal/config/sftp.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"junctionwharf/internal/sftp"
 	"junctionwharf/scheduler"
@@ -58,6 +60,22 @@
 	case s.Connections < 1 || s.Connections > maxConnections:
 		return fmt.Errorf("connections: %d is not within 1 to %d", s.Connections, maxConnections)
 	}
-	s.plan = sftp.Mapping{UnitBytes: s.UnitBytes, Commands: s.Commands, Volumes: s.Volumes}
+	// Check fills in defaults from the settings, which must not become values of the section: new settings have others.
+	s.plan = sftp.Mapping{
+		UnitBytes: s.UnitBytes,
+		Commands:  maps.Clone(s.Commands),
+		Volumes:   slices.Clone(s.Volumes),
+	}
 	return s.plan.Check(set)
 }
+
+// applyReload copies the mapping of file commands from a section that was read again.
+func (s *SFTP) applyReload(other SFTP) {
+	s.plan = other.plan
+	if other.Listen == "" {
+		return
+	}
+	s.UnitBytes = other.UnitBytes
+	s.Commands = other.Commands
+	s.Volumes = other.Volumes
+}
--- a/internal/config/site_test.go
+++ b/internal/config/site_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -167,3 +168,30 @@
 		withSection(source+"kind = \"discovery\"\ngood_s = -1", "membership.source[0].good_s"),
 	})
 }
+
+// The mapping of file commands stays in force if a new site file has none. A wait that the site file does not give
+// stayed at the deadline of the old settings. It follows the new ones, after several reloads too.
+func TestMappingInForceFollowsSettings(t *testing.T) {
+	c, err := Parse([]byte(configText), emptyEnvironment)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Site, err = loadSite(t, siteText); err != nil {
+		t.Fatal(err)
+	}
+	for _, deadline := range []int64{1300, 900, 1400} {
+		text := strings.Replace(configText, `"deadline":1200000`, fmt.Sprintf(`"deadline":%d000`, deadline), 1)
+		other, err := Parse([]byte(text), emptyEnvironment)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.CheckReload(other); err != nil {
+			t.Fatal(err)
+		}
+		commands := other.Site.SFTP.Plan().Commands
+		if commands["write"].WaitMS != deadline || commands["read"].WaitMS != 500 {
+			t.Errorf("commands are %+v, want waits of %d ms for write and 500 ms for read", commands, deadline)
+		}
+		c.ApplyReload(other)
+	}
+}
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -33,7 +33,7 @@
 // Other changed keys take effect after a restart, and the log names them. A faulty file is never applied in part: the
 // previous configuration then stays active as a whole.
 func (s *service) reload(old *config.Config, load func() (*config.Config, error)) *config.Config {
-	loaded, err := loadReplacement(load)
+	loaded, err := loadReplacement(old, load)
 	s.loop.Metrics.CountReload(err == nil)
 	log := logging.Unsampled(s.log)
 	if err != nil {
@@ -58,9 +58,9 @@
 	return &current
 }
 
-// loadReplacement loads a configuration that replaces the active one, and must therefore be complete. It turns a panic
-// into an error, so that no file can end a running broker.
-func loadReplacement(load func() (*config.Config, error)) (loaded *config.Config, err error) {
+// loadReplacement loads the configuration that replaces the old one, and checks that it may. It turns a panic into an
+// error, so that no file can end a running broker.
+func loadReplacement(old *config.Config, load func() (*config.Config, error)) (loaded *config.Config, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			err = fmt.Errorf("panic: %v", cause)
@@ -68,7 +68,7 @@
 	}()
 	loaded, err = load()
 	if err == nil {
-		err = loaded.CheckComplete()
+		err = old.CheckReload(loaded)
 	}
 	return loaded, err
 }
@@ -98,16 +98,13 @@
 	s.storeSettings(set.Scheduler)
 }
 
-// applyMapping applies the mapping of file commands. Without a new one, the present one stays, and its commands come
-// under the new settings.
+// applyMapping applies the mapping of file commands. Without a new one, it is the present one with the defaults of the
+// new settings (see config.CheckReload).
 func (s *service) applyMapping(files config.SFTP) {
 	if s.files == nil {
 		return
 	}
-	mapping := s.files.Mapping()
-	if files.Listen != "" {
-		mapping = *files.Plan()
-	}
+	mapping := *files.Plan()
 	mapping.Generation = s.generation
 	s.files.SetMapping(&mapping)
 }
--- a/internal/daemon/reload_keys_test.go
+++ b/internal/daemon/reload_keys_test.go
@@ -26,7 +26,8 @@
 		withWriteClass(settingsText)+`}`)
 }
 
-// reloadOf reloads a file while a broker runs that has started with another one. It returns the configuration that is
+// reloadOf reloads a file while a broker runs that has started with another one. The environment has addresses of the
+// time before the reload, as on the platform. It returns the configuration that is
 // then active, and the reason of a rejection or "".
 func reloadOf(t *testing.T, started, text string) (current *config.Config, reason string) {
 	t.Helper()
@@ -37,16 +38,21 @@
 	}
 	var lines []string
 	s := newReloadService(t, c, func(line string) { lines = append(lines, line) })
-	current = s.reload(c, func() (*config.Config, error) { return config.Parse([]byte(text), emptyEnvironment) })
+	environment := map[string]string{"BALANCER_DISCOVERY": "127.0.0.1:9", "BALANCER_LISTEN": "127.0.0.1:9"}
+	current = s.reload(c, func() (*config.Config, error) {
+		return config.Parse([]byte(text), func(name string) string { return environment[name] })
+	})
 	for _, line := range lines {
 		if strings.HasPrefix(line, rejection) {
 			reason += strings.TrimPrefix(line, rejection)
 		}
 	}
-	accepted := s.metric(t, "reconfig_ok") == 1 && s.metric(t, "reconfig_failed") == 0
-	rejected := s.metric(t, "reconfig_ok") == 0 && s.metric(t, "reconfig_failed") == 1
-	if reason == "" && !accepted || reason != "" && !(rejected && current == c && len(lines) == 1) {
-		t.Errorf("reason %q: the reload is not counted once, or not logged in one line: %q", reason, lines)
+	counts := [2]uint64{s.metric(t, "reconfig_ok"), s.metric(t, "reconfig_failed")}
+	if reason == "" && counts != [2]uint64{1, 0} {
+		t.Errorf("accepted and rejected reloads: %v, want one accepted", counts)
+	}
+	if reason != "" && (counts != [2]uint64{0, 1} || current != c || len(lines) != 1) {
+		t.Errorf("accepted and rejected reloads: %v, log %q, want one rejected in one line", counts, lines)
 	}
 	return current, reason
 }
@@ -118,6 +124,7 @@
 		{"no plan", sound, `"serviceLevels":[`, `"serviceLevels":[],"else":[`,
 			"settings.serviceLevels: at least one plan is required"},
 		{"outside the settings", sound, `"seed":"0",`, ``, "seed: missing"},
+		{"outside, empty", sound, `"discovery":"127.0.0.1:2"`, `"discovery":""`, "discovery: missing"},
 		{"limit", sound, `"cores":0,`, ``, "limits.cores: missing"},
 		{"outside, not in the running file", strings.Replace(sound, `"peers_all":"",`, ``, 1), `"peers_all":"",`, ``,
 			"peers_all: missing"},
@@ -195,3 +202,32 @@
 		t.Errorf("%d reloads are counted as rejected, want %d", count, reloads)
 	}
 }
+
+// Sections of the site file that stay in force until a restart were not checked against new settings if the new site
+// file lacked them: file writes could get a class whose requests may be repeated, and a replicated limit could exceed
+// that of its plan. Such a reload is rejected.
+func TestReloadChecksSectionsInForce(t *testing.T) {
+	limited := strings.Replace(keysText(t), `"ceilingRate":0`, `"ceilingRate":50`, 1)
+	site := writeFile(t, t.TempDir(), "site", fileServerSite("127.0.0.1:4")+
+		"[agreement]\ncluster = \"x\"\nmembers = [{name=\"a\",address=\"127.0.0.1:5\"},"+
+		"{name=\"b\",address=\"127.0.0.1:6\"},{name=\"c\",address=\"127.0.0.1:7\"}]\n[agreement.limits]\nplan = 40\n")
+	c := parseConfig(t, limited)
+	var err error
+	if c.Site, err = config.LoadSite(site, c.Settings.Scheduler); err != nil {
+		t.Fatal(err)
+	}
+	for _, fault := range []reloadFault{
+		{`"effect":"unsafe"`, `"effect":"safe"`, `sftp.command.open_write.class: class "write" allows repeated execution`},
+		{`"name":"write"`, `"name":"put"`, `sftp.command.open_write.class: no class "write"`},
+		{`"ceilingRate":50`, `"ceilingRate":30`, `agreement.limits.plan: got 40, want above 0 and at most`},
+		{`"importance":1`, `"importance":2`, ``},
+	} {
+		var lines []string
+		s := newReloadService(t, c, func(line string) { lines = append(lines, line) })
+		text := strings.Replace(limited, fault.old, fault.new, 1)
+		current := s.reload(c, func() (*config.Config, error) { return config.Parse([]byte(text), emptyEnvironment) })
+		if rejected := current == c; rejected != (fault.reason != "") || !strings.Contains(lines[0], fault.reason) {
+			t.Errorf("%s: rejected %v, log %q, want reason %q", fault.new, rejected, lines, fault.reason)
+		}
+	}
+}
