Hold a volume to the plan of its last request

Cause: volumeFor looked at a request's plan for a new volume only. Admission took the plan of each request, but counted the time before it under the new plan, and forgot a volume after 2 s whether its bucket was full or not.

Change: changePlan settles the quota, the reserved bucket and the ticks under the earlier plan and then switches; no bucket gains, debts stay. Under a plan without a limit the quota goes on under the last limit, for requests that still wait under it. A request is charged if its own plan or the volume's has a limit. A refund no longer raises tokens over the bucket. Admission counts the time before a change under the earlier rate and forgets full buckets only.

--- a/admission/settings.go
+++ b/admission/settings.go
@@ -93,11 +93,14 @@
 	// unreservedOpenShare is the part of MaxOpen from which on only requests within reserved capacity are admitted.
 	// With a larger value, a burst of other requests would crowd out requests within reserved capacity.
 	unreservedOpenShare = 0.9
-	// reserveIdleTime is how long a volume must be idle before its bucket may be dropped: 2 s. By then the bucket is
-	// full again if its rate is at least the maximum units of a request per second, because it holds the reserved
-	// capacity of one second and the units of one request. With a smaller value, a volume that is dropped and tracked
-	// again would get more than its reserved capacity.
+	// reserveIdleTime is how long a volume must be idle before its bucket may be dropped: 2 s. The bucket must also be
+	// full, since a volume that is tracked again has a full one. With a smaller value, volumes in use would be dropped
+	// and tracked again more often.
 	reserveIdleTime Micros = 2_000_000
+	// unreservedIdleTime is how long a volume must be idle before its bucket may be dropped while its plan reserves
+	// nothing: 1 min. With a smaller value, a volume could get a full bucket sooner by a change of its plan to and
+	// fro. With a larger value, volumes that are gone take the room of others for longer.
+	unreservedIdleTime Micros = 60_000_000
 	// sweepBatch bounds how many volumes are checked for being idle when a new volume arrives. With a value of 1, idle
 	// volumes would rarely be found. With a larger value, the admission of a new volume would cost more.
 	sweepBatch = 2
--- a/internal/daemon/testkit_test.go
+++ b/internal/daemon/testkit_test.go
@@ -218,6 +218,7 @@
 type testRequest struct {
 	id      string
 	class   string // default "read"
+	plan    string // default "plan"
 	body    string // of a write; empty for a read
 	wait    int    // milliseconds, default 6000
 	volume  string // default defaultVolume
@@ -238,8 +239,8 @@
 
 // encode returns the request's bytes.
 func (r testRequest) encode() string {
-	list := fmt.Sprintf("c=%s,t=plan,d=%d,volume=%s,units=%d,shard=0,hosts=%d",
-		orDefault(r.class, "read"), orDefault(r.wait, 6000), orDefault(r.volume, defaultVolume),
+	list := fmt.Sprintf("c=%s,t=%s,d=%d,volume=%s,units=%d,shard=0,hosts=%d",
+		orDefault(r.class, "read"), orDefault(r.plan, "plan"), orDefault(r.wait, 6000), orDefault(r.volume, defaultVolume),
 		orDefault(r.units, 1), orDefault(r.brokers, 1))
 	const object = "7f3a9c21e0b4d655"
 	arguments := []string{"BLK.READ", object, r.id, list}
--- a/scheduler/arrival.go
+++ b/scheduler/arrival.go
@@ -25,7 +25,7 @@
 		s.emit(Reject{ID: e.ID, After: s.retryAfter()})
 		return
 	}
-	r := &request{Request: e, class: class, deadline: s.now + e.Remaining}
+	r := &request{Request: e, class: class, limited: plan.Limit > 0, deadline: s.now + e.Remaining}
 	s.requests[e.ID] = r
 	earlier, known := s.unserved[retryKey{e.Class, e.Volume, e.Key, e.Units}]
 	r.firstArrival = firstArrival(s.now, &r.Request, class.Deadline, earlier, known)
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -99,7 +99,7 @@
 func (s *Scheduler) recordNotSent(n *node, r *request) {
 	n.slowStart.tokens += r.Units
 	if r.answered && r.attempts == 1 {
-		r.volume.tokens += r.Units
+		r.volume.tokens = min(r.volume.tokens+r.Units, max(r.volume.tokens, r.volume.capacity))
 		r.volume.quota.Refund(r.ID)
 	}
 }
--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -21,7 +21,9 @@
 	now       scheduler.Time
 	processes []*tierProcess
 	lastID    uint64
-	sent      []sentUnits
+	sent      []sentUnits // of the requests that came under a plan with a limit
+
+	planOf func(ordinal int) string // the plan of the next request through a broker; nil for "low"
 }
 
 type tierProcess struct {
@@ -30,6 +32,7 @@
 	timers    []scheduler.Time
 	answers   []tierAnswer // in the order of arrival
 	units     map[uint64]float64
+	unlimited map[uint64]bool // requests under a plan without a limit
 	forwarded map[uint64]bool
 }
 
@@ -47,6 +50,7 @@
 		ordinal:   ordinal,
 		scheduler: newScheduler(r.t, settings, uint64(len(r.processes))),
 		units:     map[uint64]float64{},
+		unlimited: map[uint64]bool{},
 		forwarded: map[uint64]bool{},
 	}
 	r.processes = append(r.processes, p)
@@ -69,7 +73,9 @@
 		case scheduler.Forward:
 			if !p.forwarded[a.ID] {
 				p.forwarded[a.ID] = true
-				r.sent = append(r.sent, sentUnits{r.now, p.units[a.ID]})
+				if !p.unlimited[a.ID] {
+					r.sent = append(r.sent, sentUnits{r.now, p.units[a.ID]})
+				}
 			}
 			p.answers = append(p.answers, tierAnswer{r.now + answerTime, scheduler.AttemptEnded{
 				ID: a.ID, Node: a.Node, Latency: answerTime, Finished: true, Load: scheduler.NoLoadReport,
@@ -87,8 +93,13 @@
 			r.lastID++
 			units := float64(1 + rng.IntN(int(r.settings.MaxUnits)))
 			p.units[r.lastID] = units
+			plan := "low"
+			if r.planOf != nil {
+				plan = r.planOf(p.ordinal)
+			}
+			p.unlimited[r.lastID] = plan == freePlan
 			r.step(p, append(events, scheduler.Request{
-				ID: r.lastID, Class: "read", Plan: "low", Volume: "v", Units: units,
+				ID: r.lastID, Class: "read", Plan: plan, Volume: "v", Units: units,
 				Brokers: r.settings.Brokers, Remaining: 2000 * ms,
 			})...)
 		}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -100,7 +100,7 @@
 // add adds a queued request to the summary. A request is time-dependent if it may have to wait for its key,
 // the retry budget or its quota. giveUpAt is a microsecond early, because the service time is rounded.
 func (q *queueSummary) add(r *request, tickPeriod time.Duration) {
-	r.timeDependent = r.keyQueue != nil || r.attempts > 0 || r.volume.plan.Limit > 0
+	r.timeDependent = r.keyQueue != nil || r.attempts > 0 || r.isLimited()
 	if r.timeDependent {
 		q.timeDependent++
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -79,7 +79,8 @@
 	failover       failover
 	executedOn     *node // node of the first attempt that may have executed, nil for none
 	firstExecution Time  // when that attempt was sent
-	limitCharged   bool  // the quota of the volume's rate limit was charged
+	limited        bool  // its own plan has a rate limit
+	limitCharged   bool  // the quota of the volume's rate limit was charged, or need not be
 	answered       bool  // the request has its final answer
 }
 
@@ -112,10 +113,7 @@
 	s.nodes.recount = true
 	s.scans.generation++
 	for _, v := range s.volumes.list {
-		v.catchUp(s.ticks, s.lastTickAt)
-		if plan := s.table.plans[v.plan.Name]; plan != nil {
-			v.applyPlan(plan, settings.MaxUnits)
-		}
+		s.updatePlans(v)
 	}
 	shorter := func(a, b Class) int { return int(a.LatencyObjective - b.LatencyObjective) }
 	s.minObjective = slices.MinFunc(settings.Classes, shorter).LatencyObjective
--- a/scheduler/selection.go
+++ b/scheduler/selection.go
@@ -123,7 +123,7 @@
 	} else {
 		s.budget.recordRetry(s.now)
 	}
-	if !r.limitCharged {
+	if !r.limitCharged && r.isLimited() {
 		r.volume.quota.Take(r.ID, r.Units)
 	}
 	r.attempts++
--- a/scheduler/tokens.go
+++ b/scheduler/tokens.go
@@ -54,8 +54,7 @@
 // volume's excess grows relative to its normal rate. For the value, the broker's part is proportional to its
 // part of the volume's demand, and at least the even part.
 func (s *Scheduler) valueShare(v *volume, units float64) float64 {
-	rate := v.plan.ReservedRate * v.demandShare(v.peerDemand.current(s.ticks))
-	v.reserved.refill(s.now, rate, rate+s.settings.MaxUnits)
+	s.refillReserved(v)
 	if v.plan.ReservedRate > 0 && v.reserved.tokens >= units {
 		v.reserved.tokens -= units
 		return 1
@@ -66,6 +65,12 @@
 	return spare + (share-spare)/(1+v.excess/max(1, normalRate))
 }
 
+// refillReserved refills the token bucket of this broker's part of a volume's reserved rate.
+func (s *Scheduler) refillReserved(v *volume) {
+	rate := v.plan.ReservedRate * v.demandShare(v.peerDemand.current(s.ticks))
+	v.reserved.refill(s.now, rate, rate+s.settings.MaxUnits)
+}
+
 // refill adds the units that a rate, in units a second, yields since the last refill, up to a capacity in
 // units.
 func (b *reservedBucket) refill(now Time, rate, capacity float64) {
@@ -96,7 +101,7 @@
 	if r.attempts == 0 && v.tokens-r.Units < floor {
 		return false
 	}
-	if !r.limitCharged && !s.refillQuota(v).Allows(r.Units) {
+	if !r.limitCharged && r.isLimited() && !s.refillQuota(v).Allows(r.Units) {
 		return false
 	}
 	return r.isNextOfKey(s.now) && (r.attempts == 0 || s.mayRetry(r))
--- a/scheduler/volumes.go
+++ b/scheduler/volumes.go
@@ -15,10 +15,11 @@
 // time.
 type volume struct {
 	name    string
-	hash    uint32 // identifies the volume in peer messages
-	plan    *Plan
+	hash    uint32  // identifies the volume in peer messages
+	plan    *Plan   // the plan of its last request
 	brokers float64 // number of brokers that receive the volume's requests
 	quota   quota.Quota
+	limited *Plan // its last plan with a rate limit, under which the quota is refilled; nil for none
 
 	tokens       float64 // units; negative in overdraft
 	capacity     float64 // capacity of the token bucket in units
@@ -66,7 +67,7 @@
 }
 
 // volumeFor returns a request's volume and marks it as used. It creates the volume if it does not exist, and
-// adopts the request's number of brokers.
+// adopts the request's plan and number of brokers.
 func (s *Scheduler) volumeFor(e *Request, plan *Plan) *volume {
 	v := s.volumes.byName[e.Volume]
 	if v == nil {
@@ -74,16 +75,34 @@
 	}
 	v.lastUsedTick = s.ticks
 	s.activateVolume(v)
+	if plan.Name != v.plan.Name {
+		s.changePlan(v, plan)
+	}
 	brokers := float64(max(1, min(e.Brokers, s.settings.Brokers)))
 	if brokers != v.brokers {
 		v.brokers = brokers
-		v.capacity = bucketCapacity(plan, max(s.settings.MaxUnits, e.Units))
+		v.capacity = bucketCapacity(v.plan, max(s.settings.MaxUnits, e.Units))
 		v.tokens = min(v.tokens, v.capacity)
 		s.scans.generation++
 	}
 	return v
 }
 
+// changePlan moves a volume to another plan, in the values of the present settings if they have the plan. The
+// time until now counts under the earlier plan. No bucket gains tokens, and a debt stays as it is. The caller
+// has applied the ticks until now.
+func (s *Scheduler) changePlan(v *volume, plan *Plan) {
+	if present := s.table.plans[plan.Name]; present != nil {
+		plan = present
+	}
+	s.refillReserved(v)
+	s.refillQuota(v)
+	v.applyPlan(plan, s.settings.MaxUnits)
+	s.refillReserved(v)
+	s.refillQuota(v)
+	s.scans.generation++
+}
+
 func (s *Scheduler) addVolume(name string, plan *Plan) *volume {
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(name)) // a hash accepts any bytes
@@ -92,6 +111,7 @@
 		hash:         hash.Sum32(),
 		plan:         plan,
 		quota:        quota.New(s.now),
+		limited:      limitedOnly(plan),
 		sequence:     s.volumes.seen,
 		caughtUpTick: s.ticks,
 		caughtUpAt:   s.lastTickAt,
@@ -103,11 +123,25 @@
 	return v
 }
 
-// applyPlan applies the new values of a volume's plan. It never raises the volume's tokens.
+// applyPlan applies a plan to a volume. It never raises the volume's tokens.
 func (v *volume) applyPlan(plan *Plan, maxUnits float64) {
 	v.plan = plan
 	v.capacity = bucketCapacity(plan, maxUnits)
 	v.tokens = min(v.tokens, v.capacity)
+	if plan.Limit > 0 {
+		v.limited = plan
+	}
+}
+
+// updatePlans applies the values of new settings to a volume's plans, if the settings have them.
+func (s *Scheduler) updatePlans(v *volume) {
+	v.catchUp(s.ticks, s.lastTickAt)
+	if v.limited != nil && s.table.plans[v.limited.Name] != nil {
+		v.limited = limitedOnly(s.table.plans[v.limited.Name])
+	}
+	if plan := s.table.plans[v.plan.Name]; plan != nil {
+		v.applyPlan(plan, s.settings.MaxUnits)
+	}
 }
 
 // activateVolume adds a volume to the active volumes.
