Forget full volumes first, and let what is forgotten in debt come back in debt

Change: evict takes the volume that was not used for longest among those whose quota and reserved bucket are full and whose tokens are no debt, from a heap whose keys are computed again only for the first; without one, the volume that is full first. What it lacks stands in a table of as many slots as volumes may be remembered (the bound that memory sets). Volumes that share a slot come back with its largest debt, and a new volume of the slot has it too: too much is charged rather than too little; a shared slot that nothing repays ends after an hour. A volume with open requests is no longer forgotten when idle.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -66,6 +66,22 @@
 	q.refilledAt = now
 }
 
+// Tokens returns the units that may be taken. They are below 0 if more units are in transit than the quota's burst.
+func (q *Quota) Tokens() float64 { return q.tokens }
+
+// TimeToFill returns the seconds in which the quota is full again if no units are taken, 0 without a limit. Units in
+// transit count as taken.
+func (q *Quota) TimeToFill() float64 {
+	if q.limit.Rate <= 0 {
+		return 0
+	}
+	missing := q.limit.Burst*q.share - q.inTransit - q.tokens
+	return max(0, missing) / (q.limit.Rate * q.share)
+}
+
+// Owe takes units that were taken before this quota began.
+func (q *Quota) Owe(units float64) { q.tokens -= units }
+
 // Allows reports whether the given number of units may be taken now.
 func (q *Quota) Allows(units float64) bool {
 	return q.limit.Rate <= 0 || q.tokens >= units
--- a/scheduler/arrival.go
+++ b/scheduler/arrival.go
@@ -21,7 +21,7 @@
 		s.emit(Fail{ID: e.ID})
 		return
 	}
-	if !s.volumes.hasRoomFor(e.Volume) {
+	if !s.hasRoomFor(e.Volume) {
 		s.emit(Reject{ID: e.ID, After: s.retryAfter()})
 		return
 	}
--- a/scheduler/giveup.go
+++ b/scheduler/giveup.go
@@ -74,8 +74,8 @@
 	if r.inFlightAt == nil {
 		r.volume.quota.Settle(r.ID)
 		if s.requests[r.ID] == r {
-			r.volume.openRequests--
 			delete(s.requests, r.ID)
+			s.volumes.closeRequest(r.volume)
 		}
 		r.leaveKeyQueue()
 	}
--- a/scheduler/memory.go
+++ b/scheduler/memory.go
@@ -8,7 +8,7 @@
 const (
 	// volumeIdleTicks is the number of ticks without a request after which a volume is forgotten. With a
 	// larger value memory grows with all volumes of the last hours. With a smaller value a volume that
-	// returns has lost its saved tokens or its overdraft, and its demand is unknown.
+	// returns has lost its saved tokens, and its demand is unknown.
 	volumeIdleTicks = 2400
 	// expiryTicks is the number of ticks between two searches for expired key queues and unserved requests.
 	// With a larger value expired entries use memory for longer. With a smaller value ticks take longer.
@@ -95,33 +95,19 @@
 	return left
 }
 
-// forgetVolumes drops volumes without a request for volumeIdleTicks. Each tick checks a part of the volumes.
+// forgetVolumes drops volumes without an open request, and without a new one for volumeIdleTicks. Each tick
+// checks a part of the volumes.
 func (s *Scheduler) forgetVolumes() {
 	t := &s.volumes
 	if t.sweepPosition >= len(t.list) {
 		t.sweepPosition = 0
 	}
-	end := min(len(t.list), t.sweepPosition+max(sweepMin, len(t.list)/sweepFraction))
-	kept := t.sweepPosition
-	for _, v := range t.list[t.sweepPosition:end] {
-		if s.ticks-v.lastUsedTick <= volumeIdleTicks {
-			t.list[kept] = v
-			kept++
+	for range min(len(t.list)-t.sweepPosition, max(sweepMin, len(t.list)/sweepFraction)) {
+		v := t.list[t.sweepPosition]
+		if v.openRequests > 0 || s.ticks-v.lastUsedTick <= volumeIdleTicks {
+			t.sweepPosition++
 			continue
 		}
-		t.forget(v)
+		s.forgetVolume(v) // the last volume of the list takes its position
 	}
-	t.closeGap(kept, end)
-	t.sweepPosition = kept
-}
-
-// closeGap fills list[start:end] with the last volumes of the list. The order of the list is irrelevant.
-func (t *volumeTable) closeGap(start, end int) {
-	if start >= end {
-		return
-	}
-	left := len(t.list) - (end - start)
-	copy(t.list[start:], t.list[max(end, left):])
-	clear(t.list[left:])
-	t.list = t.list[:left]
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -36,6 +36,7 @@
 	unserved  map[retryKey]unservedRecord
 	keyQueues map[string]*keyQueue
 	volumes   volumeTable
+	debts     debtTable
 	nodes     nodeTable
 	shards    shardTable
 	scans     scanSchedule
@@ -97,6 +98,7 @@
 		unserved:  map[retryKey]unservedRecord{},
 		keyQueues: map[string]*keyQueue{},
 		volumes:   newVolumeTable(),
+		debts:     debtTable{max: defaultMaxVolumes},
 		nodes:     nodeTable{byName: map[string]*node{}},
 		shards:    shardTable{byID: map[int]*shard{}},
 		demand:    demandAggregator{reports: map[uint32][]demandReport{}},
@@ -112,6 +114,7 @@
 	s.replaceTable(newSettingsTable(settings, generation))
 	s.nodes.recount = true
 	s.scans.generation++
+	s.volumes.resetEvictionOrder()
 	for _, v := range s.volumes.list {
 		s.updatePlans(v)
 	}
@@ -190,6 +193,7 @@
 		s.limitVolumes(e.MaxVolumes)
 	case ProcessesChanged:
 		s.scans.generation++
+		s.volumes.resetEvictionOrder()
 		s.processes.known = float64(max(1, e.Processes))
 		s.processes.unseen = float64(max(0, e.Unseen))
 	}
--- a/scheduler/tokens.go
+++ b/scheduler/tokens.go
@@ -67,10 +67,15 @@
 
 // refillReserved refills the token bucket of this broker's part of a volume's reserved rate.
 func (s *Scheduler) refillReserved(v *volume) {
-	rate := v.plan.ReservedRate * v.demandShare(v.peerDemand.current(s.ticks))
+	rate := s.reservedRate(v)
 	v.reserved.refill(s.now, rate, rate+s.settings.MaxUnits)
 }
 
+// reservedRate returns this broker's part of a volume's reserved rate, by demand, in units a second.
+func (s *Scheduler) reservedRate(v *volume) float64 {
+	return v.plan.ReservedRate * v.demandShare(v.peerDemand.current(s.ticks))
+}
+
 // refill adds the units that a rate, in units a second, yields since the last refill, up to a capacity in
 // units.
 func (b *reservedBucket) refill(now Time, rate, capacity float64) {
--- a/scheduler/volumes.go
+++ b/scheduler/volumes.go
@@ -31,10 +31,15 @@
 	caughtUpTick int     // tick for which tokens, demand and excess were last computed
 	caughtUpAt   Time    // time of that tick
 	lastUsedTick int     // tick of the last request
+	lastUsedAt   Time    // time of the last request
 	sequence     int     // position in the order in which volumes were first seen
 	openRequests int     // requests that are not deleted yet
 	active       bool
 	forgotten    bool // removed from the table
+
+	position      int  // index in volumeTable.list
+	evictionIndex int  // index in volumeTable.evictable, or notEvictable
+	evictAt       Time // orders volumeTable.evictable
 }
 
 // reservedBucket is a token bucket for this broker's part of a volume's reserved rate, in units.
@@ -49,10 +54,10 @@
 	byHash        map[uint32]*volume
 	list          []*volume // unordered
 	active        []*volume // the volumes that a tick processes
-	seen          int       // volumes ever added; the next volume's sequence
-	max           int       // volumes that are remembered at most
-	sweepPosition int       // index in list at which forgetVolumes continues
-	evictPosition int       // index in list of the last volume that evict checked
+	evictable     evictionHeap
+	seen          int // volumes ever added; the next volume's sequence
+	max           int // volumes that are remembered at most
+	sweepPosition int // index in list at which forgetVolumes continues
 }
 
 func newVolumeTable() volumeTable {
@@ -70,10 +75,13 @@
 // adopts the request's plan and number of brokers.
 func (s *Scheduler) volumeFor(e *Request, plan *Plan) *volume {
 	v := s.volumes.byName[e.Volume]
-	if v == nil {
+	isNew := v == nil
+	if isNew {
 		v = s.addVolume(e.Volume, plan)
 	}
 	v.lastUsedTick = s.ticks
+	v.lastUsedAt = s.now
+	s.volumes.reconsider(v, s.now)
 	s.activateVolume(v)
 	if plan.Name != v.plan.Name {
 		s.changePlan(v, plan)
@@ -85,6 +93,9 @@
 		v.tokens = min(v.tokens, v.capacity)
 		s.scans.generation++
 	}
+	if isNew {
+		s.charge(v, s.debts.take(s.now, v.hash))
+	}
 	return v
 }
 
@@ -112,9 +123,12 @@
 		plan:         plan,
 		quota:        quota.New(s.now),
 		limited:      limitedOnly(plan),
+		position:     len(s.volumes.list),
 		sequence:     s.volumes.seen,
 		caughtUpTick: s.ticks,
 		caughtUpAt:   s.lastTickAt,
+
+		evictionIndex: notEvictable,
 	}
 	s.volumes.seen++
 	s.volumes.byName[name] = v
@@ -175,6 +189,9 @@
 	s.volumes.active = slices.DeleteFunc(s.volumes.active, func(v *volume) bool {
 		usedLately := s.ticks-v.lastUsedTick < 2
 		v.active = usedLately || v.demand*demandSteps >= 1 || v.peerDemand.current(s.ticks) > 0
+		if !v.active {
+			s.volumes.reconsider(v, s.now)
+		}
 		return !v.active
 	})
 }
