Refuse requests rather than forget the ids of those that must not run twice

An id whose request must not run twice takes its place when the request is accepted and keeps it until its answer is written or the retention is over; without room the request gets -BUSY with the usual advice and is counted (memory_ids_refused in vars). Ids of requests that may run twice take what is left, the oldest forgotten first. An id whose client leaves stays open until the loop says whether the request was sent, so that unsent ones never enter the table.

Tests: TestAbandonedIDsAreBounded, which asserted that the oldest id is accepted again, now asserts that none that must not run twice is, and the bound in bytes; TestFullTableOfIDsRejects over sockets and TestUnsentIDsTakeNoMemory.

--- a/internal/resp/client.go
+++ b/internal/resp/client.go
@@ -46,6 +46,7 @@
 type pendingReply struct {
 	loopID          uint64   // the loop's ID of the request, 0 if none
 	clientRequestID string   // the client's ID of the request, empty if none
+	repeatable      bool     // the request may run twice
 	command         *command // that was submitted, nil if none or once answered
 	ready           bool
 	rejection       bool           // admission control rejected the request
--- a/internal/resp/disconnect.go
+++ b/internal/resp/disconnect.go
@@ -68,8 +68,8 @@
 	c.cancelPending()
 }
 
-// cancelPending cancels the connection's requests that have no answer yet. Their IDs are refused from now on, except
-// those of requests that the loop has not sent to a node by the time at which it has handled the cancellation.
+// cancelPending cancels the connection's requests that have no answer yet. Once the loop has handled the cancellation,
+// the IDs of requests that were sent to a node are refused for a while, and the others are available again.
 func (c *client) cancelPending() {
 	c.mu.Lock()
 	var cancelled []*pendingReply
@@ -81,18 +81,22 @@
 	c.mu.Unlock()
 	for _, reply := range cancelled {
 		c.server.loop.Cancel(reply.loopID)
-		c.server.ids.abandon(reply.clientRequestID)
+		c.server.ids.leave(reply.clientRequestID)
 	}
 	if len(cancelled) > 0 {
-		c.server.loop.Do(func() { c.server.endUnsent(cancelled) })
+		c.server.loop.Do(func() { c.server.settleIDs(cancelled) })
 	}
 }
 
-// endUnsent makes the IDs of cancelled requests that were not sent to any node available again. The loop's goroutine
-// calls it. A request that was answered before its cancellation has no command any more.
-func (s *Server) endUnsent(cancelled []*pendingReply) {
+// settleIDs ends or abandons the IDs of cancelled requests. The loop's goroutine calls it. A request that was answered
+// before its cancellation has no command any more, and its ID was treated like that of any answer.
+func (s *Server) settleIDs(cancelled []*pendingReply) {
 	for _, reply := range cancelled {
-		if sent := reply.command; sent != nil && !sent.forwarded {
+		switch sent := reply.command; {
+		case sent == nil:
+		case sent.forwarded:
+			s.ids.abandon(reply.clientRequestID, reply.repeatable)
+		default:
 			s.ids.end(reply.clientRequestID)
 		}
 	}
--- a/internal/resp/limits.go
+++ b/internal/resp/limits.go
@@ -19,6 +19,7 @@
 // the scheduler.
 type RequestLimits struct {
 	Classes    map[string]bool
+	Repeatable map[string]bool // classes whose requests may run twice
 	Plans      map[string]bool
 	MaxUnits   float64 // 0 if unknown
 	Shards     int     // 0 if unknown
@@ -33,6 +34,7 @@
 func NewRequestLimits(settings scheduler.Settings, shards int) RequestLimits {
 	limits := RequestLimits{
 		Classes:    map[string]bool{},
+		Repeatable: map[string]bool{},
 		Plans:      map[string]bool{},
 		MaxUnits:   settings.MaxUnits,
 		Shards:     shards,
@@ -48,6 +50,7 @@
 	}
 	for _, class := range settings.Classes {
 		limits.Classes[class.Name] = true
+		limits.Repeatable[class.Name] = class.Idempotency == scheduler.Idempotent
 		limits.MaxTimeout = max(limits.MaxTimeout, class.Deadline)
 	}
 	for _, plan := range settings.Plans {
--- a/internal/resp/memory.go
+++ b/internal/resp/memory.go
@@ -24,6 +24,7 @@
 	metricRejectedMemory  = "memory_refused"
 	metricStreamedMemory  = "memory_streamed"
 	metricDiscardedMemory = "memory_discarded"
+	metricRejectedIDs     = "memory_ids_refused"
 )
 
 // serverMemory is the memory that the requests of all connections of a server share. Its methods may be called from any
@@ -34,6 +35,8 @@
 	rejected  atomic.Uint64 // requests whose command did not fit
 	streamed  atomic.Uint64 // values that were streamed because they did not fit
 	discarded atomic.Uint64 // values that were discarded because they did not fit
+
+	rejectedIDs atomic.Uint64 // requests whose IDs could not have been kept
 }
 
 func newServerMemory(maxBytes int) *serverMemory {
@@ -47,6 +50,7 @@
 		{Name: metricRejectedMemory, Value: s.rejected.Load(), Counter: true},
 		{Name: metricStreamedMemory, Value: s.streamed.Load(), Counter: true},
 		{Name: metricDiscardedMemory, Value: s.discarded.Load(), Counter: true},
+		{Name: metricRejectedIDs, Value: s.rejectedIDs.Load(), Counter: true},
 	}
 }
 
--- a/internal/resp/requestids_test.go
+++ b/internal/resp/requestids_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -96,7 +98,7 @@
 
 // refuses reports whether an ID is open or abandoned.
 func refuses(server *Server, id string) bool {
-	if server.ids.add(id) != nil {
+	if server.ids.add(id, true) != nil {
 		return true
 	}
 	server.ids.end(id)
@@ -133,22 +135,130 @@
 	}
 }
 
-// The IDs of abandoned requests are forgotten after a while, and their number is bounded.
+// The IDs of abandoned requests were forgotten beyond a number, the oldest first, also those of requests that must not
+// run twice, so that these ran twice. Their memory is bounded by a part of the byte budget. At the bound, the IDs of
+// requests that may run twice are forgotten, the oldest first, and then requests that must not are rejected, until the
+// time of other IDs is over.
 func TestAbandonedIDsAreBounded(t *testing.T) {
-	ids := newRequestIDs()
-	for i := range 3 * maxAbandonedIDs {
-		ids.abandon(fmt.Sprint("id", i))
+	const maxBytes = 64 << 10
+	ids := newRequestIDs(maxBytes)
+	name := func(kind string, i int) string { return fmt.Sprintf("%s-%06d", kind, i) }
+	room := maxBytes / idBytes(name("safe", 0))
+	abandonAll := func(kind string, count int, repeatable bool) {
+		for i := range count {
+			if err := ids.add(name(kind, i), repeatable); err != nil {
+				t.Fatalf("%s: %v", name(kind, i), err)
+			}
+			ids.abandon(name(kind, i), repeatable)
+		}
+	}
+	abandonAll("safe", 3*room, true)
+	if len(ids.abandoned) != room || len(ids.repeatable) != room {
+		t.Errorf("%d IDs are kept in %d entries, want %d", len(ids.abandoned), len(ids.repeatable), room)
+	}
+	if ids.add(name("safe", 0), true) != nil || ids.add(name("safe", 3*room-1), true) == nil {
+		t.Error("the oldest ID of a request that may run twice is refused, or the newest one is not")
+	}
+	ids.end(name("safe", 0))
+	if held := ids.repeatableBytes; held > maxBytes || held < maxBytes-2*idBytes("safe-000000") {
+		t.Errorf("%d bytes are held, want about %d", held, maxBytes)
+	}
+	abandonAll("once", room, false) // the names are of equal length
+	if err := ids.add(name("once", room), false); !errors.Is(err, errNoRoomForID) {
+		t.Errorf("without room: %v, want %v", err, errNoRoomForID)
+	}
+	if err := ids.add(name("safe", 9*room), true); err != nil {
+		t.Errorf("without room, a request that may run twice: %v", err)
+	}
+	for i := range room {
+		if ids.add(name("once", i), false) == nil {
+			t.Fatalf("request %d of %d that must not run twice would run again", i, room)
+		}
 	}
-	if len(ids.abandoned) != maxAbandonedIDs || len(ids.order) != maxAbandonedIDs {
-		t.Errorf("%d IDs in %d entries are kept, want %d", len(ids.abandoned), len(ids.order), maxAbandonedIDs)
+	ids.resize(2 * maxBytes)
+	if err := ids.add(name("more", 0), false); err != nil {
+		t.Errorf("with more room: %v", err)
 	}
-	if ids.add("id0") != nil || ids.add(fmt.Sprint("id", 3*maxAbandonedIDs-1)) == nil {
-		t.Error("the oldest ID is refused, or the newest one is not")
+	ids.end(name("more", 0))
+	for i := range room {
+		ids.end(name("once", i))
 	}
 	ids.setRetention(time.Nanosecond)
-	ids.abandon("brief")
+	ids.abandon("brief", false)
 	time.Sleep(time.Microsecond)
-	if err := ids.add("brief"); err != nil {
+	if err := ids.add("brief", false); err != nil {
 		t.Errorf("an ID is refused after the retention time: %v", err)
 	}
+	ids.end("brief")
+	ids.resize(0)
+	if ids.protectedBytes != 0 || ids.repeatableBytes != 0 || len(ids.abandoned) != 0 {
+		t.Errorf("%d and %d bytes are counted for %d IDs after all have ended", ids.protectedBytes, ids.repeatableBytes,
+			len(ids.abandoned))
+	}
+}
+
+// Over sockets: clients leave with requests that must not run twice until there is no memory for further IDs. A new
+// request of that kind gets the answer to come again, one that may run twice is served, and no ID that may have run is
+// accepted again. The cost of requests that are answered, or were never sent to a node, is none.
+func TestFullTableOfIDsRejects(t *testing.T) {
+	f := newFixture(t)
+	f.transport.marksForwarded = true
+	f.server.ids.resize(minIDBytes)
+	f.serveClients()
+	rejection := ""
+	sent := 0
+	for ; rejection == ""; sent++ {
+		conn := f.dial()
+		line := make(chan string, 1)
+		write(t, conn, writeRequest(fmt.Sprint("once", sent)))
+		go func() {
+			text, _ := bufio.NewReader(conn).ReadString('\n') // fails when the test hangs up
+			line <- text
+		}()
+		select {
+		case attempt := <-f.transport.attempts:
+			hangUp(t, conn, false)
+			eventually(t, waitLimit, "the client is gone", func() bool { return f.loop.OpenRequests() == 0 })
+			attempt.serve()
+		case rejection = <-line:
+		}
+		if sent > minIDBytes/idOverhead {
+			t.Fatal("no request was rejected")
+		}
+	}
+	if !strings.HasPrefix(rejection, "-BUSY") || f.server.memory.rejectedIDs.Load() != 1 {
+		t.Errorf("the request that finds no room got %q, counted %d times, want -BUSY", rejection,
+			f.server.memory.rejectedIDs.Load())
+	}
+	for i := range sent - 1 {
+		if f.server.ids.add(fmt.Sprint("once", i), false) == nil {
+			t.Fatalf("request %d of %d would run again", i, sent)
+		}
+	}
+	conn := f.dial()
+	write(t, conn, request("safe"))
+	f.attempt().serve()
+	expectLine(t, bufio.NewReader(conn), "$1\r\n")
+}
+
+// Requests that wait at the broker when their clients leave have never run. Their IDs must neither take memory nor push
+// out others.
+func TestUnsentIDsTakeNoMemory(t *testing.T) {
+	f := newFixture(t)
+	f.server.ids.resize(minIDBytes)
+	f.serveClients()
+	for i := range 2 * minIDBytes / idOverhead {
+		conn := f.dial()
+		write(t, conn, writeRequest(fmt.Sprint("waits", i)))
+		attempt := f.attempt()
+		hangUp(t, conn, false)
+		eventually(t, waitLimit, "the client is gone", func() bool {
+			return f.loop.OpenRequests() == 0 && !refuses(f.server, fmt.Sprint("waits", i))
+		})
+		attempt.serve()
+	}
+	if f.server.ids.protectedBytes != 0 || f.server.memory.rejectedIDs.Load() != 0 {
+		t.Errorf("%d bytes are held and %d requests were rejected, want none", f.server.ids.protectedBytes,
+			f.server.memory.rejectedIDs.Load())
+	}
 }
--- a/internal/resp/server.go
+++ b/internal/resp/server.go
@@ -25,17 +25,18 @@
 	inputDrain *clientconn.InputDrain
 }
 
-// NewServer returns a server for at most maxConnections connections and at most maxBytes of buffered requests and
-// answers. If more than maxIdle connections have sent a request, the server closes idle ones among them.
+// NewServer returns a server for at most maxConnections connections and at most maxBytes of buffered requests, answers
+// and request IDs. If more than maxIdle connections have sent a request, the server closes idle ones among them.
 func NewServer(loop *broker.Loop, limits RequestLimits, maxConnections, maxIdle, maxBytes int,
 	logger *slog.Logger) *Server {
 	logger = logger.With("front", "clients")
+	requestBytes, idBytes := splitBudget(maxBytes)
 	s := &Server{
 		Table:     clientconn.NewTable(maxConnections, maxIdle, logger),
 		loop:      loop,
 		logger:    logger,
-		memory:    newServerMemory(maxBytes),
-		ids:       newRequestIDs(),
+		memory:    newServerMemory(requestBytes),
+		ids:       newRequestIDs(idBytes),
 		malformed: &malformedLog{logger: logger},
 
 		inputDrain: clientconn.NewInputDrain(),
@@ -65,8 +66,12 @@
 	s.ids.setRetention(limits.MaxTimeout)
 }
 
-// ResizeBudget sets the maximum number of bytes of buffered requests and answers.
-func (s *Server) ResizeBudget(maxBytes int) { s.memory.budget.Resize(maxBytes) }
+// ResizeBudget sets the maximum number of bytes of buffered requests, answers and request IDs.
+func (s *Server) ResizeBudget(maxBytes int) {
+	requestBytes, idBytes := splitBudget(maxBytes)
+	s.memory.budget.Resize(requestBytes)
+	s.ids.resize(idBytes)
+}
 
 // Budget returns the budget of buffered requests and answers, which servers of other protocols may share.
 func (s *Server) Budget() *clientconn.ByteBudget { return s.memory.budget }
--- a/internal/resp/stub_test.go
+++ b/internal/resp/stub_test.go
@@ -80,6 +80,10 @@
 		MaxUnits:  8,
 		Classes: []scheduler.Class{
 			{Name: "read", LatencyObjective: 5 * time.Second, Deadline: 10 * time.Second, PriorityWeight: 1},
+			{
+				Name: "write", LatencyObjective: 5 * time.Second, Deadline: 10 * time.Second, PriorityWeight: 1,
+				Idempotency: scheduler.NotIdempotent,
+			},
 		},
 		Plans:        []scheduler.Plan{{Name: "plan", Rate: 1e6, ReservedRate: 1e6, Weight: 1, Price: 1}},
 		Capabilities: scheduler.Capabilities{MaxAttempts: 3},
@@ -115,6 +119,12 @@
 	return bulk(commandRead, testKey, id, "c=read,t=plan,d=9000,volume=00000003b4d60021,units=1,shard=0,hosts=1")
 }
 
+// writeRequest encodes a write that must not run twice.
+func writeRequest(id string) string {
+	const options = "c=write,t=plan,d=9000,volume=00000003b4d60021,units=1,shard=0,hosts=1"
+	return bulk(commandWrite, testKey, id, options, "body")
+}
+
 // attempt returns the next attempt that the loop starts.
 func (f *fixture) attempt() *heldAttempt {
 	f.Helper()
--- a/internal/resp/take.go
+++ b/internal/resp/take.go
@@ -1,6 +1,7 @@
 package resp
 
 import (
+	"errors"
 	"net"
 	"runtime"
 	"strings"
@@ -36,14 +37,14 @@
 		recycleCommandBuffer(cmd.Raw)
 		return c.replyRejection(rejection)
 	}
-	reply := &pendingReply{memory: c.takeMemory(), clientRequestID: string(cmd.Args[argID])}
+	id, repeatable := string(cmd.Args[argID]), limits.Repeatable[request.Class]
+	if err := c.server.ids.add(id, repeatable); err != nil {
+		return c.refuseID(cmd.Raw, err, request.Class, limits)
+	}
+	reply := &pendingReply{memory: c.takeMemory(), clientRequestID: id, repeatable: repeatable}
 	reply.memory.class = request.Class
 	reply.memory.isNext = func() bool { return c.isNext(reply) }
 	request.Message.(*command).memory = reply.memory
-	if err := c.server.ids.add(reply.clientRequestID); err != nil {
-		reply.memory.end()
-		return c.refuse(cmd.Raw, err)
-	}
 	if !c.push(reply) {
 		c.server.ids.end(reply.clientRequestID)
 		return false
@@ -52,6 +53,19 @@
 	return true
 }
 
+// refuseID answers a request whose ID was not added, and reports whether to read on. If there is no room for the ID, the
+// client may come again later.
+func (c *client) refuseID(command []byte, err error, class string, limits *RequestLimits) (readOn bool) {
+	if !errors.Is(err, errNoRoomForID) {
+		c.releaseMemory()
+		return c.refuse(command, err)
+	}
+	c.server.memory.rejectedIDs.Add(1)
+	c.server.loop.CountRejection(class)
+	recycleCommandBuffer(command)
+	return c.replyRejection(&broker.Response{Verdict: broker.Rejected, RetryAfter: limits.RetryAfter})
+}
+
 // refuse answers a well-formed command that cannot be served with an error, and reports whether to read on. The other
 // commands of the connection are not affected.
 func (c *client) refuse(command []byte, err error) (readOn bool) {
@@ -97,7 +111,7 @@
 			long.abandon()
 		}
 		if mayHaveRun {
-			c.server.ids.abandon(reply.clientRequestID)
+			c.server.ids.abandon(reply.clientRequestID, reply.repeatable)
 		}
 		return
 	}
--- a/internal/resp/write.go
+++ b/internal/resp/write.go
@@ -124,7 +124,7 @@
 		switch {
 		case !reply.holdsID || (reply.value != nil) != streams:
 		case halfClosed:
-			c.server.ids.abandon(reply.clientRequestID)
+			c.server.ids.abandon(reply.clientRequestID, reply.repeatable)
 		default:
 			c.server.ids.end(reply.clientRequestID)
 		}
@@ -135,7 +135,7 @@
 func (s *Server) abandonIDs(replies []*pendingReply) {
 	for _, reply := range replies {
 		if reply.holdsID {
-			s.ids.abandon(reply.clientRequestID)
+			s.ids.abandon(reply.clientRequestID, reply.repeatable)
 		}
 	}
 }
