Follow a discovery service that answers slowly

Change: a poll of a shared service goes on when its answer is late, beside the polls that follow it at the same pace as before, for up to 6 s plus the grace and five at the most; its list counts like any other, unless another poll has overtaken it.

--- a/internal/discovery/drain_test.go
+++ b/internal/discovery/drain_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -273,3 +276,72 @@
 		t.Errorf("%+v: drain posted %v after it counts as notified, want at most the grace", c, late)
 	}
 }
+
+// A shared service answers each poll later than usual, always by the same time or by a random one. No answer was ever
+// waited for, so a drain was followed only once the service was quick again. The watcher must post a drain that the
+// service sends within the term, 6 s plus the grace, at the latest at the end of the term, and must not poll more often
+// than with lost polls.
+func TestDrainOfSlowService(t *testing.T) {
+	const grace = 2 * time.Second
+	const term = notifiedAfter + grace
+	const longestDelay = 6300 * time.Millisecond // leaves the time between two polls
+	for delay := 300 * time.Millisecond; delay <= longestDelay; delay += 400 * time.Millisecond {
+		for _, random := range []bool{false, true} {
+			for drainAt := time.Second; drainAt < 14*time.Second; drainAt += 1700 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					var polls atomic.Int64
+					drained := time.Now().Add(drainAt)
+					server, listener := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+						polls.Add(1)
+						late := delay
+						if random {
+							late = rand.N(min(2*delay, longestDelay))
+						}
+						answerSlowly(w, r, drained, late)
+					})
+					watcher := NewWatcher("shared", Options{
+						Brokers: 3, DrainGrace: grace, SharedService: true, Log: logging.Discard(),
+					})
+					watcher.client.Transport = &http.Transport{DialContext: listener.dial}
+					began := time.Now()
+					known := runUntilDrain(watcher, server)
+					if late := known.Sub(drained); late > term {
+						t.Errorf("delay %v, random %v, drain after %v: posted %v later, want %v at most",
+							delay, random, drainAt, late, term)
+					}
+					shortest := watcher.timeouts.Load().answer + firstBackoff/2
+					if most := 3 + 2*int64(known.Sub(began)/shortest); polls.Load() > most {
+						t.Errorf("delay %v: %d polls in %v, want %d at most", delay, polls.Load(), known.Sub(began), most)
+					}
+				})
+			}
+		}
+	}
+}
+
+// wait returns after a pause or when ctx ends.
+func wait(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
+// answerSlowly answers a poll like a service with one node that drains at a time: it holds a poll for changes until
+// then or until the hold time is over, and sends what it knows then by a delay later.
+func answerSlowly(w http.ResponseWriter, r *http.Request, drained time.Time, delay time.Duration) {
+	index := r.URL.Query().Get("index")
+	if held, _ := strconv.Atoi(r.URL.Query().Get("wait")); index == "41" {
+		wait(r.Context(), min(time.Duration(held)*time.Millisecond, max(0, time.Until(drained))))
+	}
+	isDrained := !time.Now().Before(drained)
+	wait(r.Context(), delay)
+	switch {
+	case isDrained:
+		answerDrain(w, r)
+	case index == "41":
+		_, _ = fmt.Fprint(w, `{"seq":41,"whole":false,"hosts":[]}`) // the client may have closed the connection
+	default:
+		answerFull(w)
+	}
+}
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -51,9 +51,8 @@
 func (w *Watcher) pollURL(poll pollRequest) (url string, timeout time.Duration) {
 	timeouts := w.timeouts.Load()
 	url = "http://" + w.address + "/registry/instances"
-	if poll.full {
-		return url, timeouts.answer
+	if !poll.full {
+		url += fmt.Sprintf("?index=%d&wait=%d", poll.version, timeouts.hold.Milliseconds())
 	}
-	url += fmt.Sprintf("?index=%d&wait=%d", poll.version, timeouts.hold.Milliseconds())
-	return url, timeouts.answer + timeouts.hold
+	return url, timeouts.lost(poll)
 }
--- a/internal/discovery/timeouts.go
+++ b/internal/discovery/timeouts.go
@@ -65,9 +65,31 @@
 type pollTimeouts struct {
 	hold       time.Duration // maximum time for which the service holds a poll until there are changes
 	answer     time.Duration // time for an answer, in addition to hold
+	slowAnswer time.Duration // time for a late answer, in addition to hold; 0: an answer that is late is lost
 	maxBackoff time.Duration // maximum mean pause after a failed poll
 }
 
+// late returns the time after which the next poll starts beside a poll without an answer, 0 for never.
+func (t *pollTimeouts) late(poll pollRequest) time.Duration {
+	if t.slowAnswer <= t.answer {
+		return 0
+	}
+	return t.answer + t.holdOf(poll)
+}
+
+// lost returns the time after which a poll without an answer ends.
+func (t *pollTimeouts) lost(poll pollRequest) time.Duration {
+	return max(t.answer, t.slowAnswer) + t.holdOf(poll)
+}
+
+// holdOf returns the time for which the service may hold a poll.
+func (t *pollTimeouts) holdOf(poll pollRequest) time.Duration {
+	if poll.full {
+		return 0
+	}
+	return t.hold
+}
+
 // pollTimeouts derives the timeouts from the platform's rule on drains: a broker must apply a drain within
 // notifiedAfter plus the drain grace, counted from the time at which the service has the drain and can be reached. If a
 // broker breaks the rule, a draining node still receives requests.
@@ -81,6 +103,9 @@
 // received while it was silent count as notified when the silence ends. Changes that a silent poll missed count as
 // notified 2 s after the end of that poll's hold time. Therefore a lost poll, the pause after it and the next poll must
 // together fit into the grace.
+//
+// A shared service may be slow. The next poll starts when an answer is late, and the late poll goes on for
+// slowAnswer: a list that comes within notifiedAfter plus the grace is in time.
 func (o Options) pollTimeouts() pollTimeouts {
 	available := notifiedAfter + o.DrainGrace
 	longest := time.Duration(float64(available) / (lostAnswers + lostPauses*maxJitter) * timeoutMargin)
@@ -92,6 +117,9 @@
 		t.answer = min(t.answer, o.DrainGrace/answerPartOfGrace)
 		t.maxBackoff = min(t.maxBackoff, o.DrainGrace/backoffPartOfGrace)
 	}
+	if o.SharedService {
+		t.slowAnswer = available
+	}
 	wanted := max(minHold, min(time.Duration(o.Brokers)*holdPerBroker, maxHold))
 	longestPause := time.Duration(maxJitter * float64(t.maxBackoff))
 	t.hold = min(wanted, available-2*t.answer-longestPause-holdMargin)
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -12,7 +10,6 @@
 	"time"
 
 	"junctionwharf/broker"
-	"junctionwharf/scheduler"
 )
 
 // dialTimeout limits the time for connecting to the service. With a larger value, an unreachable service is noticed
@@ -44,7 +41,7 @@
 	transport := &http.Transport{
 		DialContext:        dialer.DialContext,
 		MaxIdleConns:       1,
-		MaxConnsPerHost:    2, // an abandoned poll and the next one
+		MaxConnsPerHost:    maxLatePolls + 2, // late polls, one that is being cancelled, and the current one
 		DisableCompression: true,
 	}
 	w := &Watcher{
@@ -96,7 +93,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		w.watch(watchCtx, clock, post)
+		w.newWatch(watchCtx, clock, post).run()
 	}()
 	next := w.address
 	select {
@@ -107,58 +104,3 @@
 	<-ended
 	w.address = next
 }
-
-// watch polls one address until ctx ends.
-func (w *Watcher) watch(ctx context.Context, clock *broker.Clock, post func(broker.Event)) {
-	request := pollRequest{full: true}
-	failing := false // whether the latest poll failed
-	backoff := firstBackoff
-	for {
-		list, err := w.poll(ctx, request)
-		if ctx.Err() != nil {
-			return
-		}
-		if err == nil {
-			if err = w.checkVersion(list); err != nil {
-				w.apply(w.drainingEndpoints(list), clock, post)
-			}
-		}
-		if err == nil {
-			if failing {
-				w.log.Info("discovery recovered")
-			}
-			failing = false
-			backoff = firstBackoff
-			request = pollRequest{version: list.Version}
-			w.apply(list, clock, post)
-			continue
-		}
-		if !failing {
-			w.log.Warn("discovery poll failed", "reason", err)
-		}
-		failing = true
-		// A service that answers with an HTTP status error still knows the version. After any other failure, the
-		// service may have restarted its version count.
-		request.full = request.full || !errors.Is(err, errBadStatus)
-		wait(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, w.timeouts.Load().maxBackoff)
-	}
-}
-
-// wait waits until the pause has passed or ctx ends.
-func wait(ctx context.Context, pause time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
-	}
-}
-
-// apply merges a list into the current one and posts it. It does not post a change without endpoints.
-func (w *Watcher) apply(list *EndpointList, clock *broker.Clock, post func(broker.Event)) {
-	w.merge(list)
-	if list.Full {
-		post(list.Event(scheduler.FullUpdate, clock))
-	} else if len(list.Endpoints) > 0 {
-		post(list.Event(scheduler.DeltaUpdate, clock))
-	}
-}
