Give each request its answer after a panic inside a turn

Requests that arrived, were answered or were stopped in that turn got no answer and stayed counted as open; after a panic of Handle.Stop the deadline timer was set again every 5 ms without end.

Change (broker/recovery.go): a panic is contained at the event, the scheduler's event, the action, the timer or the effect that caused it, the rest of the turn goes on, and what it concerned fails. A stop that panicked counts as a request that may have run; an attempt that has not stopped answerGrace after its deadline too. After a panic the loop answers the clients whose requests the state does not hold.

Panics at the core's handling of other events than arrivals, and in timers, were not injected.

--- a/broker/doc.go
+++ b/broker/doc.go
@@ -4,8 +4,8 @@
 //
 // # Rule
 //
-// A submitted request gets at most one final answer. It gets none if its client disconnects first, or if its arrival
-// or its answer is lost by a panic (see Loop.safeTurn). Otherwise the answer comes at the latest shortly after the
+// A submitted request gets at most one final answer. It gets none if its client disconnects first. A request that a
+// panic concerned fails (see recovery.go). The answer comes at the latest shortly after the
 // deadline (see answerGrace). A request that may have run is sent again only if its class is idempotent or, for a class
 // that is idempotent with a key, within the idempotency window: the time in which nodes drop repeats of the key. A
 // request has at most one attempt in flight.
--- a/broker/loop.go
+++ b/broker/loop.go
@@ -49,6 +49,7 @@
 	nextNodeCount    Micros                  // next time to count nodes
 	nextSharesUpdate Micros                  // next time to update shares
 	rejections       []telemetry.Observation // rejections by admission control, moved from the inbox
+	recovering       bool                    // a panic was contained in this turn
 	// cancelledBeforeArrival holds the ids of requests whose clients disconnected while the RequestArrived event was
 	// still queued in the inbox.
 	cancelledBeforeArrival map[uint64]struct{}
@@ -140,17 +141,20 @@
 	l.safeTurn(now, changes)
 }
 
-// safeTurn runs a turn and contains a panic that one of its events causes, so that the process and its open requests
-// survive. The panic is logged, and the rest of the turn is lost. Requests that are still open in the state are
-// answered at their deadlines at the latest. A request whose arrival or answer is lost with the turn gets no answer.
+// safeTurn runs a turn. A panic that an event, an effect or the scheduler causes is logged and contained (see
+// recovery.go). Then a request that the panic concerned fails, at its deadline at the latest.
 func (l *Loop) safeTurn(now Micros, events []Event) {
 	l.safely(func() { l.turn(now, events) })
+	if l.recovering {
+		l.answerLost()
+	}
 }
 
 func (l *Loop) safely(call func()) {
 	defer func() {
-		if r := recover(); r != nil {
-			l.dependencies.Log.Error("panic", "front", "core", "panic", r)
+		if cause := recover(); cause != nil {
+			l.recovering = true
+			l.logPanic(cause)
 		}
 	}()
 	call()
@@ -164,13 +168,16 @@
 			l.track(e)
 		}
 		effects := l.state.Reduce(now, events)
-		l.countNodes(now, events)
+		for _, cause := range l.state.Panics() {
+			l.recovering = true
+			l.logPanic(cause)
+		}
+		listed := events
 		events = nil
-		for _, effect := range effects {
-			if e := l.execute(effect, now); e != nil {
-				events = append(events, e)
-			}
+		for next := 0; next < len(effects); {
+			next, events = l.executeAll(effects, next, now, events)
 		}
+		l.safely(func() { l.countNodes(now, listed) })
 		l.safely(l.observe)
 		again = len(events) > 0
 	}
--- a/broker/loop_test.go
+++ b/broker/loop_test.go
@@ -61,8 +61,8 @@
 	return writtenAttempt{}
 }
 
-// A panic in a transport must not end the process or affect other requests. The rest of the turn is lost, and the
-// request whose attempt was not started fails at its deadline.
+// A panic in a transport must not end the process or affect other requests. The request whose attempt was not started
+// fails at its deadline.
 func TestPanicEndsOneTurn(t *testing.T) {
 	lines := make(chan string, 8)
 	log := logging.ToFunc(func(line string) { lines <- line })
--- a/broker/requests.go
+++ b/broker/requests.go
@@ -23,6 +23,7 @@
 	inFlight    bool   // the last attempt has not ended
 	stopped     bool   // the last attempt is being stopped; how much of it was written is not known yet
 	stopReason  scheduler.Outcome
+	checkAt     Micros // when the stop of the last attempt must have ended, 0 for no such time
 
 	mayHaveRun   bool   // an ended attempt may have run
 	mayHaveRunAt Micros // when the first attempt that may have run was sent
--- a/broker/state.go
+++ b/broker/state.go
@@ -29,6 +29,7 @@
 
 	effects      []Effect
 	observations []telemetry.Observation
+	panics       []any // causes, contained since the start of the current Reduce
 
 	shuttingDown  bool
 	schedulingLag Micros // smoothed time that runnable work waits for a processor in this process
@@ -62,10 +63,13 @@
 	s.effects = s.effects[:0]
 	clear(s.observations)
 	s.observations = s.observations[:0]
-	for _, e := range events {
-		s.handle(e)
+	s.panics = nil
+	for next := 0; next < len(events); {
+		next = s.handleEvents(events, next)
+	}
+	for done := false; !done; {
+		done = s.fireTimers()
 	}
-	s.fireTimers()
 	for round := 0; round == 0 || len(s.schedulerEvents) > 0 && round < maxSchedulerRounds; round++ {
 		s.runScheduler()
 	}
@@ -77,9 +81,7 @@
 	events := s.schedulerEvents
 	s.schedulerEvents = s.spareSchedulerEvents[:0]
 	s.spareSchedulerEvents = nil
-	for _, action := range s.scheduler.Reduce(s.now.Duration(), events) {
-		s.apply(action)
-	}
+	s.reduceScheduler(events)
 	clear(events)
 	s.spareSchedulerEvents = events[:0]
 }
--- a/broker/timers.go
+++ b/broker/timers.go
@@ -30,13 +30,20 @@
 
 func (s *State) setTimer(at Micros, t timer) timingwheel.Handle { return s.timers.Set(int64(at), t) }
 
-// fireTimers fires all timers that are due.
-func (s *State) fireTimers() {
+// fireTimers fires all timers that are due, and reports whether it did. If one causes a panic, its request fails.
+func (s *State) fireTimers() (done bool) {
+	var t timer
+	defer s.contain(func() {
+		if t.kind != schedulerTimer {
+			s.abandonRequest(t.id)
+		}
+	})
 	for {
-		t, _, due := s.timers.Pop(int64(s.now))
+		next, _, due := s.timers.Pop(int64(s.now))
 		if !due {
-			return
+			return true
 		}
+		t = next
 		s.fire(t)
 	}
 }
@@ -66,11 +73,16 @@
 
 // handleDeadline ends a request at its deadline. It distinguishes these cases:
 //   - An attempt is in flight: the attempt is stopped, its outcome determines the answer, and the request is checked
-//     again after answerGrace.
+//     again after answerGrace. If the attempt has not stopped by then, it is taken for one that may have run.
 //   - No attempt is in flight and the request has no answer: the request fails.
 func (s *State) handleDeadline(id uint64, r *requestState) {
 	if r.inFlight {
+		if r.stopped && r.checkAt > 0 && s.now >= r.checkAt {
+			s.handleAttemptStop(AttemptStopped{ID: id, Attempt: r.attempts - 1, Progress: FullyWritten})
+			return
+		}
 		s.stopAttempt(id, r, scheduler.TimedOut)
+		r.checkAt = s.now + answerGrace
 		r.deadlineTimer = s.setTimer(s.now+answerGrace, timer{kind: deadlineTimer, id: id})
 		return
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -30,6 +30,7 @@
 	lastTickAt Time
 	ticks      int
 	actions    []Action // of this call of Reduce
+	handled    int      // events that the last Reduce has handled
 	logs       logLimiter
 
 	requests  map[uint64]*request
@@ -155,13 +156,20 @@
 		s.emit(SetTimer{Token: tickTimer, After: s.tickPeriod})
 		s.subscribe()
 	}
-	for _, event := range events {
-		s.handle(event)
+	for s.handled = 0; s.handled < len(events); s.handled++ {
+		s.handle(events[s.handled])
 	}
 	s.dispatchPending()
 	return s.actions
 }
 
+// Handled returns the number of events that the last call of Reduce has handled. After a panic in Reduce, it
+// is the index of the event that caused it, or the number of events if none did.
+func (s *Scheduler) Handled() int { return s.handled }
+
+// Actions returns the actions of the last call of Reduce, after a panic in it those until then.
+func (s *Scheduler) Actions() []Action { return s.actions }
+
 func (s *Scheduler) handle(event Event) {
 	switch e := event.(type) {
 	case Request:
