--- a/internal/resp/stream_test.go
+++ b/internal/resp/stream_test.go
@@ -200,3 +200,29 @@
 	eventually(t, waitLimit, "no request is open", func() bool { return loop.OpenRequests() == 0 })
 	expectMetrics(t, loop, map[string]uint64{"success.read": 5, "failure.read": 2})
 }
+
+// A node breaks off in the middle of a long value while commands wait behind it on the client's connection. Nothing can
+// follow an incomplete value, so the connection must end at once, without the rest of the value and without any other
+// answer, which tells the client that none of the commands behind it was answered. They must be cancelled.
+func TestCommandsBehindBrokenValue(t *testing.T) {
+	nodeListener := listen(t)
+	go serveCommands(nodeListener, func() {}, answerByID)
+	loop := newLoopTo(t, nodeListener.Addr().String())
+	server := NewServer(loop, testLimits, 8, 8, 1<<20, testLogger(t))
+	address := serve(t, server)
+	t.Cleanup(server.Close)
+	conn := dial(t, address, longWaitLimit)
+	for _, id := range []string{idCut, idShort, "long"} {
+		write(t, conn, bulk(commandRead, testKey, id, option("d=480", "d=6000")))
+	}
+	began := time.Now()
+	got, err := io.ReadAll(conn)
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the connection ended after %v, want at once", took)
+	}
+	header := fmt.Sprintf("$%d\r\n", len(longValue))
+	if !bytes.HasPrefix(got, []byte(header)) || len(got) >= len(header)+len(longValue) || bytes.Contains(got, []byte(shortValue)) {
+		t.Errorf("read %d bytes, error %v, want an incomplete value and nothing behind it", len(got), err)
+	}
+	eventually(t, waitLimit, "no request is open", func() bool { return loop.OpenRequests() == 0 && server.Count() == 0 })
+}
