Answer lost requests only after the turn that handles the collected events

Found on reading again: safeTurn also applies configuration changes, before the turn's own events. After a panic there answerLost failed the requests whose arrivals had been taken from the inbox and not yet handled, and their attempts ran for nobody. It is called after the turn now.

Test: TestPanicInConfigChangesFailsNoArrival, failed before (Failed instead of Served). go test -race of the panic tests of broker, three times, passes (arm64).

--- a/broker/loop.go
+++ b/broker/loop.go
@@ -49,7 +49,7 @@
 	nextNodeCount    Micros                  // next time to count nodes
 	nextSharesUpdate Micros                  // next time to update shares
 	rejections       []telemetry.Observation // rejections by admission control, moved from the inbox
-	recovering       bool                    // a panic was contained in this turn
+	recovering       bool                    // a panic was contained since the last call of answerLost
 	// cancelledBeforeArrival holds the ids of requests whose clients disconnected while the RequestArrived event was
 	// still queued in the inbox.
 	cancelledBeforeArrival map[uint64]struct{}
@@ -109,6 +109,9 @@
 		spare = events
 		l.applyConfigChanges(now)
 		l.safeTurn(now, events)
+		if l.recovering {
+			l.answerLost()
+		}
 		for _, call := range calls {
 			l.safely(call)
 		}
@@ -145,9 +148,6 @@
 // recovery.go). Then a request that the panic concerned fails, at its deadline at the latest.
 func (l *Loop) safeTurn(now Micros, events []Event) {
 	l.safely(func() { l.turn(now, events) })
-	if l.recovering {
-		l.answerLost()
-	}
 }
 
 func (l *Loop) safely(call func()) {
--- a/broker/recovery.go
+++ b/broker/recovery.go
@@ -199,7 +199,8 @@
 	return AttemptStopped{ID: e.ID, Attempt: e.Number, Progress: FullyWritten}
 }
 
-// answerLost answers the clients whose requests the state does not hold, after a panic. The requests may have run.
+// answerLost answers the clients whose requests the state does not hold, after a panic. The requests may have run. It
+// must follow the turn that handles the collected events, since their arrivals are not in the inbox any more.
 func (l *Loop) answerLost() {
 	l.recovering = false
 	queued := l.queuedArrivals()
--- a/broker/recovery_test.go
+++ b/broker/recovery_test.go
@@ -174,3 +174,27 @@
 		cancel()
 	}
 }
+
+// Configuration changes are applied before the events of a turn. A panic in them failed the requests whose arrivals that
+// turn was about to handle, and their attempts ran for nobody. These requests must be served.
+func TestPanicInConfigChangesFailsNoArrival(t *testing.T) {
+	changed := false
+	loop := NewLoop(newState(t, testSettings()), NewClock(), echoTransport{}, Dependencies{
+		ConfigChanges: func(Micros) []Event {
+			if changed {
+				return nil
+			}
+			changed = true
+			return []Event{RequestArrived{ID: 1 << 60}}
+		},
+	})
+	loop.Post(fullList(0, testNode("n1", 0, scheduler.Ready)))
+	responses := make(chan Response, 1)
+	loop.Submit(shortRequest("read"), func(r Response) { responses <- r })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go loop.Run(ctx)
+	if r := <-responses; r.Verdict != Served {
+		t.Errorf("the request behind the panic: %+v, want Served", r)
+	}
+}
