--- a/broker/doc.go
+++ b/broker/doc.go
@@ -5,10 +5,10 @@
 // # Rule
 //
 // A submitted request gets at most one final answer. It gets none if its client disconnects first. A request that a
-// panic concerned fails (see recovery.go). The answer comes at the latest shortly after the
-// deadline (see answerGrace). A request that may have run is sent again only if its class is idempotent or, for a class
-// that is idempotent with a key, within the idempotency window: the time in which nodes drop repeats of the key. A
-// request has at most one attempt in flight.
+// panic concerned fails (see recovery.go). The answer comes at the latest shortly after the deadline (see answerGrace).
+// A request that may have run is sent again only if its class is idempotent or, for a class that is idempotent with a
+// key, within the idempotency window: the time in which nodes drop repeats of the key. A request has at most one attempt
+// in flight.
 //
 // # Shape
 //
--- a/internal/sftp/server.go
+++ b/internal/sftp/server.go
@@ -48,9 +48,6 @@
 	s.mapping.Store(mapping)
 }
 
-// Mapping returns the mapping of later commands.
-func (s *Server) Mapping() Mapping { return *s.mapping.Load() }
-
 // Serve serves the clients of a listener until Close or StopAccepting is called.
 func (s *Server) Serve(ln net.Listener) error {
 	for {
--- a/internal/sftp/session_test.go
+++ b/internal/sftp/session_test.go
@@ -144,7 +144,7 @@
 		return slices.Clone(s.pending)
 	}
 	eventually(t, "the reader waits for space", func() bool { return len(pending()) == maxPending })
-	later := s.server.Mapping()
+	later := *s.server.mapping.Load()
 	later.Generation = 2
 	s.server.SetMapping(&later)
 	if _, err := client.Write(stat(maxPending + unread)); err != nil {
--- a/scheduler/debts.go
+++ b/scheduler/debts.go
@@ -140,8 +140,7 @@
 		owed.quotaRate = v.limited.Limit * quotaShare(v.brokers, s.processes)
 	}
 	if v.plan.ReservedRate > 0 {
-		s.refillReserved(v)
-		owed.reserved = max(0, s.reservedRate(v)+s.settings.MaxUnits-v.reserved.tokens)
+		owed.reserved = s.missingReserved(v)
 	}
 	return owed
 }
--- a/scheduler/eviction.go
+++ b/scheduler/eviction.go
@@ -131,9 +131,7 @@
 	if v.plan.ReservedRate <= 0 {
 		return wait
 	}
-	s.refillReserved(v)
-	rate := s.reservedRate(v)
-	return max(wait, secondsFor(rate+s.settings.MaxUnits-v.reserved.tokens, rate))
+	return max(wait, secondsFor(s.missingReserved(v), s.reservedRate(v)))
 }
 
 // secondsFor returns the time in which a rate yields units, 0 if there are none to yield.
--- a/scheduler/tokens.go
+++ b/scheduler/tokens.go
@@ -71,6 +71,12 @@
 	v.reserved.refill(s.now, rate, rate+s.settings.MaxUnits)
 }
 
+// missingReserved returns the units that a volume's reserved bucket lacks now.
+func (s *Scheduler) missingReserved(v *volume) float64 {
+	s.refillReserved(v)
+	return max(0, s.reservedRate(v)+s.settings.MaxUnits-v.reserved.tokens)
+}
+
 // reservedRate returns this broker's part of a volume's reserved rate, by demand, in units a second.
 func (s *Scheduler) reservedRate(v *volume) float64 {
 	return v.plan.ReservedRate * v.demandShare(v.peerDemand.current(s.ticks))
